Give the entry a scheduler interface, a session hub and a regional mesh

Cause: control, choice, outcomes and reports are to be built beside each other and need seams. Change: Scheduler with admissions, assignments and attempt results; one hub of sessions a VM, with message kinds in a file per subject; entries learn of each other from control and keep one session to each entry of their region.

--- a/packages/caller/src/EntryView.ts
+++ b/packages/caller/src/EntryView.ts
@@ -1,18 +1,15 @@
-import type TargetChooser from '@guavayard/core/choice/TargetChooser';
 import type TargetSender from '@guavayard/core/dispatch/TargetSender';
-import type Locality from '@guavayard/core/routing/Locality';
-import type TargetAnnouncement from '@guavayard/core/types/TargetAnnouncement';
+import type Scheduler from '@guavayard/core/scheduling/Scheduler';
+import type Clock from '@guavayard/core/types/Clock';
 import type VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
 
 /** What the request path reads and uses of the rest of the entry. */
 interface EntryView {
-  readonly locality: Locality;
-  readonly chooser: TargetChooser;
+  readonly clock: Clock;
+  readonly scheduler: Scheduler;
   readonly sender: TargetSender;
-  /** @returns the configuration in force, or undefined before the first one */
+  /** @returns the configuration in force, or undefined while requests may not be dispatched */
   configuration: () => VersionedConfiguration | undefined;
-  /** @returns the live targets of a service */
-  targetsOf: (service: string) => readonly TargetAnnouncement[];
 }
 
 export default EntryView;
--- a/packages/caller/src/RequestHandler.ts
+++ b/packages/caller/src/RequestHandler.ts
@@ -1,14 +1,14 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import { Ok, type Result } from 'ts-results';
+import type { Result } from 'ts-results';
 
 import fail from '@guavayard/core/errors/fail';
 import type Failure from '@guavayard/core/errors/Failure';
 import forwardHeaders from '@guavayard/core/http/forwardHeaders';
-import findCandidates from '@guavayard/core/routing/findCandidates';
+import isIdempotentMethod from '@guavayard/core/http/isIdempotentMethod';
 import matchRoute from '@guavayard/core/routing/matchRoute';
-import type Service from '@guavayard/core/types/Service';
-import type TargetAnnouncement from '@guavayard/core/types/TargetAnnouncement';
+import type RouteMatch from '@guavayard/core/routing/RouteMatch';
+import type Assignment from '@guavayard/core/scheduling/Assignment';
 
 import AnswerForwarder from './AnswerForwarder';
 import createRequestBody from './createRequestBody';
@@ -17,12 +17,7 @@
 
 const TENANT_HEADER = 'guavayard-tenant';
 
-interface Assignment {
-  readonly target: TargetAnnouncement;
-  readonly service: Service;
-}
-
-/** Serves one caller's request after the other: route, choice, dispatch, answer. */
+/** Serves one caller's request after the other: route, schedule, send, answer. */
 export default class RequestHandler {
   constructor(private readonly entry: EntryView) {}
 
@@ -36,39 +31,54 @@
   async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     return new Promise((resolve) => {
       res.once('close', resolve);
-      const assignment = this.assign(req);
-      if (assignment.err) sendFailure(res, assignment.val);
-      else this.dispatch(req, res, assignment.val);
+      const match = this.match(req);
+      if (match.err) sendFailure(res, match.val);
+      else this.schedule(req, res, match.val);
     });
   }
 
-  private assign(req: IncomingMessage): Result<Assignment, Failure> {
+  private match(req: IncomingMessage): Result<RouteMatch, Failure> {
     const current = this.entry.configuration();
     if (current === undefined) return fail('noConfiguration');
-    const { configuration } = current;
-    const tenant = req.headers[TENANT_HEADER];
-    const match = matchRoute(configuration, req.url ?? '/', tenant as string | undefined);
-    if (match.err) return match;
-    const targets = this.entry.targetsOf(match.val.serviceName);
-    const candidates = findCandidates(configuration, targets, match.val, this.entry.locality);
-    const chosen = this.entry.chooser.choose(candidates);
-    if (chosen === undefined) return fail('noTarget', `service "${match.val.serviceName}"`);
-    return Ok({ target: chosen.target, service: match.val.service });
+    const tenant = req.headers[TENANT_HEADER] as string | undefined;
+    return matchRoute(current.configuration, req.url ?? '/', tenant);
+  }
+
+  private schedule(req: IncomingMessage, res: ServerResponse, match: RouteMatch): void {
+    const deadlineMs = this.entry.clock() + match.service.timeoutMs;
+    const attempt = this.entry.scheduler.schedule({
+      match,
+      deadlineMs,
+      isIdempotent: isIdempotentMethod(req.method ?? 'GET'),
+      purpose: 'first',
+      triedTargetIds: [],
+    }, (decision) => {
+      if (decision.err) sendFailure(res, decision.val);
+      else this.dispatch(req, res, decision.val, deadlineMs);
+    });
+    res.once('close', () => attempt.cancel());
   }
 
-  private dispatch(req: IncomingMessage, res: ServerResponse, assignment: Assignment): void {
-    const { target, service } = assignment;
+  private dispatch(
+    req: IncomingMessage,
+    res: ServerResponse,
+    assignment: Assignment,
+    deadlineMs: number,
+  ): void {
     let deadline: NodeJS.Timeout | undefined;
-    const forwarder = new AnswerForwarder(res, () => clearTimeout(deadline));
-    const dispatch = this.entry.sender.send(target, {
+    const forwarder = new AnswerForwarder(res, (result) => {
+      clearTimeout(deadline);
+      assignment.finish(result);
+    });
+    const dispatch = this.entry.sender.send(assignment.target, {
       method: req.method ?? 'GET',
       path: req.url ?? '/',
       headers: forwardHeaders(req.rawHeaders),
       body: createRequestBody(req),
     }, forwarder);
     deadline = setTimeout(() => {
-      dispatch.abort({ kind: 'deadlineExceeded', detail: `${service.timeoutMs} ms` });
-    }, service.timeoutMs);
+      dispatch.abort({ kind: 'deadlineExceeded', detail: '' });
+    }, deadlineMs - this.entry.clock());
     res.on('drain', () => dispatch.resume());
     res.once('close', () => dispatch.abort({ kind: 'callerGone', detail: '' }));
   }
--- a/packages/cli/src/run/RunContext.ts
+++ b/packages/cli/src/run/RunContext.ts
@@ -1,5 +1,6 @@
 import type Logger from 'bunyan';
 
+import type VmHub from '@guavayard/vm/session/VmHub';
 import type VmIdentity from '@guavayard/vm/session/VmIdentity';
 
 import type Settings from '../settings/Settings';
@@ -8,8 +9,8 @@
 interface RunContext {
   readonly settings: Settings;
   readonly identity: VmIdentity;
-  /** Key shared by all VMs. */
-  readonly key: string;
+  /** Sessions with other VMs, shared by the roles. */
+  readonly hub: VmHub;
   readonly log: Logger;
 }
 
--- a/packages/cli/src/run/listen.ts
+++ b/packages/cli/src/run/listen.ts
@@ -3,7 +3,7 @@
 import type Logger from 'bunyan';
 import { Err, Ok, type Result } from 'ts-results';
 
-import splitHostPort from '../settings/splitHostPort';
+import splitHostPort from '@guavayard/core/utils/splitHostPort';
 
 /**
  * Binds a server to its address and logs where it listens.
--- a/packages/cli/src/run/runVm.ts
+++ b/packages/cli/src/run/runVm.ts
@@ -3,8 +3,12 @@
 import { createLogger } from 'bunyan';
 import { Ok, type Result } from 'ts-results';
 
+import VmHub from '@guavayard/vm/session/VmHub';
+import type VmIdentity from '@guavayard/vm/session/VmIdentity';
+
 import readSecret from '../settings/readSecret';
 import type Settings from '../settings/Settings';
+import listen from './listen';
 import type RunContext from './RunContext';
 import type Runnable from './Runnable';
 import startControl from './startControl';
@@ -14,46 +18,73 @@
 
 const STARTERS = { control: startControl, entry: startEntry } as const;
 
+function createIdentity(settings: Settings): VmIdentity {
+  const {
+    name, region, dataCentre, roles, listen: address,
+  } = settings.vm;
+  return {
+    name,
+    region,
+    dataCentre,
+    roles,
+    address,
+    callerAddress: settings.caller?.listen,
+    startId: randomBytes(START_ID_BYTES).toString('hex'),
+  };
+}
+
 async function createContext(settings: Settings): Promise<Result<RunContext, string>> {
   const key = await readSecret(settings.vm.keyFile, 'vm.keyFile');
-  const { name, region, dataCentre } = settings.vm;
-  return key.map((value) => ({
-    settings,
-    identity: {
-      name, region, dataCentre, startId: randomBytes(START_ID_BYTES).toString('hex'),
-    },
-    key: value,
-    log: createLogger({
-      name: 'guavayard', vm: name, dataCentre, level: settings.log.level,
-    }),
-  }));
+  if (key.err) return key;
+  const identity = createIdentity(settings);
+  const { name, dataCentre } = identity;
+  const log = createLogger({
+    name: 'guavayard', vm: name, dataCentre, level: settings.log.level,
+  });
+  const hub = new VmHub(key.val, identity);
+  const bound = await listen(hub.netServer, settings.vm.listen, 'vm', log);
+  if (bound.err) return bound;
+  // Other VMs are told the bound address, for the settings may leave the port to the system.
+  identity.address = bound.val;
+  return Ok({
+    settings, identity, hub, log,
+  });
 }
 
-/**
- * Starts the roles of a VM, control before entry.
- *
- * @param settings - the VM's settings
- * @returns the running VM, or why it cannot start
- */
-export default async function runVm(settings: Settings): Promise<Result<Runnable, string>> {
-  const context = await createContext(settings);
-  if (context.err) return context;
+async function startRoles(context: RunContext): Promise<Result<Runnable[], string>> {
   const running: Runnable[] = [];
-  const roles = (['control', 'entry'] as const).filter((role) => settings.vm.roles.includes(role));
+  const roles = (['control', 'entry'] as const)
+    .filter((role) => context.settings.vm.roles.includes(role));
   for (let index = 0; index < roles.length; index += 1) {
     const role = roles[index];
     if (role !== undefined) {
       // eslint-disable-next-line no-await-in-loop -- the entry connects to the control role
-      const started = await STARTERS[role](context.val);
+      const started = await STARTERS[role](context);
       if (started.err) return started;
       running.push(started.val);
     }
   }
-  context.val.log.info({ roles }, 'started');
+  return Ok(running);
+}
+
+/**
+ * Starts the roles of a VM, control before entry.
+ *
+ * @param settings - the VM's settings
+ * @returns the running VM, or why it cannot start
+ */
+export default async function runVm(settings: Settings): Promise<Result<Runnable, string>> {
+  const context = await createContext(settings);
+  if (context.err) return context;
+  const { hub, log } = context.val;
+  const running = await startRoles(context.val);
+  if (running.err) return running;
+  log.info({ roles: settings.vm.roles }, 'started');
   return Ok({
     stop: async () => {
-      await Promise.all(running.map(async (runnable) => runnable.stop()));
-      context.val.log.info('stopped');
+      await Promise.all(running.val.map(async (runnable) => runnable.stop()));
+      hub.close();
+      log.info('stopped');
     },
   });
 }
--- a/packages/cli/src/run/startControl.ts
+++ b/packages/cli/src/run/startControl.ts
@@ -5,7 +5,6 @@
 import RecordLog from '@guavayard/disk/RecordLog';
 import OperatorListener from '@guavayard/operator/OperatorListener';
 import ConfigurationPublisher from '@guavayard/vm/control/ConfigurationPublisher';
-import VmListener from '@guavayard/vm/session/VmListener';
 
 import readSecret from '../settings/readSecret';
 import closeServer from './closeServer';
@@ -43,7 +42,7 @@
  */
 export default async function startControl(context: RunContext): Promise<Result<Runnable, string>> {
   const {
-    settings, identity, key, log,
+    settings, identity, hub, log,
   } = context;
   if (settings.disk === undefined || settings.operator === undefined) {
     return Err('role "control" needs the sections [disk] and [operator]');
@@ -53,20 +52,13 @@
   const opened = await openStore(settings.disk.folder);
   if (opened.err) return opened;
   const { store, publisher } = opened.val;
-  const vmListener = new VmListener(key, identity, publisher);
+  hub.addHandler(publisher);
   const operatorListener = new OperatorListener(store, () => ({
     vm: identity.name,
     version: store.latest.version,
-    entries: publisher.subscriberNames,
+    entries: publisher.entries.map((entry) => entry.name),
   }), token.val);
-  const vmBound = await listen(vmListener.netServer, settings.vm.listen, 'vm', log);
-  if (vmBound.err) return vmBound;
   const operatorBound = await listen(operatorListener.server, settings.operator.listen, 'operator', log);
   if (operatorBound.err) return operatorBound;
-  return Ok({
-    stop: async () => {
-      vmListener.close();
-      await closeServer(operatorListener.server);
-    },
-  });
+  return Ok({ stop: async () => closeServer(operatorListener.server) });
 }
--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -5,14 +5,15 @@
 import CallerListener from '@guavayard/caller/CallerListener';
 import RequestHandler from '@guavayard/caller/RequestHandler';
 import LeastInFlightChooser from '@guavayard/core/choice/LeastInFlightChooser';
+import findCandidates from '@guavayard/core/routing/findCandidates';
+import DirectScheduler from '@guavayard/core/scheduling/DirectScheduler';
 import PlatformListener from '@guavayard/platform/PlatformListener';
 import AnnouncementListener from '@guavayard/target/AnnouncementListener';
 import TargetDirectory from '@guavayard/target/TargetDirectory';
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
-import ConfigurationSubscription from '@guavayard/vm/entry/ConfigurationSubscription';
-import VmConnector from '@guavayard/vm/session/VmConnector';
+import ControlSubscription from '@guavayard/vm/entry/ControlSubscription';
+import RegionMesh from '@guavayard/vm/entry/RegionMesh';
 
-import splitHostPort from '../settings/splitHostPort';
 import closeServer from './closeServer';
 import listen from './listen';
 import type RunContext from './RunContext';
@@ -20,40 +21,52 @@
 
 const EXPIRY_INTERVAL_MS = 100;
 
-function connectToControl(
-  context: RunContext,
-  subscription: ConfigurationSubscription,
-): VmConnector[] {
-  return context.settings.vm.control.map((address) => {
-    const { host, port } = splitHostPort(address);
-    const connector = new VmConnector(host, port, context.key, context.identity, subscription);
-    connector.start();
-    return connector;
+function clock(): number {
+  return performance.now();
+}
+
+function createSubscription(context: RunContext): ControlSubscription {
+  const mesh = new RegionMesh(context.hub, context.identity);
+  return new ControlSubscription({
+    onConfiguration: ({ version }) => context.log.info({ version }, 'configuration in force'),
+    onMembership: (entries) => mesh.update(entries),
   });
 }
 
+function createScheduler(
+  context: RunContext,
+  subscription: ControlSubscription,
+  directory: TargetDirectory,
+): DirectScheduler {
+  return new DirectScheduler(({ match }) => {
+    const configuration = subscription.latest?.configuration;
+    if (configuration === undefined) return [];
+    const targets = directory.targetsOf(match.serviceName);
+    return findCandidates(configuration, targets, match, context.identity);
+  }, (countInFlight) => new LeastInFlightChooser(countInFlight));
+}
+
 /**
  * Starts the entry role.
  *
- * @param context - settings, identity, key and log
+ * @param context - settings, identity, sessions and log
  * @returns the running role, or why it cannot start
  */
 export default async function startEntry(context: RunContext): Promise<Result<Runnable, string>> {
-  const { settings, identity, log } = context;
+  const {
+    settings, identity, hub, log,
+  } = context;
   if (settings.caller === undefined || settings.target === undefined) {
     return Err('role "entry" needs the sections [caller] and [target]');
   }
-  const directory = new TargetDirectory(() => performance.now());
+  const directory = new TargetDirectory(clock);
   const sender = new UndiciTargetSender();
-  const subscription = new ConfigurationSubscription((latest) => {
-    log.info({ version: latest.version }, 'configuration in force');
-  });
+  const subscription = createSubscription(context);
   const handler = new RequestHandler({
-    locality: identity,
-    chooser: new LeastInFlightChooser((targetId) => sender.countInFlight(targetId)),
+    clock,
+    scheduler: createScheduler(context, subscription, directory),
     sender,
     configuration: () => subscription.latest,
-    targetsOf: (service) => directory.targetsOf(service),
   });
   let isStopping = false;
   const caller = new CallerListener(handler);
@@ -61,13 +74,15 @@
   const platform = new PlatformListener(() => subscription.latest !== undefined && !isStopping);
   const callerBound = await listen(caller.server, settings.caller.listen, 'caller', log);
   if (callerBound.err) return callerBound;
+  identity.callerAddress = callerBound.val;
   const targetBound = await listen(target.server, settings.target.listen, 'target', log);
   if (targetBound.err) return targetBound;
   if (settings.platform !== undefined) {
     const platformBound = await listen(platform.server, settings.platform.listen, 'platform', log);
     if (platformBound.err) return platformBound;
   }
-  const connectors = connectToControl(context, subscription);
+  hub.addHandler(subscription);
+  settings.vm.control.forEach((address) => hub.connect(address));
   const expiry = setInterval(() => directory.expire(), EXPIRY_INTERVAL_MS);
   return Ok({
     stop: async () => {
@@ -75,7 +90,6 @@
       clearInterval(expiry);
       await Promise.all([closeServer(caller.server), closeServer(target.server)]);
       await sender.close();
-      connectors.forEach((connector) => connector.close());
       await closeServer(platform.server);
     },
   });
--- a/packages/core/src/dispatch/TargetSender.ts
+++ b/packages/core/src/dispatch/TargetSender.ts
@@ -14,11 +14,6 @@
    * @returns the exchange, to resume or abort it
    */
   send: (target: TargetAnnouncement, req: TargetRequest, handler: AnswerHandler) => Dispatch;
-  /**
-   * @param targetId - a target
-   * @returns how many requests this entry has in flight to it
-   */
-  countInFlight: (targetId: string) => number;
 }
 
 export default TargetSender;
--- /dev/null
+++ b/packages/core/src/types/Clock.ts
@@ -0,0 +1,4 @@
+/** Monotonic clock: milliseconds since an arbitrary moment. */
+type Clock = () => number;
+
+export default Clock;
--- a/packages/target/src/UndiciDispatch.ts
+++ b/packages/target/src/UndiciDispatch.ts
@@ -16,10 +16,7 @@
 
   private isDone = false;
 
-  constructor(
-    private readonly handler: AnswerHandler,
-    private readonly onDone: () => void,
-  ) {}
+  constructor(private readonly handler: AnswerHandler) {}
 
   resume(): void {
     this.controller?.resume();
@@ -51,18 +48,12 @@
   }
 
   onResponseEnd(): void {
-    this.finish();
+    this.isDone = true;
     this.handler.onEnd();
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
-    this.finish();
-    this.handler.onFailure(this.abortReason ?? describeSendError(err));
-  }
-
-  private finish(): void {
-    if (this.isDone) return;
     this.isDone = true;
-    this.onDone();
+    this.handler.onFailure(this.abortReason ?? describeSendError(err));
   }
 }
--- a/packages/target/src/UndiciTargetSender.ts
+++ b/packages/target/src/UndiciTargetSender.ts
@@ -17,11 +17,8 @@
 export default class UndiciTargetSender implements TargetSender {
   private readonly pools = new Map<string, Pool>();
 
-  private readonly inFlight = new Map<string, number>();
-
   send(target: TargetAnnouncement, req: TargetRequest, handler: AnswerHandler): Dispatch {
-    this.addInFlight(target.id, 1);
-    const dispatch = new UndiciDispatch(handler, () => this.addInFlight(target.id, -1));
+    const dispatch = new UndiciDispatch(handler);
     this.poolOf(target).dispatch({
       method: req.method,
       path: req.path,
@@ -31,10 +28,6 @@
     return dispatch;
   }
 
-  countInFlight(targetId: string): number {
-    return this.inFlight.get(targetId) ?? 0;
-  }
-
   /** Closes all connections once their requests are done. */
   async close(): Promise<void> {
     await Promise.all([...this.pools.values()].map(async (pool) => pool.close()));
@@ -54,8 +47,4 @@
     this.pools.set(target.address, pool);
     return pool;
   }
-
-  private addInFlight(targetId: string, change: number): void {
-    this.inFlight.set(targetId, this.countInFlight(targetId) + change);
-  }
 }
--- a/packages/vm/src/control/ConfigurationPublisher.ts
+++ b/packages/vm/src/control/ConfigurationPublisher.ts
@@ -1,10 +1,11 @@
 import type VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
 
+import type VmMessage from '../messages/VmMessage';
 import type SessionHandler from '../session/SessionHandler';
-import type VmMessage from '../session/VmMessage';
+import type VmIdentity from '../session/VmIdentity';
 import type VmSession from '../session/VmSession';
 
-/** Sends the latest configuration to every entry that subscribed. */
+/** Tells every subscribed entry the latest accepted configuration and the other entries. */
 export default class ConfigurationPublisher implements SessionHandler {
   private readonly subscribers = new Set<VmSession>();
 
@@ -16,14 +17,15 @@
     if (message.kind !== 'subscribe') return;
     this.subscribers.add(session);
     if (this.latest !== undefined) session.send({ kind: 'configuration', latest: this.latest });
+    this.publishMembership();
   }
 
   onClose(session: VmSession): void {
-    this.subscribers.delete(session);
+    if (this.subscribers.delete(session)) this.publishMembership();
   }
 
   /**
-   * Sends the latest accepted configuration to every subscriber, now and later.
+   * Sends a newly accepted configuration to every subscriber.
    *
    * @param latest - the configuration
    */
@@ -32,8 +34,13 @@
     this.subscribers.forEach((session) => session.send({ kind: 'configuration', latest }));
   }
 
-  /** Names of the entries that subscribed, in the order of their sessions. */
-  get subscriberNames(): string[] {
-    return [...this.subscribers].flatMap((session) => session.peer?.name ?? []);
+  /** The subscribed entries, in the order of their sessions. */
+  get entries(): VmIdentity[] {
+    return [...this.subscribers].flatMap((session) => session.peer ?? []);
+  }
+
+  private publishMembership(): void {
+    const { entries } = this;
+    this.subscribers.forEach((session) => session.send({ kind: 'membership', entries }));
   }
 }
--- /dev/null
+++ b/packages/vm/src/messages/VmMessage.ts
@@ -0,0 +1,13 @@
+import { z } from 'zod';
+
+import configurationMessages from './configurationMessages';
+import membershipMessages from './membershipMessages';
+
+/** Messages between the VMs of the system. */
+const VmMessage = z.discriminatedUnion('kind', [
+  ...configurationMessages,
+  ...membershipMessages,
+]);
+type VmMessage = z.infer<typeof VmMessage>;
+
+export default VmMessage;
--- a/packages/vm/src/session/SessionHandler.ts
+++ b/packages/vm/src/session/SessionHandler.ts
@@ -1,5 +1,5 @@
 import type VmIdentity from './VmIdentity';
-import type VmMessage from './VmMessage';
+import type VmMessage from '../messages/VmMessage';
 import type VmSession from './VmSession';
 
 /** Receiver of what happens on a session. */
--- a/packages/vm/src/session/VmConnector.ts
+++ b/packages/vm/src/session/VmConnector.ts
@@ -1,5 +1,7 @@
 import { connect } from 'node:net';
 
+import splitHostPort from '@guavayard/core/utils/splitHostPort';
+
 import type SessionHandler from './SessionHandler';
 import type VmIdentity from './VmIdentity';
 import VmSession from './VmSession';
@@ -18,8 +20,7 @@
   private isClosed = false;
 
   constructor(
-    private readonly host: string,
-    private readonly port: number,
+    private readonly address: string,
     private readonly key: string,
     private readonly identity: VmIdentity,
     private readonly handler: SessionHandler,
@@ -27,7 +28,7 @@
 
   /** Starts to connect, and goes on until `close`. */
   start(): void {
-    const socket = connect({ host: this.host, port: this.port });
+    const socket = connect({ ...splitHostPort(this.address) });
     this.session = new VmSession(socket, 'client', this.key, this.identity, {
       onOpen: (session, peer) => {
         this.delayMs = MIN_RECONNECT_DELAY_MS;
--- a/packages/vm/src/session/VmIdentity.ts
+++ b/packages/vm/src/session/VmIdentity.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 
+import HostPort from '@guavayard/core/types/HostPort';
 import Name from '@guavayard/core/types/Name';
 
 /** Who a VM says it is when a session starts. */
@@ -9,6 +10,11 @@
   dataCentre: Name,
   /** New for each start of the process. */
   startId: z.string().min(1).max(64),
+  roles: z.array(z.enum(['entry', 'control'])),
+  /** Where the VM accepts sessions. */
+  address: HostPort,
+  /** Where an entry accepts callers' requests. */
+  callerAddress: HostPort.optional(),
 });
 type VmIdentity = z.infer<typeof VmIdentity>;
 
--- a/packages/vm/src/session/VmSession.ts
+++ b/packages/vm/src/session/VmSession.ts
@@ -9,7 +9,7 @@
 import Handshake from './Handshake';
 import type SessionHandler from './SessionHandler';
 import type VmIdentity from './VmIdentity';
-import VmMessage from './VmMessage';
+import VmMessage from '../messages/VmMessage';
 
 const NONCE_BYTES = 16;
 /** Longest time from connect until both sides have proved the shared key. */
--- a/packages/vm/test/session.test.ts
+++ b/packages/vm/test/session.test.ts
@@ -5,11 +5,17 @@
 
 import VmConnector from '../src/session/VmConnector';
 import type SessionHandler from '../src/session/SessionHandler';
+import type VmIdentity from '../src/session/VmIdentity';
 import VmListener from '../src/session/VmListener';
 import VmSession from '../src/session/VmSession';
 
-const IDENTITY = {
-  name: 'vm-1', region: 'munster', dataCentre: 'munster-1', startId: 'start',
+const IDENTITY: VmIdentity = {
+  name: 'vm-1',
+  region: 'munster',
+  dataCentre: 'munster-1',
+  startId: 'start',
+  roles: ['entry'],
+  address: '127.0.0.1:1',
 };
 
 const IGNORE: SessionHandler = { onOpen() {}, onMessage() {}, onClose() {} };
@@ -33,7 +39,7 @@
   const listener = await listen('the same key', {
     ...IGNORE, onMessage: (_session, message) => deliver(message.kind),
   });
-  const connector = new VmConnector('127.0.0.1', portOf(listener), 'the same key', IDENTITY, {
+  const connector = new VmConnector(`127.0.0.1:${portOf(listener)}`, 'the same key', IDENTITY, {
     ...IGNORE, onOpen: (session) => session.send({ kind: 'subscribe' }),
   });
   t.after(() => {
