--- a/packages/core/src/routing/Candidate.ts
+++ b/packages/core/src/routing/Candidate.ts
@@ -1,8 +1,8 @@
-import type TargetAnnouncement from '../types/TargetAnnouncement';
+import type KnownTarget from '../types/KnownTarget';
 
 /** A target that may serve a request, and how far away it is. */
 interface Candidate {
-  readonly target: TargetAnnouncement;
+  readonly target: KnownTarget;
   readonly distance: 'data-centre' | 'region' | 'remote';
 }
 
--- a/packages/core/src/routing/findCandidates.ts
+++ b/packages/core/src/routing/findCandidates.ts
@@ -1,5 +1,5 @@
 import type Configuration from '../types/Configuration';
-import type TargetAnnouncement from '../types/TargetAnnouncement';
+import type KnownTarget from '../types/KnownTarget';
 import type Candidate from './Candidate';
 import type Locality from './Locality';
 import type RouteMatch from './RouteMatch';
@@ -21,7 +21,7 @@
  */
 export default function findCandidates(
   configuration: Configuration,
-  targets: readonly TargetAnnouncement[],
+  targets: readonly KnownTarget[],
   match: RouteMatch,
   from: Locality,
 ): Candidate[] {
--- a/packages/core/src/scheduling/Assignment.ts
+++ b/packages/core/src/scheduling/Assignment.ts
@@ -1,9 +1,14 @@
-import type TargetAnnouncement from '../types/TargetAnnouncement';
+import type KnownTarget from '../types/KnownTarget';
 import type AttemptResult from './AttemptResult';
 
 /** A target that is held for one attempt until the attempt is finished. */
 interface Assignment {
-  readonly target: TargetAnnouncement;
+  readonly target: KnownTarget;
+  /**
+   * Name of the entry that must send the attempt in place of this one, because it owns a target
+   * that only its owner may use; undefined where this entry sends it.
+   */
+  readonly relayTo: string | undefined;
   /**
    * Gives the target back. Called exactly once.
    *
--- a/packages/core/src/scheduling/DirectScheduler.ts
+++ b/packages/core/src/scheduling/DirectScheduler.ts
@@ -40,7 +40,7 @@
 
   private assign({ target }: Candidate): Assignment {
     this.addInFlight(target.id, 1);
-    return { target, finish: () => this.addInFlight(target.id, -1) };
+    return { target, relayTo: undefined, finish: () => this.addInFlight(target.id, -1) };
   }
 
   private addInFlight(targetId: string, change: number): void {
--- a/packages/core/test/configuration.test.ts
+++ b/packages/core/test/configuration.test.ts
@@ -6,7 +6,7 @@
 import findCandidates from '../src/routing/findCandidates';
 import matchRoute from '../src/routing/matchRoute';
 import Configuration from '../src/types/Configuration';
-import type TargetAnnouncement from '../src/types/TargetAnnouncement';
+import type KnownTarget from '../src/types/KnownTarget';
 
 const CONFIGURATION = Configuration.parse({
   services: { listing: {}, ledger: {} },
@@ -22,7 +22,7 @@
   tenants: { brokers: { homeRegions: ['leinster'] } },
 });
 
-function createTarget(id: string, dataCentre: string, state: 'ready' | 'draining'): TargetAnnouncement {
+function createTarget(id: string, dataCentre: string, state: 'ready' | 'draining'): KnownTarget {
   return {
     id,
     service: 'ledger',
@@ -33,6 +33,7 @@
     startId: 'start',
     state,
     timeToLiveMs: 1000,
+    owner: undefined,
   };
 }
 
--- a/packages/target/src/TargetDirectory.ts
+++ b/packages/target/src/TargetDirectory.ts
@@ -1,3 +1,4 @@
+import type KnownTarget from '@guavayard/core/types/KnownTarget';
 import type TargetAnnouncement from '@guavayard/core/types/TargetAnnouncement';
 
 interface Entry {
@@ -9,7 +10,7 @@
 export default class TargetDirectory {
   private readonly entries = new Map<string, Entry>();
 
-  private byService = new Map<string, TargetAnnouncement[]>();
+  private byService = new Map<string, KnownTarget[]>();
 
   /**
    * @param now - monotonic clock, in milliseconds
@@ -49,7 +50,7 @@
    * @param service - service name
    * @returns the targets of the service, sorted by id
    */
-  targetsOf(service: string): readonly TargetAnnouncement[] {
+  targetsOf(service: string): readonly KnownTarget[] {
     const known = this.byService.get(service);
     if (known !== undefined) return known;
     const targets = this.all().filter((target) => target.service === service);
@@ -58,9 +59,9 @@
   }
 
   /** @returns all targets, sorted by id */
-  all(): readonly TargetAnnouncement[] {
+  all(): readonly KnownTarget[] {
     return [...this.entries.values()]
-      .map((entry) => entry.announcement)
+      .map((entry) => ({ ...entry.announcement, owner: undefined }))
       .sort((left, right) => (left.id < right.id ? -1 : 1));
   }
 }
