--- /dev/null
+++ b/packages/caller/src/Exchange.ts
@@ -0,0 +1,198 @@
+import type { ServerResponse } from 'node:http';
+
+import type AnswerHandler from '@guavayard/core/dispatch/AnswerHandler';
+import type AnswerHeaders from '@guavayard/core/dispatch/AnswerHeaders';
+import type Dispatch from '@guavayard/core/dispatch/Dispatch';
+import type Failure from '@guavayard/core/errors/Failure';
+import createExchange from '@guavayard/core/exchange/createExchange';
+import type ExchangeEffect from '@guavayard/core/exchange/ExchangeEffect';
+import type ExchangeEvent from '@guavayard/core/exchange/ExchangeEvent';
+import type ExchangeState from '@guavayard/core/exchange/ExchangeState';
+import stepExchange from '@guavayard/core/exchange/stepExchange';
+import createTargetHeaders from '@guavayard/core/http/createTargetHeaders';
+import isFramedAnswer from '@guavayard/core/http/isFramedAnswer';
+import isHoldableAnswer from '@guavayard/core/http/isHoldableAnswer';
+import type Assignment from '@guavayard/core/scheduling/Assignment';
+import type AttemptResult from '@guavayard/core/scheduling/AttemptResult';
+import type ScheduledAttempt from '@guavayard/core/scheduling/ScheduledAttempt';
+
+import AnswerWriter from './AnswerWriter';
+import type CallerRequest from './CallerRequest';
+import checkDispatch from './checkDispatch';
+import type EntryView from './EntryView';
+import ReplayableBody from './ReplayableBody';
+import sendFailure from './sendFailure';
+
+const ATTEMPT_HEADER = 'guavayard-attempt';
+const OUTCOME_HEADER = 'guavayard-outcome';
+const LOAD_HEADER = 'guavayard-load';
+
+/** Carries one caller's request from its route to its answer: does what `stepExchange` says. */
+export default class Exchange implements AnswerHandler {
+  private readonly state: ExchangeState;
+
+  private readonly body: ReplayableBody;
+
+  private readonly writer: AnswerWriter;
+
+  private readonly triedTargetIds: string[] = [];
+
+  private schedules = 0;
+
+  private attempt: ScheduledAttempt | undefined;
+
+  private assignment: Assignment | undefined;
+
+  private dispatch: Dispatch | undefined;
+
+  private loadHeader: string | undefined;
+
+  private deadline: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly entry: EntryView,
+    private readonly request: CallerRequest,
+    private readonly res: ServerResponse,
+  ) {
+    const { req, isIdempotent } = request;
+    // A request that carries an attempt number comes from inside a chain whose first entry retries.
+    this.state = createExchange(isIdempotent, req.headers[ATTEMPT_HEADER] === undefined);
+    this.body = new ReplayableBody(req, true);
+    this.writer = new AnswerWriter(res);
+  }
+
+  /** Starts the exchange. The response is always finished or destroyed in the end. */
+  start(): void {
+    const remainingMs = this.request.deadlineMs - this.entry.clock();
+    this.deadline = setTimeout(() => this.step({ kind: 'deadline' }), remainingMs);
+    this.res.on('drain', () => this.dispatch?.resume());
+    this.res.once('close', () => {
+      this.step({ kind: 'callerGone' });
+      this.release();
+    });
+    this.run({ kind: 'schedule', purpose: 'first' });
+  }
+
+  onConnected(): void {
+    this.step({ kind: 'connected' });
+  }
+
+  onHeaders(status: number, headers: AnswerHeaders): void {
+    if (!isFramedAnswer(this.request.method, status, headers)) {
+      this.dispatch?.abort({ kind: 'unframedAnswer', detail: '' });
+      return;
+    }
+    this.loadHeader = headers[LOAD_HEADER]?.toString();
+    this.writer.begin(status, headers);
+    const isMarkedNotRun = headers[OUTCOME_HEADER] === 'not-run';
+    const mayHold = this.request.isIdempotent || isMarkedNotRun;
+    const isHoldable = mayHold && isHoldableAnswer(headers);
+    this.step({ kind: 'headers', isMarkedNotRun, isHoldable });
+  }
+
+  onData(chunk: Buffer): boolean {
+    const isWritable = this.writer.write(chunk);
+    this.step({ kind: 'data', bytes: chunk.length });
+    return isWritable;
+  }
+
+  onEnd(): void {
+    this.step({ kind: 'end', isBodyReplayable: this.body.isReplayable });
+  }
+
+  onFailure(failure: Failure): void {
+    this.step({ kind: 'failed', failure, isBodyReplayable: this.body.isReplayable });
+  }
+
+  private step(event: ExchangeEvent): void {
+    stepExchange(this.state, event).forEach((effect) => this.run(effect));
+  }
+
+  private run(effect: ExchangeEffect): void {
+    if (effect.kind === 'schedule') this.schedule(effect.purpose);
+    if (effect.kind === 'dispatch') this.send();
+    if (effect.kind === 'cancel') this.cancel(effect.failure);
+    if (effect.kind === 'finish') this.finish(effect.evidence);
+    if (effect.kind === 'dropHeld') this.writer.drop();
+    if (effect.kind === 'forward') this.writer.forward();
+    if (effect.kind === 'complete') this.complete();
+    if (effect.kind === 'refuse') this.refuse(effect.failure);
+    if (effect.kind === 'cut') this.cut();
+  }
+
+  private schedule(purpose: 'first' | 'retry'): void {
+    const { match, deadlineMs, isIdempotent } = this.request;
+    this.schedules += 1;
+    const serial = this.schedules;
+    const attempt = this.entry.scheduler.schedule({
+      match, deadlineMs, isIdempotent, purpose, triedTargetIds: this.triedTargetIds,
+    }, (decision) => {
+      if (decision.err) this.step({ kind: 'refused', failure: decision.val });
+      else this.assign(decision.val);
+    });
+    // The decision may have come at once and have led to the next attempt already.
+    if (serial === this.schedules) this.attempt = attempt;
+  }
+
+  private assign(assignment: Assignment): void {
+    this.assignment = assignment;
+    // The configuration is asked again here, after the last wait before the dispatch.
+    const checked = checkDispatch(this.entry.configuration(), this.request, assignment.target);
+    if (this.state.step === 'ended' || checked.err) {
+      this.finish('cancelled');
+      if (checked.err) this.step({ kind: 'refused', failure: checked.val });
+      return;
+    }
+    this.triedTargetIds.push(assignment.target.id);
+    this.step({ kind: 'assigned' });
+  }
+
+  private send(): void {
+    if (this.assignment === undefined) return;
+    const { req, method, path } = this.request;
+    const remainingMs = this.request.deadlineMs - this.entry.clock();
+    const { attempts } = this.state;
+    this.loadHeader = undefined;
+    this.dispatch = undefined;
+    const dispatch = this.entry.sender.send(this.assignment.target, {
+      method,
+      path,
+      headers: createTargetHeaders(req.rawHeaders, remainingMs, this.state.attempts),
+      body: this.body.open(),
+    }, this);
+    // The dispatch may have failed at once and have led to the next attempt already.
+    if (attempts === this.state.attempts) this.dispatch = dispatch;
+  }
+
+  private cancel(failure: Failure): void {
+    this.attempt?.cancel();
+    this.dispatch?.abort(failure);
+    this.body.close();
+  }
+
+  private finish(evidence: AttemptResult['evidence']): void {
+    const { assignment, loadHeader } = this;
+    this.assignment = undefined;
+    assignment?.finish({ evidence, status: this.writer.status, loadHeader });
+  }
+
+  private complete(): void {
+    this.writer.end();
+    this.release();
+  }
+
+  private refuse(failure: Failure): void {
+    sendFailure(this.res, failure);
+    this.release();
+  }
+
+  private cut(): void {
+    this.res.destroy();
+    this.release();
+  }
+
+  private release(): void {
+    clearTimeout(this.deadline);
+    this.body.discard();
+  }
+}
--- a/packages/caller/src/RequestHandler.ts
+++ b/packages/caller/src/RequestHandler.ts
@@ -1,21 +1,23 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import type { Result } from 'ts-results';
+import { Ok, type Result } from 'ts-results';
 
 import fail from '@guavayard/core/errors/fail';
 import type Failure from '@guavayard/core/errors/Failure';
-import forwardHeaders from '@guavayard/core/http/forwardHeaders';
 import isIdempotentMethod from '@guavayard/core/http/isIdempotentMethod';
-import matchRoute from '@guavayard/core/routing/matchRoute';
-import type RouteMatch from '@guavayard/core/routing/RouteMatch';
-import type Assignment from '@guavayard/core/scheduling/Assignment';
 
-import AnswerForwarder from './AnswerForwarder';
-import createRequestBody from './createRequestBody';
+import type CallerRequest from './CallerRequest';
+import checkFraming from './checkFraming';
 import type EntryView from './EntryView';
+import Exchange from './Exchange';
+import findDeadline from './findDeadline';
+import matchRequest from './matchRequest';
+import ReplayableBody from './ReplayableBody';
 import sendFailure from './sendFailure';
 
-const TENANT_HEADER = 'guavayard-tenant';
+const DEADLINE_HEADER = 'guavayard-deadline-ms';
+/** Longest body of a request, in bytes. */
+const MAX_BODY_BYTES = 1024 * 1024 * 1024;
 
 /** Serves one caller's request after the other: route, schedule, send, answer. */
 export default class RequestHandler {
@@ -31,55 +33,36 @@
   async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     return new Promise((resolve) => {
       res.once('close', resolve);
-      const match = this.match(req);
-      if (match.err) sendFailure(res, match.val);
-      else this.schedule(req, res, match.val);
+      const request = this.accept(req);
+      if (request.ok) {
+        new Exchange(this.entry, request.val, res).start();
+        return;
+      }
+      sendFailure(res, request.val);
+      new ReplayableBody(req, false).discard();
     });
   }
 
-  private match(req: IncomingMessage): Result<RouteMatch, Failure> {
+  private accept(req: IncomingMessage): Result<CallerRequest, Failure> {
+    const framing = checkFraming(req, MAX_BODY_BYTES);
+    if (framing.err) return framing;
     const current = this.entry.configuration();
     if (current === undefined) return fail('noConfiguration');
-    const tenant = req.headers[TENANT_HEADER] as string | undefined;
-    return matchRoute(current.configuration, req.url ?? '/', tenant);
-  }
-
-  private schedule(req: IncomingMessage, res: ServerResponse, match: RouteMatch): void {
-    const deadlineMs = this.entry.clock() + match.service.timeoutMs;
-    const attempt = this.entry.scheduler.schedule({
-      match,
-      deadlineMs,
-      isIdempotent: isIdempotentMethod(req.method ?? 'GET'),
-      purpose: 'first',
-      triedTargetIds: [],
-    }, (decision) => {
-      if (decision.err) sendFailure(res, decision.val);
-      else this.dispatch(req, res, decision.val, deadlineMs);
-    });
-    res.once('close', () => attempt.cancel());
-  }
-
-  private dispatch(
-    req: IncomingMessage,
-    res: ServerResponse,
-    assignment: Assignment,
-    deadlineMs: number,
-  ): void {
-    let deadline: NodeJS.Timeout | undefined;
-    const forwarder = new AnswerForwarder(res, (result) => {
-      clearTimeout(deadline);
-      assignment.finish(result);
-    });
-    const dispatch = this.entry.sender.send(assignment.target, {
-      method: req.method ?? 'GET',
+    const match = matchRequest(current.configuration, req);
+    if (match.err) return match;
+    const { timeoutMs } = match.val.service;
+    const header = req.headers[DEADLINE_HEADER]?.toString();
+    const deadlineMs = findDeadline(this.entry.clock(), timeoutMs, header);
+    if (deadlineMs.err) return deadlineMs;
+    const method = req.method ?? 'GET';
+    return Ok({
+      req,
+      method,
       path: req.url ?? '/',
-      headers: forwardHeaders(req.rawHeaders),
-      body: createRequestBody(req),
-    }, forwarder);
-    deadline = setTimeout(() => {
-      dispatch.abort({ kind: 'deadlineExceeded', detail: '' });
-    }, deadlineMs - this.entry.clock());
-    res.on('drain', () => dispatch.resume());
-    res.once('close', () => dispatch.abort({ kind: 'callerGone', detail: '' }));
+      match: match.val,
+      version: current.version,
+      deadlineMs: deadlineMs.val,
+      isIdempotent: isIdempotentMethod(method),
+    });
   }
 }
--- a/packages/core/src/dispatch/AnswerHandler.ts
+++ b/packages/core/src/dispatch/AnswerHandler.ts
@@ -3,6 +3,8 @@
 
 /** Receiver of a target's answer. Exactly one of `onEnd` and `onFailure` comes last. */
 interface AnswerHandler {
+  /** A connection was given to the request: bytes of it may reach the target from now on. */
+  onConnected: () => void;
   /** The status line and the headers have arrived. */
   onHeaders: (status: number, headers: AnswerHeaders) => void;
   /**
--- a/packages/core/src/errors/errorTable.ts
+++ b/packages/core/src/errors/errorTable.ts
@@ -75,6 +75,62 @@
   internal: {
     code: 16, status: 500, outcome: 'unknown', retryable: false, text: 'an internal error',
   },
+  deadlineBeforeDispatch: {
+    code: 17,
+    status: 504,
+    outcome: 'not-run',
+    retryable: true,
+    text: 'the deadline passed before the request was sent',
+  },
+  unframedAnswer: {
+    code: 18,
+    status: 502,
+    outcome: 'unknown',
+    retryable: false,
+    text: 'the answer of the target has neither a length nor a terminator',
+  },
+  headersTooLarge: {
+    code: 19,
+    status: 431,
+    outcome: 'not-run',
+    retryable: false,
+    text: 'the headers of the request are too large',
+  },
+  headersTooSlow: {
+    code: 20,
+    status: 408,
+    outcome: 'not-run',
+    retryable: true,
+    text: 'the headers of the request did not arrive in time',
+  },
+  keyConflict: {
+    code: 21,
+    status: 422,
+    outcome: 'not-run',
+    retryable: false,
+    text: 'the idempotency key was used with another request',
+  },
+  keyUnavailable: {
+    code: 22,
+    status: 503,
+    outcome: 'not-run',
+    retryable: true,
+    text: 'the idempotency key cannot be recorded now',
+  },
+  keyOutcomeUnknown: {
+    code: 23,
+    status: 409,
+    outcome: 'unknown',
+    retryable: false,
+    text: 'an earlier request with this idempotency key was sent and its answer is not known',
+  },
+  answerNotStored: {
+    code: 24,
+    status: 409,
+    outcome: 'ran',
+    retryable: false,
+    text: 'the request with this idempotency key ran and its answer was too large to be stored',
+  },
 } as const satisfies Readonly<Record<string, ErrorAnswer>>;
 
 export default errorTable;
--- a/packages/target/src/UndiciDispatch.ts
+++ b/packages/target/src/UndiciDispatch.ts
@@ -12,26 +12,27 @@
 export default class UndiciDispatch implements Dispatch, Dispatcher.DispatchHandler {
   private controller: Dispatcher.DispatchController | undefined;
 
-  private abortReason: Failure | undefined;
-
   private isDone = false;
 
   constructor(private readonly handler: AnswerHandler) {}
 
   resume(): void {
-    this.controller?.resume();
+    if (!this.isDone) this.controller?.resume();
   }
 
   abort(reason: Failure): void {
-    if (this.isDone || this.abortReason !== undefined) return;
-    this.abortReason = reason;
-    this.controller?.abort(new Error(reason.detail));
+    if (this.isDone) return;
+    // The client may still wait for a connection; the caller is answered without waiting for it.
+    this.isDone = true;
+    this.controller?.abort(new Error(reason.kind));
+    this.handler.onFailure(reason);
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
+    // Thrown before anything is written, this drops the request and keeps the connection.
+    if (this.isDone) throw new Error('the request was aborted before it was sent');
     this.controller = controller;
-    // The exchange may have been aborted while it waited for a connection.
-    if (this.abortReason !== undefined) controller.abort(new Error(this.abortReason.detail));
+    this.handler.onConnected();
   }
 
   onResponseStart(
@@ -39,21 +40,24 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    if (status < FIRST_FINAL_STATUS) return;
+    if (this.isDone || status < FIRST_FINAL_STATUS) return;
     this.handler.onHeaders(status, headers);
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.isDone) return;
     if (!this.handler.onData(chunk)) controller.pause();
   }
 
   onResponseEnd(): void {
+    if (this.isDone) return;
     this.isDone = true;
     this.handler.onEnd();
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+    if (this.isDone) return;
     this.isDone = true;
-    this.handler.onFailure(this.abortReason ?? describeSendError(err));
+    this.handler.onFailure(describeSendError(err, this.controller !== undefined));
   }
 }
--- /dev/null
+++ b/test/outcomes.test.ts
@@ -0,0 +1,285 @@
+import assert from 'node:assert/strict';
+import { test, type TestContext } from 'node:test';
+
+import { Client } from 'undici';
+
+import type RawRequest from './support/RawRequest';
+import RawTarget from './support/RawTarget';
+import TestEntry from './support/TestEntry';
+
+type Script = ConstructorParameters<typeof RawTarget>[0];
+
+const CRLF = '\r\n';
+/** Much longer than any of these exchanges takes; only the waiting cases reach it. */
+const DEADLINE_MS = '400';
+const LONG_BODY = 'b'.repeat(1024 * 1024);
+
+function whole(path: string): string {
+  return `HTTP/1.1 200 OK${CRLF}content-length: ${path.length}${CRLF}${CRLF}${path}`;
+}
+
+function head(...lines: string[]): string {
+  return ['HTTP/1.1 200 OK', ...lines, '', ''].join(CRLF);
+}
+
+const answer: Script = (socket, req) => socket.write(whole(req.path));
+const reset: Script = (socket) => socket.resetAndDestroy();
+const close: Script = (socket) => socket.end();
+const silent: Script = () => undefined;
+const say = (text: string): Script => (socket) => socket.write(text);
+const sayAndClose = (text: string): Script => (socket) => socket.end(text);
+const shed: Script = say(
+  `HTTP/1.1 503 Busy${CRLF}guavayard-outcome: not-run${CRLF}content-length: 0${CRLF}${CRLF}`,
+);
+
+interface Expected {
+  /** HTTP status, or `cut` for a connection destroyed within the answer. */
+  readonly status: number | 'cut';
+  readonly error?: string;
+  readonly outcome?: string;
+  /** Requests that reached the first and the second target. */
+  readonly reached: readonly [number, number];
+}
+
+/** The first target does what the case says, the second one answers. */
+interface Case {
+  readonly name: string;
+  readonly script: Script | 'closed';
+  readonly post: Expected;
+  readonly get: Expected;
+}
+
+const retried: Expected = { status: 200, reached: [1, 1] };
+const unknown: Expected = {
+  status: 502, error: 'targetFailed', outcome: 'unknown', reached: [1, 0],
+};
+const cut: Expected = { status: 'cut', reached: [1, 0] };
+const answered: Expected = { status: 200, reached: [1, 0] };
+const expired: Expected = {
+  status: 504, error: 'deadlineExceeded', outcome: 'unknown', reached: [1, 0],
+};
+
+const CASES: readonly Case[] = [
+  {
+    name: 'refused before connect',
+    script: 'closed',
+    post: { status: 200, reached: [0, 1] },
+    get: { status: 200, reached: [0, 1] },
+  },
+  {
+    name: 'reset while waiting', script: reset, post: unknown, get: retried,
+  },
+  {
+    name: 'closed while waiting', script: close, post: unknown, get: retried,
+  },
+  {
+    name: 'closed in the headers of the answer',
+    script: sayAndClose(`HTTP/1.1 200 OK${CRLF}content-le`),
+    post: unknown,
+    get: retried,
+  },
+  {
+    name: 'closed before the length of the answer',
+    script: sayAndClose(`${head('content-length: 10')}12345`),
+    post: cut,
+    get: retried,
+  },
+  {
+    name: 'closed before the last chunk of the answer',
+    script: sayAndClose(`${head('transfer-encoding: chunked')}5${CRLF}12345${CRLF}`),
+    post: cut,
+    get: retried,
+  },
+  {
+    name: 'never answered', script: silent, post: expired, get: expired,
+  },
+  {
+    name: 'stopped within the answer',
+    script: say(`${head('content-length: 10')}12345`),
+    post: cut,
+    get: expired,
+  },
+  {
+    name: 'answered without length or terminator',
+    script: sayAndClose(`${head('connection: close')}12345`),
+    post: {
+      status: 502, error: 'unframedAnswer', outcome: 'unknown', reached: [1, 0],
+    },
+    get: retried,
+  },
+  {
+    name: 'answered with two lengths',
+    script: say(`${head('content-length: 5', 'content-length: 10')}12345`),
+    post: unknown,
+    get: retried,
+  },
+  {
+    name: 'answered with a length and a transfer encoding',
+    script: say(`${head('content-length: 5', 'transfer-encoding: chunked')}0${CRLF}${CRLF}`),
+    post: unknown,
+    get: retried,
+  },
+  {
+    name: 'answered with garbage', script: say(`SSH-2.0${CRLF}${CRLF}`), post: unknown, get: retried,
+  },
+  {
+    name: 'answered twice',
+    script: (socket, req) => socket.write(whole(req.path) + whole('/stranger')),
+    post: answered,
+    get: answered,
+  },
+  {
+    name: 'answered with bytes left over',
+    script: (socket, req) => socket.write(`${whole(req.path)}left over`),
+    post: answered,
+    get: answered,
+  },
+  {
+    name: 'shed with a marker', script: shed, post: retried, get: retried,
+  },
+];
+
+async function startTarget(t: TestContext, script: Script): Promise<[RawTarget, string]> {
+  const target = new RawTarget((socket, req) => (
+    req.path.startsWith('/ok') ? answer(socket, req) : script(socket, req)
+  ));
+  const address = await target.listen();
+  t.after(async () => target.close());
+  return [target, address];
+}
+
+async function startEntry(t: TestContext, addresses: readonly string[]): Promise<Client> {
+  const entry = new TestEntry();
+  addresses.forEach((address) => entry.addTarget(address));
+  const client = new Client(`http://127.0.0.1:${await entry.listen()}`);
+  t.after(async () => {
+    await client.destroy();
+    await entry.close();
+  });
+  return client;
+}
+
+function countReached(target: RawTarget): number {
+  return target.received.filter((req: RawRequest) => !req.path.startsWith('/ok')).length;
+}
+
+async function receive(client: Client, method: 'GET' | 'POST', body?: string): Promise<{
+  status: number | 'cut'; error?: unknown; outcome?: unknown; text?: string;
+}> {
+  const headers = { 'guavayard-deadline-ms': DEADLINE_MS };
+  try {
+    const res = await client.request({
+      method, path: '/case', headers, body,
+    });
+    const text = await res.body.text();
+    return {
+      status: res.statusCode,
+      error: res.headers['guavayard-error'],
+      outcome: res.headers['guavayard-outcome'],
+      text,
+    };
+  } catch {
+    return { status: 'cut' };
+  }
+}
+
+async function check(t: TestContext, script: Case['script'], method: 'GET' | 'POST', expected: Expected): Promise<void> {
+  const [first, firstAddress] = await startTarget(t, script === 'closed' ? answer : script);
+  if (script === 'closed') await first.close();
+  const [second, secondAddress] = await startTarget(t, answer);
+  const client = await startEntry(t, [firstAddress, secondAddress]);
+
+  const received = await receive(client, method, method === 'POST' ? 'hold' : undefined);
+  assert.equal(received.status, expected.status);
+  assert.equal(received.error, expected.error);
+  assert.equal(received.outcome, expected.outcome);
+  if (received.status === 200) assert.equal(received.text, '/case');
+  assert.deepEqual([countReached(first), countReached(second)], expected.reached);
+
+  // The next requests get their own answers, on the same connection where it is still open.
+  for (let index = 0; index < 3; index += 1) {
+    // eslint-disable-next-line no-await-in-loop -- one after the other on one connection
+    const next = await client.request({ method: 'GET', path: `/ok/${index}` });
+    // eslint-disable-next-line no-await-in-loop -- as above
+    assert.equal(await next.body.text(), `/ok/${index}`);
+  }
+}
+
+CASES.forEach(({
+  name, script, post, get,
+}) => {
+  test(`POST: target ${name}`, async (t) => check(t, script, 'POST', post));
+  test(`GET: target ${name}`, async (t) => check(t, script, 'GET', get));
+});
+
+test('a failure within the body of the request leaves the connection of the caller usable', async (t) => {
+  const [target, address] = await startTarget(t, reset);
+  const client = await startEntry(t, [address]);
+  const received = await receive(client, 'POST', LONG_BODY);
+  assert.equal(received.error, 'targetFailed');
+  assert.equal(received.outcome, 'unknown');
+  assert.equal(target.received.length, 1);
+  const next = await client.request({ method: 'GET', path: '/ok/1' });
+  assert.equal(await next.body.text(), '/ok/1');
+});
+
+test('an attempt that may have run is not forgotten by a later one that did not', async (t) => {
+  const [first, firstAddress] = await startTarget(t, reset);
+  const [second, secondAddress] = await startTarget(t, answer);
+  await second.close();
+  const client = await startEntry(t, [firstAddress, secondAddress]);
+  const received = await receive(client, 'GET');
+  assert.equal(received.outcome, 'unknown');
+  assert.equal(first.received.length, 1);
+});
+
+test('a deadline before a connection is free answers at once and sends nothing', async (t) => {
+  const [target, address] = await startTarget(t, silent);
+  const entry = new TestEntry();
+  entry.addTarget(address, 1);
+  const origin = `http://127.0.0.1:${await entry.listen()}`;
+  const clients = [new Client(origin), new Client(origin)] as const;
+  t.after(async () => {
+    await Promise.all(clients.map(async (client) => client.destroy()));
+    await entry.close();
+  });
+  const blocker = clients[0].request({
+    method: 'POST', path: '/blocker', headers: { 'guavayard-deadline-ms': '1500' },
+  });
+  await target.waitFor(() => target.received.length === 1);
+  const waiting = await receive(clients[1], 'POST', 'hold');
+  assert.equal(waiting.error, 'deadlineBeforeDispatch');
+  assert.equal(waiting.outcome, 'not-run');
+  const blocked = await blocker;
+  assert.equal(blocked.headers['guavayard-error'], 'deadlineExceeded');
+  await blocked.body.dump();
+  assert.deepEqual(target.received.map((req) => req.path), ['/blocker']);
+});
+
+test('a caller that leaves closes the connection to the target', async (t) => {
+  const [target, address] = await startTarget(t, silent);
+  const client = await startEntry(t, [address]);
+  const gone = client.request({ method: 'POST', path: '/case', body: 'hold' }).catch(() => 'gone');
+  await target.waitFor(() => target.received.length === 1);
+  await client.destroy();
+  assert.equal(await gone, 'gone');
+  await target.waitFor(() => target.open === 0);
+  assert.equal(target.received.length, 1);
+});
+
+test('deadline and attempt travel to the target, and only the first layer of a chain retries', async (t) => {
+  const [first, firstAddress] = await startTarget(t, reset);
+  const [second, secondAddress] = await startTarget(t, answer);
+  const client = await startEntry(t, [firstAddress, secondAddress]);
+  assert.equal((await receive(client, 'GET')).status, 200);
+  const attempts = [first, second].map((target) => target.received[0]?.headers.get('guavayard-attempt'));
+  assert.deepEqual(attempts, ['1', '2']);
+  const remainingMs = Number(second.received[0]?.headers.get('guavayard-deadline-ms'));
+  assert.ok(remainingMs > 0 && remainingMs <= Number(DEADLINE_MS));
+  const inner = await client.request({
+    method: 'GET', path: '/case', headers: { 'guavayard-attempt': '1' },
+  });
+  assert.equal(inner.headers['guavayard-outcome'], 'unknown');
+  await inner.body.dump();
+  assert.equal(second.received.length, 1);
+});
--- /dev/null
+++ b/test/support/TestEntry.ts
@@ -0,0 +1,88 @@
+import type { AddressInfo } from 'node:net';
+
+import CallerListener from '@guavayard/caller/CallerListener';
+import RequestHandler from '@guavayard/caller/RequestHandler';
+import LeastInFlightChooser from '@guavayard/core/choice/LeastInFlightChooser';
+import findCandidates from '@guavayard/core/routing/findCandidates';
+import DirectScheduler from '@guavayard/core/scheduling/DirectScheduler';
+import Configuration from '@guavayard/core/types/Configuration';
+import type KnownTarget from '@guavayard/core/types/KnownTarget';
+import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
+
+const PLACE = { region: 'munster', dataCentre: 'munster-1' };
+const TIME_TO_LIVE_MS = 3_600_000;
+
+/** The request path of one entry inside the test's own process. */
+export default class TestEntry {
+  /** The configuration in force; undefined while the entry may not dispatch. */
+  configuration: Configuration | undefined = Configuration.parse({
+    services: { listing: {} },
+    dataCentres: { 'munster-1': { region: 'munster', state: 'in' } },
+    routes: { all: { pathPrefix: '/', service: 'listing' } },
+  });
+
+  version = 1;
+
+  readonly sender = new UndiciTargetSender();
+
+  private readonly targets: KnownTarget[] = [];
+
+  private readonly listener: CallerListener;
+
+  constructor() {
+    const scheduler = new DirectScheduler(({ match }) => (
+      this.configuration === undefined
+        ? [] : findCandidates(this.configuration, this.targets, match, PLACE)
+    ), (countInFlight) => new LeastInFlightChooser(countInFlight));
+    const handler = new RequestHandler({
+      clock: () => performance.now(),
+      scheduler,
+      sender: this.sender,
+      configuration: () => this.configuration
+        && { version: this.version, configuration: this.configuration },
+    });
+    this.listener = new CallerListener(handler);
+  }
+
+  /**
+   * Adds a target; earlier ones are preferred.
+   *
+   * @param address - where the target listens
+   * @param connectionLimit - most connections to the target
+   */
+  addTarget(address: string, connectionLimit = 260): void {
+    this.targets.push({
+      id: `target-${this.targets.length + 1}`,
+      service: 'listing',
+      dataCentre: 'munster-1',
+      address,
+      slots: 2,
+      connectionLimit,
+      startId: 'start-1',
+      state: 'ready',
+      timeToLiveMs: TIME_TO_LIVE_MS,
+      owner: undefined,
+    });
+  }
+
+  /**
+   * Listens on a port of the system's choice.
+   *
+   * @returns the port
+   */
+  async listen(): Promise<number> {
+    return new Promise((resolve) => {
+      this.listener.server.listen(0, '127.0.0.1', () => {
+        resolve((this.listener.server.address() as AddressInfo).port);
+      });
+    });
+  }
+
+  /** Ends all connections. */
+  async close(): Promise<void> {
+    this.listener.server.closeAllConnections();
+    await new Promise((resolve) => {
+      this.listener.server.close(resolve);
+    });
+  }
+}
