Give the emulated target slots, cold start, shedding, noise and crashes

Cause: tests of outcomes and of targets need a target that misbehaves as real ones do; the emulated target only echoed. Defaults behave as before.

--- a/packages/emulator/src/EmulatedTarget.ts
+++ b/packages/emulator/src/EmulatedTarget.ts
@@ -1,40 +1,196 @@
 import {
-  createServer, type IncomingMessage, type Server, type ServerResponse,
+  createServer, type IncomingHttpHeaders, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { performance } from 'node:perf_hooks';
 
-/** A target for demonstrations and tests: echoes bodies and counts what it ran. */
+import LoadMeter from './LoadMeter';
+import SlotQueue from './SlotQueue';
+import TargetBehaviour from './TargetBehaviour';
+import type TargetStatistics from './TargetStatistics';
+
+const LOAD_HEADER = 'guavayard-load';
+const OUTCOME_HEADER = 'guavayard-outcome';
+const KEY_HEADER = 'idempotency-key';
+const PROBE_PATH = '/guavayard/probe';
+/** A request with this header crashes the target that runs it. */
+const POISON_HEADER = 'emulated-poison';
+/** Service time of one request, in place of the target's own. */
+const SERVICE_TIME_HEADER = 'emulated-service-time-ms';
+
+/**
+ * A target for demonstrations and tests: echoes bodies, counts what it ran, and misbehaves as it
+ * is told.
+ */
 export default class EmulatedTarget {
   readonly server: Server;
 
+  readonly statistics: TargetStatistics = {
+    runs: 0,
+    runsByKey: new Map(),
+    shed: 0,
+    failedFast: 0,
+    overloads: 0,
+    cancelled: 0,
+    probes: 0,
+    mostInFlight: 0,
+  };
+
+  /** Headers of the latest request. */
+  lastHeaders: IncomingHttpHeaders = {};
+
+  /** How it behaves now; `change` sets it. */
+  behaviour: TargetBehaviour;
+
+  /** Called when a poisonous request has crashed the target. */
+  onCrash: (() => void) | undefined;
+
+  private readonly queue = new SlotQueue(() => this.behaviour.slots);
+
+  private readonly load = new LoadMeter(() => performance.now());
+
+  constructor(private readonly id: string, behaviour: Partial<TargetBehaviour> = {}) {
+    this.behaviour = TargetBehaviour.parse(behaviour);
+    this.server = createServer((req, res) => this.receive(req, res));
+  }
+
   /** Requests that this target has begun to run. */
-  runs = 0;
+  get runs(): number {
+    return this.statistics.runs;
+  }
 
-  constructor(private readonly id: string) {
-    this.server = createServer((req, res) => this.serve(req, res));
+  /** Requests that hold a slot now. */
+  get inFlight(): number {
+    return this.queue.heldCount;
   }
 
   /**
-   * Listens on a port of the system's choice.
+   * Listens on the loopback interface.
    *
+   * @param port - the port; 0 lets the system choose
    * @returns the address
    */
-  async listen(): Promise<string> {
-    return new Promise((resolve) => {
-      this.server.listen(0, '127.0.0.1', () => {
+  async listen(port = 0): Promise<string> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, '127.0.0.1', () => {
         resolve(`127.0.0.1:${(this.server.address() as AddressInfo).port}`);
       });
     });
   }
 
-  private serve(req: IncomingMessage, res: ServerResponse): void {
-    this.runs += 1;
+  /**
+   * Changes some of the behaviour.
+   *
+   * @param changes - the fields to change
+   * @throws if a field is invalid
+   */
+  change(changes: Partial<TargetBehaviour>): void {
+    this.behaviour = TargetBehaviour.parse({ ...this.behaviour, ...changes });
+  }
+
+  /** Closes every connection at once and stops listening, as a crash does. */
+  crash(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+    this.onCrash?.();
+  }
+
+  private receive(req: IncomingMessage, res: ServerResponse): void {
+    this.lastHeaders = req.headers;
     res.setHeader('emulated-target', this.id);
-    if (req.method === 'POST') {
-      req.pipe(res);
-      return;
-    }
-    const body = `${req.method} ${req.url} answered by ${this.id}\n`;
-    res.end(body);
+    if (req.url === PROBE_PATH) this.answerProbe(res);
+    else if (this.isRefusing()) this.shed(res);
+    else if (this.behaviour.isFailingFast) this.failFast(res);
+    else this.enqueue(req, res);
+  }
+
+  private isRefusing(): boolean {
+    const { isShedding, queueLimit, slots } = this.behaviour;
+    if (isShedding) return true;
+    return this.queue.heldCount >= slots && this.queue.waitingCount >= queueLimit;
+  }
+
+  private answerProbe(res: ServerResponse): void {
+    this.statistics.probes += 1;
+    this.writeLoad(res);
+    res.end();
+  }
+
+  private shed(res: ServerResponse): void {
+    this.statistics.shed += 1;
+    res.setHeader(OUTCOME_HEADER, 'not-run');
+    this.writeLoad(res);
+    res.writeHead(503).end();
+  }
+
+  private failFast(res: ServerResponse): void {
+    this.statistics.failedFast += 1;
+    res.writeHead(500).end();
+  }
+
+  private enqueue(req: IncomingMessage, res: ServerResponse): void {
+    this.load.add(1, this.behaviour.loadLagMs);
+    let timer: NodeJS.Timeout | undefined;
+    const release = this.queue.acquire(() => {
+      if (!this.isBorne()) {
+        res.writeHead(500).end();
+        return;
+      }
+      this.run(req);
+      if (req.headers[POISON_HEADER] !== undefined) {
+        this.crash();
+        return;
+      }
+      const serviceTimeMs = this.serviceTimeMs(req);
+      if (serviceTimeMs === 0) this.answer(req, res);
+      else timer = setTimeout(() => this.answer(req, res), serviceTimeMs);
+    });
+    res.once('close', () => {
+      clearTimeout(timer);
+      if (!res.writableFinished) this.statistics.cancelled += 1;
+      this.load.add(-1, this.behaviour.loadLagMs);
+      release();
+    });
+  }
+
+  private isBorne(): boolean {
+    const { statistics } = this;
+    statistics.mostInFlight = Math.max(statistics.mostInFlight, this.queue.heldCount);
+    if (this.behaviour.coldRequests === 0) return true;
+    if (this.queue.heldCount <= this.behaviour.coldSlots) return true;
+    statistics.overloads += 1;
+    return false;
+  }
+
+  private run(req: IncomingMessage): void {
+    const { statistics } = this;
+    statistics.runs += 1;
+    const key = req.headers[KEY_HEADER];
+    if (typeof key !== 'string') return;
+    statistics.runsByKey.set(key, (statistics.runsByKey.get(key) ?? 0) + 1);
+  }
+
+  private serviceTimeMs(req: IncomingMessage): number {
+    const {
+      serviceTimeMs, slowFactor, coldRequests, coldFactor, noise,
+    } = this.behaviour;
+    const ownMs = Number(req.headers[SERVICE_TIME_HEADER] ?? serviceTimeMs);
+    const isNoisy = noise !== undefined && performance.now() % noise.everyMs < noise.lastsMs;
+    return ownMs * slowFactor * (coldRequests > 0 ? coldFactor : 1) * (isNoisy ? noise.factor : 1);
+  }
+
+  private answer(req: IncomingMessage, res: ServerResponse): void {
+    const { coldRequests } = this.behaviour;
+    if (coldRequests > 0) this.change({ coldRequests: coldRequests - 1 });
+    this.writeLoad(res);
+    if (req.method === 'POST') req.pipe(res);
+    else res.end(`${req.method} ${req.url} answered by ${this.id}\n`);
+  }
+
+  private writeLoad(res: ServerResponse): void {
+    const { loadFactor, loadLagMs, slots } = this.behaviour;
+    const inFlight = Math.round(this.load.before(loadLagMs) * loadFactor);
+    res.setHeader(LOAD_HEADER, `in-flight=${inFlight}, slots=${slots}`);
   }
 }
