Close a session whose peer falls silent

Cause: a silent network partition closes no connection; a session stayed open for as long as the kernel kept resending, so load reports and membership of a lost VM stayed with it. Change: each side sends a heartbeat after 500 ms without another message and gives the session up when nothing has arrived for 2 s; the connector then opens a new one. A heartbeat is a frame of some 20 bytes.

--- /dev/null
+++ b/packages/vm/src/messages/sessionMessages.ts
@@ -0,0 +1,9 @@
+import { z } from 'zod';
+
+/** Messages that keep a session alive. */
+const sessionMessages = [
+  /** Sent by either side of a session that has nothing else to send. */
+  z.strictObject({ kind: z.literal('heartbeat') }),
+] as const;
+
+export default sessionMessages;
--- a/packages/vm/src/session/VmSession.ts
+++ b/packages/vm/src/session/VmSession.ts
@@ -1,5 +1,6 @@
 import { randomBytes, timingSafeEqual } from 'node:crypto';
 import type { Socket } from 'node:net';
+import { performance } from 'node:perf_hooks';
 
 import { decode } from 'cbor-x';
 
@@ -8,6 +9,7 @@
 import FrameDecoder from './FrameDecoder';
 import Handshake from './Handshake';
 import type SessionHandler from './SessionHandler';
+import type SessionTiming from './SessionTiming';
 import type VmIdentity from './VmIdentity';
 import VmMessage from '../messages/VmMessage';
 
@@ -15,6 +17,9 @@
 /** Longest time from connect until both sides have proved the shared key. */
 const HANDSHAKE_TIMEOUT_MS = 5000;
 
+/** Several heartbeats fit into the timeout, so that one late message does not end a session. */
+const DEFAULT_TIMING: SessionTiming = { heartbeatMs: 500, timeoutMs: 2000 };
+
 type Role = 'client' | 'server';
 
 /** One authenticated connection to another VM. It owns its socket. */
@@ -33,12 +38,19 @@
 
   private readonly handshakeTimer: NodeJS.Timeout;
 
+  private heartbeatTimer: NodeJS.Timeout | undefined;
+
+  private lastSentMs = 0;
+
+  private lastReceivedMs = 0;
+
   constructor(
     private readonly socket: Socket,
     private readonly role: Role,
     private readonly key: string,
     identity: VmIdentity,
     private readonly handler: SessionHandler,
+    private readonly timing = DEFAULT_TIMING,
   ) {
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => this.receive(chunk));
@@ -55,6 +67,7 @@
    */
   send(message: VmMessage): void {
     if (!this.isOpen || this.isClosed) return;
+    this.lastSentMs = performance.now();
     this.socket.write(encodeFrame(message));
   }
 
@@ -67,11 +80,13 @@
     if (this.isClosed) return;
     this.isClosed = true;
     clearTimeout(this.handshakeTimer);
+    clearInterval(this.heartbeatTimer);
     this.socket.destroy();
     this.handler.onClose(this, reason);
   }
 
   private receive(chunk: Buffer): void {
+    this.lastReceivedMs = performance.now();
     const frames = this.decoder.push(chunk);
     if (frames.err) {
       this.close(frames.val);
@@ -99,6 +114,7 @@
       this.close(`message is malformed: ${message.error.message}`);
       return;
     }
+    if (message.data.kind === 'heartbeat') return;
     this.handler.onMessage(this, message.data);
   }
 
@@ -136,6 +152,17 @@
     }
     clearTimeout(this.handshakeTimer);
     this.isOpen = true;
+    this.heartbeatTimer = setInterval(() => this.checkPeer(), this.timing.heartbeatMs);
     this.handler.onOpen(this, this.peer);
   }
+
+  /** A silent network partition closes no connection, so the peer is heard or given up. */
+  private checkPeer(): void {
+    const nowMs = performance.now();
+    if (nowMs - this.lastReceivedMs >= this.timing.timeoutMs) {
+      this.close(`nothing received for ${this.timing.timeoutMs} ms`);
+      return;
+    }
+    if (nowMs - this.lastSentMs >= this.timing.heartbeatMs) this.send({ kind: 'heartbeat' });
+  }
 }
--- a/packages/vm/test/session.test.ts
+++ b/packages/vm/test/session.test.ts
@@ -50,6 +50,22 @@
   assert.equal(await delivered, 'subscribe');
 });
 
+test('a session whose peer falls silent is closed', async (t) => {
+  const listener = await listen('the same key', IGNORE);
+  t.after(() => listener.close());
+  const reason = await new Promise((resolve) => {
+    const socket = connect(portOf(listener), '127.0.0.1');
+    const client = new VmSession(socket, 'client', 'the same key', IDENTITY, {
+      ...IGNORE,
+      // A paused socket delivers nothing, as in a network partition that closes no connection.
+      onOpen: () => socket.pause(),
+      onClose: (_session, why) => resolve(why),
+    }, { heartbeatMs: 20, timeoutMs: 200 });
+    t.after(() => client.close('test over'));
+  });
+  assert.equal(reason, 'nothing received for 200 ms');
+});
+
 test('a session with another key never opens', async (t) => {
   let opened = 0;
   const handler = {
