Count requests against objectives and check invariants at dispatch

Cause: nothing told whether a service meets its objectives, or whether a dispatch broke a promise. Conclusion: the hooks are one call at the end of a request and one at dispatch.

--- a/packages/caller/src/EntryView.ts
+++ b/packages/caller/src/EntryView.ts
@@ -1,4 +1,6 @@
 import type TargetSender from '@guavayard/core/dispatch/TargetSender';
+import type DispatchCheck from '@guavayard/core/invariants/DispatchCheck';
+import type RequestRecorder from '@guavayard/core/objectives/RequestRecorder';
 import type Scheduler from '@guavayard/core/scheduling/Scheduler';
 import type Clock from '@guavayard/core/types/Clock';
 import type VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
@@ -8,6 +10,8 @@
   readonly clock: Clock;
   readonly scheduler: Scheduler;
   readonly sender: TargetSender;
+  readonly recorder: RequestRecorder;
+  readonly dispatchCheck: DispatchCheck;
   /** @returns the configuration in force, or undefined while requests may not be dispatched */
   configuration: () => VersionedConfiguration | undefined;
 }
--- a/packages/caller/src/sendFailure.ts
+++ b/packages/caller/src/sendFailure.ts
@@ -5,6 +5,8 @@
 import type Failure from '@guavayard/core/errors/Failure';
 import createFailureHeaders from '@guavayard/core/http/createFailureHeaders';
 
+import recordOf from './recordOf';
+
 /**
  * Answers a caller with a failure. An answer that has begun is cut by closing the connection,
  * so that the caller cannot take it for complete.
@@ -13,6 +15,7 @@
  * @param failure - the failure
  */
 export default function sendFailure(res: ServerResponse, failure: Failure): void {
+  recordOf(res).failure = failure.kind;
   if (res.headersSent) {
     res.destroy();
     return;
--- a/packages/cli/src/commands/VersionCommand.ts
+++ b/packages/cli/src/commands/VersionCommand.ts
@@ -1,10 +1,9 @@
+import programVersion from '../programVersion';
 import type Command from './Command';
 import ExitCode from './ExitCode';
 import parseOptions from './parseOptions';
 import print from './print';
 
-const VERSION = '0.1.0';
-
 /** `guavayard version`: prints the version of the program. */
 export default class VersionCommand implements Command {
   readonly name = 'version';
@@ -15,7 +14,7 @@
 
   async run(args: string[]): Promise<number> {
     parseOptions(args, {});
-    print(`guavayard ${VERSION}`);
+    print(`guavayard ${programVersion}`);
     return ExitCode.ok;
   }
 }
--- a/packages/cli/src/run/RunContext.ts
+++ b/packages/cli/src/run/RunContext.ts
@@ -4,6 +4,7 @@
 import type VmIdentity from '@guavayard/vm/session/VmIdentity';
 
 import type Settings from '../settings/Settings';
+import type VmReports from './VmReports';
 
 /** What every role is given when it starts. */
 interface RunContext {
@@ -12,6 +13,8 @@
   /** Sessions with other VMs, shared by the roles. */
   readonly hub: VmHub;
   readonly log: Logger;
+  /** What the roles tell about this VM when operators ask. */
+  readonly reports: VmReports;
 }
 
 export default RunContext;
--- /dev/null
+++ b/packages/cli/src/run/createObservation.ts
@@ -0,0 +1,43 @@
+import DispatchChecker from '@guavayard/core/invariants/DispatchChecker';
+import invariantTable from '@guavayard/core/invariants/invariantTable';
+import ObjectiveRecorder from '@guavayard/core/objectives/ObjectiveRecorder';
+import RecorderGroup from '@guavayard/core/objectives/RecorderGroup';
+import type RequestRecorder from '@guavayard/core/objectives/RequestRecorder';
+import type Clock from '@guavayard/core/types/Clock';
+import type VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
+
+import isForeignRequest from './isForeignRequest';
+import RequestLog from './RequestLog';
+import type RunContext from './RunContext';
+
+/** What watches the requests of an entry. */
+interface Observation {
+  readonly recorder: RequestRecorder;
+  readonly dispatchCheck: DispatchChecker;
+}
+
+/**
+ * Makes what counts, checks and logs the requests of an entry.
+ *
+ * @param context - identity, log and reports of the VM
+ * @param clock - monotonic clock
+ * @param latest - the configuration in force, undefined without a lease
+ * @returns the recorder and the check for the request path
+ */
+export default function createObservation(
+  context: RunContext,
+  clock: Clock,
+  latest: () => VersionedConfiguration | undefined,
+): Observation {
+  const { identity, log, reports } = context;
+  const objectives = new ObjectiveRecorder(clock, () => latest()?.configuration);
+  const requestLog = new RequestLog(clock, log, identity.region);
+  const dispatchCheck = new DispatchChecker(identity.name, latest, (invariant, dispatch) => {
+    const { record, target } = dispatch;
+    const requestId = isForeignRequest(record, identity.region) ? undefined : record.requestId;
+    const meaning = invariantTable[invariant];
+    log.error({ invariant, requestId, target: target.id }, `invariant broken: ${meaning}`);
+  });
+  reports.provide({ services: () => objectives.read(), version: () => latest()?.version });
+  return { recorder: new RecorderGroup([objectives, requestLog]), dispatchCheck };
+}
--- a/packages/cli/src/run/runVm.ts
+++ b/packages/cli/src/run/runVm.ts
@@ -5,6 +5,7 @@
 
 import VmHub from '@guavayard/vm/session/VmHub';
 import type VmIdentity from '@guavayard/vm/session/VmIdentity';
+import ReportResponder from '@guavayard/vm/status/ReportResponder';
 
 import readSecret from '../settings/readSecret';
 import type Settings from '../settings/Settings';
@@ -13,6 +14,7 @@
 import type Runnable from './Runnable';
 import startControl from './startControl';
 import startEntry from './startEntry';
+import VmReports from './VmReports';
 
 const START_ID_BYTES = 8;
 
@@ -46,8 +48,10 @@
   if (bound.err) return bound;
   // Other VMs are told the bound address, for the settings may leave the port to the system.
   identity.address = bound.val;
+  const reports = new VmReports(identity);
+  hub.addHandler(new ReportResponder(reports));
   return Ok({
-    settings, identity, hub, log,
+    settings, identity, hub, log, reports,
   });
 }
 
--- a/packages/cli/src/run/startControl.ts
+++ b/packages/cli/src/run/startControl.ts
@@ -8,6 +8,7 @@
 
 import readSecret from '../settings/readSecret';
 import closeServer from './closeServer';
+import createReportService from './createReportService';
 import listen from './listen';
 import type RunContext from './RunContext';
 import type Runnable from './Runnable';
@@ -53,11 +54,12 @@
   if (opened.err) return opened;
   const { store, publisher } = opened.val;
   hub.addHandler(publisher);
+  context.reports.provide({ version: () => store.latest.version });
   const operatorListener = new OperatorListener(store, () => ({
     vm: identity.name,
     version: store.latest.version,
     entries: publisher.entries.map((entry) => entry.name),
-  }), token.val);
+  }), token.val, createReportService(context, () => store.latest));
   const operatorBound = await listen(operatorListener.server, settings.operator.listen, 'operator', log);
   if (operatorBound.err) return operatorBound;
   return Ok({ stop: async () => closeServer(operatorListener.server) });
--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -15,6 +15,8 @@
 import RegionMesh from '@guavayard/vm/entry/RegionMesh';
 
 import closeServer from './closeServer';
+import createObservation from './createObservation';
+import countTargets from './countTargets';
 import listen from './listen';
 import type RunContext from './RunContext';
 import type Runnable from './Runnable';
@@ -62,7 +64,9 @@
   const directory = new TargetDirectory(clock);
   const sender = new UndiciTargetSender();
   const subscription = createSubscription(context);
+  const observation = createObservation(context, clock, () => subscription.latest);
   const handler = new RequestHandler({
+    ...observation,
     clock,
     scheduler: createScheduler(context, subscription, directory),
     sender,
@@ -82,6 +86,14 @@
     if (platformBound.err) return platformBound;
   }
   hub.addHandler(subscription);
+  context.reports.provide({
+    entry: () => ({
+      hasLease: subscription.latest !== undefined,
+      isReady: subscription.latest !== undefined && !isStopping,
+      ...countTargets(directory.all(), identity.name),
+      invariants: observation.dispatchCheck.counts,
+    }),
+  });
   settings.vm.control.forEach((address) => hub.connect(address));
   const expiry = setInterval(() => directory.expire(), EXPIRY_INTERVAL_MS);
   return Ok({
--- a/packages/operator/src/OperatorClient.ts
+++ b/packages/operator/src/OperatorClient.ts
@@ -2,10 +2,12 @@
 import { request } from 'undici';
 import { z } from 'zod';
 
+import BurnReport from '@guavayard/core/objectives/BurnReport';
 import type ConfigurationPatch from '@guavayard/core/types/ConfigurationPatch';
 import VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
 
 import SystemStatus from './SystemStatus';
+import VmOverview from './VmOverview';
 
 const FIRST_ERROR_STATUS = 400;
 
@@ -41,6 +43,16 @@
     return this.send('GET', '/v1/status', SystemStatus);
   }
 
+  /** @returns the status of every VM, or what went wrong */
+  async vms(): Promise<Result<VmOverview, string>> {
+    return this.send('GET', '/v1/vms', VmOverview);
+  }
+
+  /** @returns the report on service-level burn, or what went wrong */
+  async burn(): Promise<Result<BurnReport, string>> {
+    return this.send('GET', '/v1/report', BurnReport);
+  }
+
   private async send<Value>(
     method: 'GET' | 'POST',
     path: string,
--- a/packages/operator/src/OperatorListener.ts
+++ b/packages/operator/src/OperatorListener.ts
@@ -9,6 +9,7 @@
 
 import type ConfigurationService from './ConfigurationService';
 import isAuthorized from './isAuthorized';
+import type ReportService from './ReportService';
 import type SystemStatus from './SystemStatus';
 
 /** Longest patch, in bytes. */
@@ -22,6 +23,7 @@
     private readonly service: ConfigurationService,
     private readonly status: () => SystemStatus,
     token: string,
+    reports: ReportService,
   ) {
     const app = new H3()
       .use((event) => (isAuthorized(event.req.headers.get('authorization'), token)
@@ -29,7 +31,9 @@
         : createFailureResponse({ kind: 'unauthorized', detail: '' })))
       .post('/v1/patches', async (event) => this.submit(event))
       .get('/v1/configuration', () => this.service.latest)
-      .get('/v1/status', () => this.status());
+      .get('/v1/status', () => this.status())
+      .get('/v1/vms', async () => reports.vms())
+      .get('/v1/report', async () => reports.burn());
     this.server = createServer(toNodeHandler(app));
   }
 
--- a/packages/vm/src/messages/VmMessage.ts
+++ b/packages/vm/src/messages/VmMessage.ts
@@ -2,11 +2,13 @@
 
 import configurationMessages from './configurationMessages';
 import membershipMessages from './membershipMessages';
+import reportMessages from './reportMessages';
 
 /** Messages between the VMs of the system. */
 const VmMessage = z.discriminatedUnion('kind', [
   ...configurationMessages,
   ...membershipMessages,
+  ...reportMessages,
 ]);
 type VmMessage = z.infer<typeof VmMessage>;
 
