Schedule by expected time to the answer, with a bounded queue in the entry

Cause: the entry assigned targets at once by its own in-flight counts, without limits, a queue, cold starts, ejection or knowledge of other entries. Change: LoadAwareScheduler takes its place. Load reports travel packed, 4 bytes a target, because named fields cost 31 bytes each.

--- /dev/null
+++ b/packages/cli/src/run/createScheduler.ts
@@ -0,0 +1,41 @@
+import findCandidates from '@guavayard/core/routing/findCandidates';
+import LoadAwareScheduler from '@guavayard/core/scheduling/LoadAwareScheduler';
+import type SchedulerListener from '@guavayard/core/scheduling/SchedulerListener';
+import type Clock from '@guavayard/core/types/Clock';
+import type TargetDirectory from '@guavayard/target/TargetDirectory';
+import type ControlSubscription from '@guavayard/vm/entry/ControlSubscription';
+
+import type RunContext from './RunContext';
+
+/**
+ * Makes the entry's scheduler. Its `tick` is to be called every few milliseconds.
+ *
+ * @param context - settings, identity, sessions and log
+ * @param subscription - the configuration in force
+ * @param directory - the targets
+ * @param listener - told which cold targets are warm
+ * @param clock - monotonic clock, in milliseconds
+ * @returns the scheduler, which also shares load with the other entries of the region
+ */
+export default function createScheduler(
+  context: RunContext,
+  subscription: ControlSubscription,
+  directory: TargetDirectory,
+  listener: SchedulerListener,
+  clock: Clock,
+): LoadAwareScheduler {
+  const scheduler = new LoadAwareScheduler({
+    entryName: context.identity.name,
+    clock,
+    random: Math.random,
+    listener,
+    findCandidates: ({ match }) => {
+      const configuration = subscription.latest?.configuration;
+      if (configuration === undefined) return [];
+      scheduler.observeConfiguration(configuration);
+      const targets = directory.targetsOf(match.serviceName);
+      return findCandidates(configuration, targets, match, context.identity);
+    },
+  });
+  return scheduler;
+}
--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -4,9 +4,6 @@
 
 import CallerListener from '@guavayard/caller/CallerListener';
 import RequestHandler from '@guavayard/caller/RequestHandler';
-import LeastInFlightChooser from '@guavayard/core/choice/LeastInFlightChooser';
-import findCandidates from '@guavayard/core/routing/findCandidates';
-import DirectScheduler from '@guavayard/core/scheduling/DirectScheduler';
 import PlatformListener from '@guavayard/platform/PlatformListener';
 import AnnouncementListener from '@guavayard/target/AnnouncementListener';
 import TargetDirectory from '@guavayard/target/TargetDirectory';
@@ -15,11 +12,13 @@
 import RegionMesh from '@guavayard/vm/entry/RegionMesh';
 
 import closeServer from './closeServer';
+import createScheduler from './createScheduler';
 import listen from './listen';
 import type RunContext from './RunContext';
 import type Runnable from './Runnable';
 
 const EXPIRY_INTERVAL_MS = 100;
+const SCHEDULER_INTERVAL_MS = 5;
 
 function clock(): number {
   return performance.now();
@@ -33,19 +32,6 @@
   });
 }
 
-function createScheduler(
-  context: RunContext,
-  subscription: ControlSubscription,
-  directory: TargetDirectory,
-): DirectScheduler {
-  return new DirectScheduler(({ match }) => {
-    const configuration = subscription.latest?.configuration;
-    if (configuration === undefined) return [];
-    const targets = directory.targetsOf(match.serviceName);
-    return findCandidates(configuration, targets, match, context.identity);
-  }, (countInFlight) => new LeastInFlightChooser(countInFlight));
-}
-
 /**
  * Starts the entry role.
  *
@@ -62,9 +48,12 @@
   const directory = new TargetDirectory(clock);
   const sender = new UndiciTargetSender();
   const subscription = createSubscription(context);
+  const scheduler = createScheduler(context, subscription, directory, {
+    onWarm: ({ id }) => log.info({ target: id }, 'target is warm'),
+  }, clock);
   const handler = new RequestHandler({
     clock,
-    scheduler: createScheduler(context, subscription, directory),
+    scheduler,
     sender,
     configuration: () => subscription.latest,
   });
@@ -84,11 +73,13 @@
   hub.addHandler(subscription);
   settings.vm.control.forEach((address) => hub.connect(address));
   const expiry = setInterval(() => directory.expire(), EXPIRY_INTERVAL_MS);
+  const ticking = setInterval(() => scheduler.tick(), SCHEDULER_INTERVAL_MS);
   return Ok({
     stop: async () => {
       isStopping = true;
       clearInterval(expiry);
       await Promise.all([closeServer(caller.server), closeServer(target.server)]);
+      clearInterval(ticking);
       await sender.close();
       await closeServer(platform.server);
     },
--- /dev/null
+++ b/packages/core/src/choice/estimateSlowness.ts
@@ -0,0 +1,30 @@
+import type LatencyHistogram from '../retries/LatencyHistogram';
+import type SchedulingOptions from '../scheduling/SchedulingOptions';
+import type TargetState from '../scheduling/TargetState';
+
+const MAX_SLOWNESS = 10;
+
+/**
+ * Estimates how many times slower than its peers a target is now, from its latest answers and
+ * from the age of the oldest attempt in flight. The age tells first.
+ *
+ * @param state - the target
+ * @param latencies - latencies of the service
+ * @param options - tuning
+ * @param nowMs - monotonic clock, in milliseconds
+ * @returns 1 for a target that is as fast as its peers
+ */
+export default function estimateSlowness(
+  state: TargetState,
+  latencies: LatencyHistogram,
+  options: SchedulingOptions,
+  nowMs: number,
+): number {
+  const weight = Math.exp((state.slownessAtMs - nowMs) / options.slownessDecayMs);
+  const fromAnswers = 1 + (state.slowness - 1) * weight;
+  const oldest = state.outstanding.values().next().value;
+  if (oldest === undefined) return fromAnswers;
+  const ageMs = nowMs - oldest.startedAtMs;
+  if (ageMs < latencies.tailMs) return fromAnswers;
+  return Math.max(fromAnswers, Math.min(MAX_SLOWNESS, ageMs / latencies.medianMs));
+}
--- a/packages/core/src/errors/errorTable.ts
+++ b/packages/core/src/errors/errorTable.ts
@@ -75,6 +75,23 @@
   internal: {
     code: 16, status: 500, outcome: 'unknown', retryable: false, text: 'an internal error',
   },
+  overloaded: {
+    code: 17, status: 503, outcome: 'not-run', retryable: true, text: 'all targets are busy',
+  },
+  deadlineUnreachable: {
+    code: 18,
+    status: 504,
+    outcome: 'not-run',
+    retryable: true,
+    text: 'the request cannot be answered before its deadline',
+  },
+  attemptBudgetExhausted: {
+    code: 19,
+    status: 503,
+    outcome: 'not-run',
+    retryable: false,
+    text: 'the budget for further attempts is used up',
+  },
 } as const satisfies Readonly<Record<string, ErrorAnswer>>;
 
 export default errorTable;
--- /dev/null
+++ b/packages/core/src/scheduling/EvidenceRecorder.ts
@@ -0,0 +1,100 @@
+import type LoadHeaderParser from '../choice/LoadHeaderParser';
+import recordColdResult from '../coldstart/recordColdResult';
+import type KnownTarget from '../types/KnownTarget';
+import type AttemptResult from './AttemptResult';
+import type SchedulerListener from './SchedulerListener';
+import type SchedulingOptions from './SchedulingOptions';
+import type ServiceState from './ServiceState';
+import type TargetState from './TargetState';
+
+/** Failures count as answers that are this many times slower than the median. */
+const FAILURE_SLOWNESS = 10;
+const MAX_SLOWNESS = 10;
+const SERVER_ERROR_STATUS = 500;
+
+function isGood(result: AttemptResult): boolean {
+  return result.evidence === 'answered' && (result.status ?? 0) < SERVER_ERROR_STATUS;
+}
+
+/** Learns from how attempts ended. */
+export default class EvidenceRecorder {
+  constructor(
+    private readonly parser: LoadHeaderParser,
+    private readonly options: SchedulingOptions,
+    private readonly listener: SchedulerListener,
+  ) {}
+
+  /**
+   * Takes the end of an attempt.
+   *
+   * @param service - state of its service
+   * @param state - state of its target, without the attempt
+   * @param target - its target
+   * @param result - how it ended
+   * @param latencyMs - how long it took, in milliseconds
+   * @param nowMs - monotonic clock, in milliseconds
+   */
+  record(
+    service: ServiceState,
+    state: TargetState,
+    target: KnownTarget,
+    result: AttemptResult,
+    latencyMs: number,
+    nowMs: number,
+  ): void {
+    this.recordReport(state, result, nowMs);
+    this.recordCold(service, state, target, result, latencyMs, nowMs);
+    if (isGood(result)) {
+      if (state.coldRamp === undefined) service.latencies.record(latencyMs);
+      service.outliers.recordSuccess(target.id);
+      state.consecutiveFailures = 0;
+      this.recordSlowness(state, latencyMs / service.latencies.medianMs, nowMs);
+      return;
+    }
+    if (result.evidence === 'cancelled') {
+      this.recordSlowness(state, latencyMs / service.latencies.medianMs, nowMs);
+      return;
+    }
+    state.consecutiveFailures += 1;
+    this.recordSlowness(state, FAILURE_SLOWNESS, nowMs);
+    service.outliers.recordFailure(
+      target.id,
+      state.consecutiveFailures,
+      service.candidateCount,
+      nowMs,
+    );
+  }
+
+  private recordReport(state: TargetState, result: AttemptResult, nowMs: number): void {
+    if (result.loadHeader === undefined) return;
+    const load = this.parser.parse(result.loadHeader);
+    if (load === undefined) return;
+    state.report = {
+      inFlight: load.inFlight, ownInFlight: state.outstanding.size, atMs: nowMs,
+    };
+  }
+
+  private recordSlowness(state: TargetState, ratio: number, nowMs: number): void {
+    const weight = Math.exp((state.slownessAtMs - nowMs) / this.options.slownessDecayMs);
+    const faded = 1 + (state.slowness - 1) * weight;
+    state.slowness = (faded + Math.min(MAX_SLOWNESS, Math.max(1, ratio))) / 2;
+    state.slownessAtMs = nowMs;
+  }
+
+  private recordCold(
+    service: ServiceState,
+    state: TargetState,
+    target: KnownTarget,
+    result: AttemptResult,
+    latencyMs: number,
+    nowMs: number,
+  ): void {
+    const ramp = state.coldRamp;
+    if (ramp === undefined || result.evidence === 'cancelled') return;
+    recordColdResult(ramp, isGood(result), latencyMs, service.latencies.medianMs, nowMs);
+    if (ramp.limit <= target.slots) return;
+    state.coldRamp = undefined;
+    state.isWarm = true;
+    this.listener.onWarm(target);
+  }
+}
--- /dev/null
+++ b/packages/core/src/scheduling/LoadAwareScheduler.ts
@@ -0,0 +1,233 @@
+import { Ok, type Result } from 'ts-results';
+
+import DictionaryLoadHeaderParser from '../choice/DictionaryLoadHeaderParser';
+import type Selection from '../choice/Selection';
+import TargetSelector from '../choice/TargetSelector';
+import fail from '../errors/fail';
+import type Failure from '../errors/Failure';
+import DataCentreRamp from '../limits/DataCentreRamp';
+import TokenBucket from '../limits/TokenBucket';
+import type Configuration from '../types/Configuration';
+import type KnownTarget from '../types/KnownTarget';
+import type LoadReport from '../types/LoadReport';
+import type Admission from './Admission';
+import type Assignment from './Assignment';
+import type AttemptResult from './AttemptResult';
+import defaultOptions from './defaultOptions';
+import EvidenceRecorder from './EvidenceRecorder';
+import LoadExchange from './LoadExchange';
+import type LoadSharing from './LoadSharing';
+import type OutstandingAttempt from './OutstandingAttempt';
+import type ScheduledAttempt from './ScheduledAttempt';
+import type Scheduler from './Scheduler';
+import type SchedulerContext from './SchedulerContext';
+import type SchedulingOptions from './SchedulingOptions';
+import ServiceState from './ServiceState';
+import type TargetState from './TargetState';
+import TargetTable from './TargetTable';
+import type WaitingAdmission from './WaitingAdmission';
+
+/** Waiting attempts that are tried in one pass although an earlier one found no target. */
+const MAX_BLOCKED = 4;
+/** Bytes that one exchange is taken to send over a link between regions. */
+const EXCHANGE_BYTES = 16 * 1024;
+
+type OnDecision = WaitingAdmission['onDecision'];
+
+/**
+ * Assigns each attempt the target with the least expected time to its answer. Attempts that no
+ * target has room for wait in the entry, the earliest deadline first.
+ */
+export default class LoadAwareScheduler implements Scheduler, LoadSharing {
+  private readonly services = new Map<string, ServiceState>();
+
+  private readonly targets: TargetTable;
+
+  private readonly exchange: LoadExchange;
+
+  private readonly selector: TargetSelector;
+
+  private readonly recorder: EvidenceRecorder;
+
+  private readonly dataCentres = new DataCentreRamp();
+
+  private readonly remoteBytes: TokenBucket;
+
+  /**
+   * @param context - what the scheduler asks and tells
+   * @param options - tuning
+   */
+  constructor(
+    private readonly context: SchedulerContext,
+    private readonly options: SchedulingOptions = defaultOptions,
+  ) {
+    const { entryName, random, listener } = context;
+    this.remoteBytes = new TokenBucket(options.remoteBytesPerSecond, options.remoteBytesPerSecond);
+    this.targets = new TargetTable(entryName);
+    this.exchange = new LoadExchange(this.targets, options, () => this.drainAll());
+    this.selector = new TargetSelector(
+      entryName,
+      this.targets,
+      this.dataCentres,
+      this.remoteBytes,
+      options,
+      random,
+    );
+    this.recorder = new EvidenceRecorder(new DictionaryLoadHeaderParser(), options, listener);
+  }
+
+  schedule(admission: Admission, onDecision: OnDecision): ScheduledAttempt {
+    const service = this.serviceOf(admission.match.serviceName);
+    const waiting = { admission, onDecision, arrivedAtMs: this.context.clock() };
+    const refusal = LoadAwareScheduler.checkBudget(service, admission);
+    const decision = refusal ?? this.decide(service, waiting, service.queue.length === 0);
+    if (decision !== undefined) onDecision(decision);
+    else this.wait(service, waiting);
+    return { cancel: () => service.queue.remove(waiting) };
+  }
+
+  /**
+   * Takes the configuration in force, to see data centres return.
+   *
+   * @param configuration - the configuration
+   */
+  observeConfiguration(configuration: Configuration): void {
+    this.dataCentres.observe(configuration, this.context.clock());
+  }
+
+  /** Looks after the queues. To be called every few milliseconds. */
+  tick(): void {
+    const nowMs = this.context.clock();
+    this.services.forEach((service) => {
+      if (service.queue.length === 0) return;
+      service.queue.removeLate(nowMs + service.latencies.medianMs)
+        .forEach(({ onDecision }) => onDecision(fail('deadlineUnreachable')));
+    });
+    this.drainAll();
+  }
+
+  collectReport(nowMs: number): LoadReport | undefined {
+    return this.exchange.collectReport(nowMs);
+  }
+
+  takeReport(entryName: string, report: LoadReport, nowMs: number): void {
+    this.exchange.takeReport(entryName, report, nowMs);
+  }
+
+  forgetEntry(entryName: string): void {
+    this.exchange.forgetEntry(entryName);
+  }
+
+  private serviceOf(name: string): ServiceState {
+    const known = this.services.get(name);
+    if (known !== undefined) return known;
+    const created = new ServiceState(this.options);
+    this.services.set(name, created);
+    return created;
+  }
+
+  private static checkBudget(
+    service: ServiceState,
+    admission: Admission,
+  ): Result<never, Failure> | undefined {
+    if (admission.purpose === 'first') {
+      service.retries.recordFirst();
+      service.hedges.recordFirst();
+      return undefined;
+    }
+    const budget = admission.purpose === 'retry' ? service.retries : service.hedges;
+    return budget.hasRoom() ? undefined : fail('attemptBudgetExhausted', admission.purpose);
+  }
+
+  /** Gives a decision that can be given now, or undefined if the attempt has to wait. */
+  private decide(
+    service: ServiceState,
+    waiting: WaitingAdmission,
+    maySelect: boolean,
+  ): Result<Assignment, Failure> | undefined {
+    const { admission, arrivedAtMs } = waiting;
+    const { triedTargetIds, purpose } = admission;
+    const nowMs = this.context.clock();
+    const candidates = this.context.findCandidates(admission);
+    service.countCandidates(candidates.length);
+    const isHedge = purpose === 'hedge';
+    if (candidates.every(({ target }) => triedTargetIds.includes(target.id))) {
+      return fail('noTarget', `service "${admission.match.serviceName}"`);
+    }
+    const selection = maySelect || isHedge ? this.selector.select({
+      candidates, triedTargetIds, service, waitedMs: nowMs - arrivedAtMs, isHedge, nowMs,
+    }) : undefined;
+    if (selection !== undefined) return Ok(this.assign(service, selection, admission));
+    if (isHedge) return fail('overloaded', 'no target is free');
+    const elsewhere = this.selector.findColdElsewhere(candidates);
+    return elsewhere === undefined ? undefined : Ok(LoadAwareScheduler.relay(elsewhere));
+  }
+
+  private wait(service: ServiceState, waiting: WaitingAdmission): void {
+    const { queue, latencies } = service;
+    if (queue.isFull) {
+      waiting.onDecision(fail('overloaded', 'the queue is full'));
+      return;
+    }
+    const answerAtMs = waiting.arrivedAtMs + service.estimateWaitMs() + latencies.medianMs;
+    if (answerAtMs > waiting.admission.deadlineMs) {
+      waiting.onDecision(fail('deadlineUnreachable'));
+      return;
+    }
+    queue.add(waiting);
+  }
+
+  private assign(service: ServiceState, selection: Selection, admission: Admission): Assignment {
+    const { candidate: { target, distance }, state } = selection;
+    const attempt: OutstandingAttempt = { startedAtMs: this.context.clock() };
+    state.outstanding.add(attempt);
+    service.addInFlight(1);
+    if (admission.purpose === 'retry') service.retries.take();
+    if (admission.purpose === 'hedge') service.hedges.take();
+    if (distance === 'remote') this.remoteBytes.take(EXCHANGE_BYTES);
+    this.exchange.noteChange(state);
+    return {
+      target,
+      relayTo: undefined,
+      finish: (result) => this.finish(service, state, target, attempt, result),
+    };
+  }
+
+  private static relay(target: KnownTarget): Assignment {
+    return { target, relayTo: target.owner, finish() {} };
+  }
+
+  private finish(
+    service: ServiceState,
+    state: TargetState,
+    target: KnownTarget,
+    attempt: OutstandingAttempt,
+    result: AttemptResult,
+  ): void {
+    if (!state.outstanding.delete(attempt)) return;
+    service.addInFlight(-1);
+    const nowMs = this.context.clock();
+    this.recorder.record(service, state, target, result, nowMs - attempt.startedAtMs, nowMs);
+    this.exchange.noteChange(state);
+    this.drain(service);
+  }
+
+  private drainAll(): void {
+    this.services.forEach((service) => this.drain(service));
+  }
+
+  private drain(service: ServiceState): void {
+    const { queue } = service;
+    let blocked = 0;
+    while (blocked < Math.min(MAX_BLOCKED, queue.length)) {
+      const waiting = queue.at(blocked) as WaitingAdmission;
+      const decision = this.decide(service, waiting, true);
+      if (decision === undefined) {
+        blocked += 1;
+      } else {
+        queue.remove(waiting);
+        waiting.onDecision(decision);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/core/src/scheduling/LoadExchange.ts
@@ -0,0 +1,93 @@
+import TokenBucket from '../limits/TokenBucket';
+import type LoadReport from '../types/LoadReport';
+import type LoadSharing from './LoadSharing';
+import type PackedLoad from './PackedLoad';
+import packLoads from './packLoads';
+import type SchedulingOptions from './SchedulingOptions';
+import type TargetState from './TargetState';
+import type TargetTable from './TargetTable';
+import unpackLoads from './unpackLoads';
+
+/** Bytes of a report's frame and message besides the packed counts. */
+const REPORT_OVERHEAD_BYTES = 32;
+const BYTES_PER_LOAD = 4;
+
+/** Shares the own in-flight counts with the other entries of the region, within a byte budget. */
+export default class LoadExchange implements LoadSharing {
+  private readonly changed = new Set<TargetState>();
+
+  private readonly peerNames = new Set<string>();
+
+  private readonly budget: TokenBucket;
+
+  private hasUrgentChange = false;
+
+  private sentAtMs = -Infinity;
+
+  /**
+   * @param targets - states of the targets
+   * @param options - tuning
+   * @param onNews - called after the counts of other entries have changed
+   */
+  constructor(
+    private readonly targets: TargetTable,
+    private readonly options: SchedulingOptions,
+    private readonly onNews: () => void,
+  ) {
+    this.budget = new TokenBucket(options.sharingBytesPerSecond, options.sharingBurstBytes);
+  }
+
+  /**
+   * Notes that the own count of a target has changed.
+   *
+   * @param state - the target
+   */
+  noteChange(state: TargetState): void {
+    this.changed.add(state);
+    const wasFull = state.toldInFlight + state.peersInFlight >= state.slots;
+    const isFull = state.outstanding.size + state.peersInFlight >= state.slots;
+    if (wasFull !== isFull) this.hasUrgentChange = true;
+  }
+
+  collectReport(nowMs: number): LoadReport | undefined {
+    const waitMs = this.hasUrgentChange
+      ? this.options.sharingUrgentIntervalMs : this.options.sharingIdleIntervalMs;
+    if (this.changed.size === 0 || nowMs - this.sentAtMs < waitMs) return undefined;
+    if (this.budget.available(nowMs) < 0) return undefined;
+    const states = [...this.changed]
+      .filter((state) => state.outstanding.size !== state.toldInFlight);
+    this.changed.clear();
+    this.hasUrgentChange = false;
+    if (states.length === 0) return undefined;
+    this.sentAtMs = nowMs;
+    const bytes = REPORT_OVERHEAD_BYTES + states.length * BYTES_PER_LOAD;
+    this.budget.take(bytes * Math.max(1, this.peerNames.size));
+    return { loads: packLoads(states.map((state) => LoadExchange.tell(state))) };
+  }
+
+  takeReport(entryName: string, report: LoadReport, nowMs: number): void {
+    this.peerNames.add(entryName);
+    unpackLoads(report.loads).forEach(({ hash, inFlight }) => {
+      const state = this.targets.findByHash(hash);
+      if (state === undefined) return;
+      const before = state.peers.get(entryName)?.inFlight ?? 0;
+      state.peers.set(entryName, { inFlight, toldAtMs: nowMs });
+      state.peersInFlight += inFlight - before;
+    });
+    this.onNews();
+  }
+
+  forgetEntry(entryName: string): void {
+    this.peerNames.delete(entryName);
+    [...this.targets.all()].forEach((state) => {
+      state.peersInFlight -= state.peers.get(entryName)?.inFlight ?? 0;
+      state.peers.delete(entryName);
+    });
+    this.onNews();
+  }
+
+  private static tell(state: TargetState): PackedLoad {
+    state.toldInFlight = state.outstanding.size;
+    return { hash: state.hash, inFlight: state.toldInFlight };
+  }
+}
--- /dev/null
+++ b/packages/core/src/scheduling/PackedLoad.ts
@@ -0,0 +1,8 @@
+/** In-flight count of one target as it travels between entries. */
+interface PackedLoad {
+  /** Hash of the target's id, from `hashTargetId`. */
+  readonly hash: number;
+  readonly inFlight: number;
+}
+
+export default PackedLoad;
--- /dev/null
+++ b/packages/core/src/scheduling/ServiceState.ts
@@ -0,0 +1,56 @@
+import OutlierDetector from '../limits/OutlierDetector';
+import AttemptBudget from '../retries/AttemptBudget';
+import LatencyHistogram from '../retries/LatencyHistogram';
+import AdmissionQueue from './AdmissionQueue';
+import type SchedulingOptions from './SchedulingOptions';
+
+const INITIAL_MEDIAN_MS = 10;
+const INITIAL_TAIL_MS = 50;
+
+/** What one entry knows about one service. */
+export default class ServiceState {
+  readonly queue: AdmissionQueue;
+
+  /** Latencies of answered attempts of this entry. */
+  readonly latencies = new LatencyHistogram(INITIAL_MEDIAN_MS, INITIAL_TAIL_MS);
+
+  readonly retries: AttemptBudget;
+
+  readonly hedges: AttemptBudget;
+
+  readonly outliers = new OutlierDetector();
+
+  /** Candidates of the latest attempt. */
+  candidateCount = 0;
+
+  /** Attempts of this entry in flight to targets of the service. */
+  inFlight = 0;
+
+  /**
+   * @param options - tuning
+   */
+  constructor(options: SchedulingOptions) {
+    this.queue = new AdmissionQueue(options.queueLimit);
+    this.retries = new AttemptBudget(options.retryShare);
+    this.hedges = new AttemptBudget(options.hedgeShare);
+  }
+
+  /**
+   * @param change - attempts that began, less those that ended
+   */
+  addInFlight(change: number): void {
+    this.inFlight += change;
+  }
+
+  /**
+   * @param count - candidates of an attempt
+   */
+  countCandidates(count: number): void {
+    this.candidateCount = count;
+  }
+
+  /** @returns how long an attempt that joins the queue now has to wait, in milliseconds */
+  estimateWaitMs(): number {
+    return (this.queue.length * this.latencies.medianMs) / Math.max(1, this.inFlight);
+  }
+}
--- /dev/null
+++ b/packages/core/src/scheduling/TargetTable.ts
@@ -0,0 +1,64 @@
+import type KnownTarget from '../types/KnownTarget';
+import hashTargetId from './hashTargetId';
+import type TargetState from './TargetState';
+
+const HASH_RANGE = 0x1000000;
+
+/** The state of each target that the scheduler has met. A new start id starts afresh. */
+export default class TargetTable {
+  private readonly states = new Map<string, TargetState>();
+
+  private readonly byHash = new Map<number, TargetState>();
+
+  /**
+   * @param entryName - this entry; entries rank equal targets differently
+   */
+  constructor(private readonly entryName: string) {}
+
+  /**
+   * @param target - a target as the directory knows it
+   * @returns its state
+   */
+  stateOf(target: KnownTarget): TargetState {
+    const known = this.states.get(target.id);
+    if (known?.startId === target.startId) return known;
+    return this.create(target);
+  }
+
+  /**
+   * @param hash - hash of a target's id
+   * @returns its state, or undefined if no such target was met
+   */
+  findByHash(hash: number): TargetState | undefined {
+    return this.byHash.get(hash);
+  }
+
+  /** @returns all states */
+  all(): IterableIterator<TargetState> {
+    return this.states.values();
+  }
+
+  private create(target: KnownTarget): TargetState {
+    const hash = hashTargetId(target.id);
+    const state: TargetState = {
+      id: target.id,
+      startId: target.startId,
+      slots: target.slots,
+      hash,
+      outstanding: new Set(),
+      peers: new Map(),
+      peersInFlight: 0,
+      toldInFlight: 0,
+      report: undefined,
+      slowness: 1,
+      slownessAtMs: 0,
+      consecutiveFailures: 0,
+      affinity: hashTargetId(`${this.entryName}/${target.id}`) / HASH_RANGE,
+      coldRamp: undefined,
+      isWarm: false,
+    };
+    this.states.set(target.id, state);
+    this.byHash.set(hash, state);
+    return state;
+  }
+}
--- /dev/null
+++ b/packages/core/src/scheduling/defaultOptions.ts
@@ -0,0 +1,21 @@
+import type SchedulingOptions from './SchedulingOptions';
+
+/** Tuning that the bench supports; see docs/operations/tuning.md. */
+const defaultOptions: SchedulingOptions = {
+  sharingBytesPerSecond: 12_000,
+  sharingBurstBytes: 600,
+  sharingUrgentIntervalMs: 5,
+  sharingIdleIntervalMs: 25,
+  targetQueue: 0,
+  reportDecayMs: 20,
+  slownessDecayMs: 100,
+  queueLimit: 256,
+  roundTripMs: { 'data-centre': 0.3, region: 1, remote: 17 },
+  affinityWeight: 0.1,
+  chanceWeight: 0,
+  retryShare: 0.1,
+  hedgeShare: 0.05,
+  remoteBytesPerSecond: 2_000_000,
+};
+
+export default defaultOptions;
