--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -4,9 +4,6 @@
 
 import CallerListener from '@guavayard/caller/CallerListener';
 import RequestHandler from '@guavayard/caller/RequestHandler';
-import LeastInFlightChooser from '@guavayard/core/choice/LeastInFlightChooser';
-import findCandidates from '@guavayard/core/routing/findCandidates';
-import DirectScheduler from '@guavayard/core/scheduling/DirectScheduler';
 import PlatformListener from '@guavayard/platform/PlatformListener';
 import AnnouncementListener from '@guavayard/target/AnnouncementListener';
 import TargetDirectory from '@guavayard/target/TargetDirectory';
@@ -17,11 +14,13 @@
 import closeServer from './closeServer';
 import createObservation from './createObservation';
 import countTargets from './countTargets';
+import createScheduler from './createScheduler';
 import listen from './listen';
 import type RunContext from './RunContext';
 import type Runnable from './Runnable';
 
 const EXPIRY_INTERVAL_MS = 100;
+const SCHEDULER_INTERVAL_MS = 5;
 
 function clock(): number {
   return performance.now();
@@ -35,19 +34,6 @@
   });
 }
 
-function createScheduler(
-  context: RunContext,
-  subscription: ControlSubscription,
-  directory: TargetDirectory,
-): DirectScheduler {
-  return new DirectScheduler(({ match }) => {
-    const configuration = subscription.latest?.configuration;
-    if (configuration === undefined) return [];
-    const targets = directory.targetsOf(match.serviceName);
-    return findCandidates(configuration, targets, match, context.identity);
-  }, (countInFlight) => new LeastInFlightChooser(countInFlight));
-}
-
 /**
  * Starts the entry role.
  *
@@ -65,10 +51,13 @@
   const sender = new UndiciTargetSender();
   const subscription = createSubscription(context);
   const observation = createObservation(context, clock, () => subscription.latest);
+  const scheduler = createScheduler(context, subscription, directory, {
+    onWarm: ({ id }) => log.info({ target: id }, 'target is warm'),
+  }, clock);
   const handler = new RequestHandler({
     ...observation,
     clock,
-    scheduler: createScheduler(context, subscription, directory),
+    scheduler,
     sender,
     configuration: () => subscription.latest,
   });
@@ -96,11 +85,13 @@
   });
   settings.vm.control.forEach((address) => hub.connect(address));
   const expiry = setInterval(() => directory.expire(), EXPIRY_INTERVAL_MS);
+  const ticking = setInterval(() => scheduler.tick(), SCHEDULER_INTERVAL_MS);
   return Ok({
     stop: async () => {
       isStopping = true;
       clearInterval(expiry);
       await Promise.all([closeServer(caller.server), closeServer(target.server)]);
+      clearInterval(ticking);
       await sender.close();
       await closeServer(platform.server);
     },
