--- a/packages/caller/src/Exchange.ts
+++ b/packages/caller/src/Exchange.ts
@@ -20,9 +20,11 @@
 import type CallerRequest from './CallerRequest';
 import checkDispatch from './checkDispatch';
 import type EntryView from './EntryView';
+import recordOf from './recordOf';
 import ReplayableBody from './ReplayableBody';
 import sendFailure from './sendFailure';
 
+const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
 const ATTEMPT_HEADER = 'guavayard-attempt';
 const OUTCOME_HEADER = 'guavayard-outcome';
 const LOAD_HEADER = 'guavayard-load';
@@ -45,6 +47,8 @@
 
   private dispatch: Dispatch | undefined;
 
+  private endCheck: (evidence: AttemptResult['evidence']) => void = () => undefined;
+
   private loadHeader: string | undefined;
 
   private deadline: NodeJS.Timeout | undefined;
@@ -117,7 +121,7 @@
     if (effect.kind === 'forward') this.writer.forward();
     if (effect.kind === 'complete') this.complete();
     if (effect.kind === 'refuse') this.refuse(effect.failure);
-    if (effect.kind === 'cut') this.cut();
+    if (effect.kind === 'cut') this.cut(effect.failure);
   }
 
   private schedule(purpose: 'first' | 'retry'): void {
@@ -144,9 +148,23 @@
       return;
     }
     this.triedTargetIds.push(assignment.target.id);
+    this.beginCheck(assignment);
     this.step({ kind: 'assigned' });
   }
 
+  private beginCheck({ target }: Assignment): void {
+    const { req, match, isIdempotent } = this.request;
+    const record = recordOf(this.res);
+    record.targetDataCentre = target.dataCentre;
+    this.endCheck = this.entry.dispatchCheck.begin({
+      record,
+      match,
+      target,
+      isIdempotent,
+      idempotencyKey: req.headers[IDEMPOTENCY_KEY_HEADER]?.toString(),
+    });
+  }
+
   private send(): void {
     if (this.assignment === undefined) return;
     const { req, method, path } = this.request;
@@ -173,6 +191,8 @@
   private finish(evidence: AttemptResult['evidence']): void {
     const { assignment, loadHeader } = this;
     this.assignment = undefined;
+    this.endCheck(evidence);
+    this.endCheck = () => undefined;
     assignment?.finish({ evidence, status: this.writer.status, loadHeader });
   }
 
@@ -186,7 +206,8 @@
     this.release();
   }
 
-  private cut(): void {
+  private cut(failure: Failure): void {
+    recordOf(this.res).failure = failure.kind;
     this.res.destroy();
     this.release();
   }
--- a/packages/caller/src/RequestHandler.ts
+++ b/packages/caller/src/RequestHandler.ts
@@ -6,12 +6,14 @@
 import type Failure from '@guavayard/core/errors/Failure';
 import isIdempotentMethod from '@guavayard/core/http/isIdempotentMethod';
 
+import assignRequestId from './assignRequestId';
 import type CallerRequest from './CallerRequest';
 import checkFraming from './checkFraming';
 import type EntryView from './EntryView';
 import Exchange from './Exchange';
 import findDeadline from './findDeadline';
 import matchRequest from './matchRequest';
+import recordOf from './recordOf';
 import ReplayableBody from './ReplayableBody';
 import sendFailure from './sendFailure';
 
@@ -28,19 +30,23 @@
    *
    * @param req - the caller's request
    * @param res - the caller's response
-   * @returns once the response is finished or destroyed
    */
-  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    return new Promise((resolve) => {
-      res.once('close', resolve);
-      const request = this.accept(req);
-      if (request.ok) {
-        new Exchange(this.entry, request.val, res).start();
-        return;
-      }
-      sendFailure(res, request.val);
-      new ReplayableBody(req, false).discard();
+  handle(req: IncomingMessage, res: ServerResponse): void {
+    const record = recordOf(res);
+    record.startedAtMs = this.entry.clock();
+    record.requestId = assignRequestId(req, res);
+    res.once('close', () => {
+      this.entry.recorder.record(record, res.statusCode, res.writableFinished);
     });
+    const request = this.accept(req);
+    if (request.ok) {
+      record.serviceName = request.val.match.serviceName;
+      record.homeRegions = request.val.match.homeRegions;
+      new Exchange(this.entry, request.val, res).start();
+      return;
+    }
+    sendFailure(res, request.val);
+    new ReplayableBody(req, false).discard();
   }
 
   private accept(req: IncomingMessage): Result<CallerRequest, Failure> {
--- a/test/outcomes.test.ts
+++ b/test/outcomes.test.ts
@@ -155,6 +155,7 @@
   t.after(async () => {
     await client.destroy();
     await entry.close();
+    assert.equal(entry.check.counts.repeatedRun, 0);
   });
   return client;
 }
--- a/test/support/TestEntry.ts
+++ b/test/support/TestEntry.ts
@@ -6,7 +6,9 @@
 import findCandidates from '@guavayard/core/routing/findCandidates';
 import DirectScheduler from '@guavayard/core/scheduling/DirectScheduler';
 import Configuration from '@guavayard/core/types/Configuration';
+import DispatchChecker from '@guavayard/core/invariants/DispatchChecker';
 import type KnownTarget from '@guavayard/core/types/KnownTarget';
+import type VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
 
 const PLACE = { region: 'munster', dataCentre: 'munster-1' };
@@ -25,6 +27,8 @@
 
   readonly sender = new UndiciTargetSender();
 
+  readonly check = new DispatchChecker('entry-1', () => this.current(), () => undefined);
+
   private readonly targets: KnownTarget[] = [];
 
   private readonly listener: CallerListener;
@@ -38,8 +42,9 @@
       clock: () => performance.now(),
       scheduler,
       sender: this.sender,
-      configuration: () => this.configuration
-        && { version: this.version, configuration: this.configuration },
+      recorder: { record: () => undefined },
+      dispatchCheck: this.check,
+      configuration: () => this.current(),
     });
     this.listener = new CallerListener(handler);
   }
@@ -78,6 +83,11 @@
     });
   }
 
+  private current(): VersionedConfiguration | undefined {
+    if (this.configuration === undefined) return undefined;
+    return { version: this.version, configuration: this.configuration };
+  }
+
   /** Ends all connections. */
   async close(): Promise<void> {
     this.listener.server.closeAllConnections();
