Add the replicated log as a pure state machine, and its synced store

Cause: accepted patches stood in the log of one VM only, and a last record of full length with a wrong checksum was dropped, though it may hold an accepted patch.

The store keeps identity, term, vote and log in one file of records whose header has a checksum of its own. A torn tail is told from damage by the zeros that unwritten blocks read as; any other mismatch stops the process.

--- /dev/null
+++ b/packages/core/src/configuration/AcceptedPatches.ts
@@ -0,0 +1,68 @@
+import { createHash } from 'node:crypto';
+
+import type ConfigurationPatch from '../types/ConfigurationPatch';
+import type VersionedConfiguration from '../types/VersionedConfiguration';
+import applyPatch from './applyPatch';
+import type ConfigurationSnapshot from './ConfigurationSnapshot';
+import type PatchOutcome from './PatchOutcome';
+
+/** Length of the digest that is kept of each patch id, in bytes. */
+const DIGEST_BYTES = 16;
+const INITIAL_CAPACITY = 1024;
+
+function computeDigest(id: string): Buffer {
+  return createHash('sha256').update(id).digest().subarray(0, DIGEST_BYTES);
+}
+
+/** The accepted configuration and the id of the patch that made each version. */
+export default class AcceptedPatches {
+  latest: VersionedConfiguration;
+
+  private digests: Buffer;
+
+  /**
+   * @param snapshot - where to start from
+   */
+  constructor(snapshot: ConfigurationSnapshot) {
+    this.latest = snapshot.latest;
+    this.digests = Buffer.alloc(snapshot.idDigests.length + INITIAL_CAPACITY * DIGEST_BYTES);
+    this.digests.set(snapshot.idDigests);
+  }
+
+  /**
+   * Takes a committed patch. One that does not apply is passed over on every replica alike.
+   *
+   * @param patch - the patch
+   */
+  accept(patch: ConfigurationPatch): void {
+    const next = applyPatch(this.latest, patch);
+    if (next.err) return;
+    const offset = patch.base * DIGEST_BYTES;
+    if (offset + DIGEST_BYTES > this.digests.length) {
+      this.digests = Buffer.concat([this.digests, Buffer.alloc(this.digests.length)]);
+    }
+    computeDigest(patch.id).copy(this.digests, offset);
+    this.latest = next.val;
+  }
+
+  /**
+   * Tells what became of a patch, as far as this replica knows.
+   *
+   * @param id - id of the patch
+   * @param base - version that it was made for
+   * @returns its outcome; only `undecided` may be out of date
+   */
+  outcome(id: string, base: number): PatchOutcome {
+    const { version } = this.latest;
+    if (base >= version) return { outcome: 'undecided', version };
+    const offset = base * DIGEST_BYTES;
+    const isSame = computeDigest(id).equals(this.digests.subarray(offset, offset + DIGEST_BYTES));
+    return { outcome: isSame ? 'accepted' : 'superseded', version: base + 1 };
+  }
+
+  /** @returns a copy that later patches leave as it is */
+  snapshot(): ConfigurationSnapshot {
+    const idDigests = new Uint8Array(this.digests.subarray(0, this.latest.version * DIGEST_BYTES));
+    return { latest: this.latest, idDigests };
+  }
+}
--- /dev/null
+++ b/packages/core/src/consensus/Members.ts
@@ -0,0 +1,12 @@
+import { z } from 'zod';
+
+import ReplicaId from './ReplicaId';
+
+/** The replicas of the group. Only voters count towards a quorum; learners just hold the log. */
+const Members = z.strictObject({
+  voters: z.array(ReplicaId),
+  learners: z.array(ReplicaId),
+});
+type Members = z.infer<typeof Members>;
+
+export default Members;
--- /dev/null
+++ b/packages/core/src/consensus/ReplicaId.ts
@@ -0,0 +1,10 @@
+import { z } from 'zod';
+
+/**
+ * Identity of one control replica: the VM's name and the id written when its data folder was made.
+ * A VM that lost its disk comes back under another identity, so a lost vote cannot be cast twice.
+ */
+const ReplicaId = z.string().max(128).regex(/^[a-z0-9._-]+#[0-9a-f]+$/, 'expected VM#ID');
+type ReplicaId = z.infer<typeof ReplicaId>;
+
+export default ReplicaId;
--- /dev/null
+++ b/packages/core/src/consensus/isMember.ts
@@ -0,0 +1,11 @@
+import type Members from './Members';
+import type ReplicaId from './ReplicaId';
+
+/**
+ * @param members - the members of the group
+ * @param replica - a replica
+ * @returns true if the replica is a voter or a learner
+ */
+export default function isMember(members: Members, replica: ReplicaId): boolean {
+  return members.voters.includes(replica) || members.learners.includes(replica);
+}
--- /dev/null
+++ b/packages/core/src/consensus/replicate.ts
@@ -0,0 +1,56 @@
+import type ConsensusState from './ConsensusState';
+import findLastIndex from './findLastIndex';
+import findTerm from './findTerm';
+import type Progress from './Progress';
+import type ReplicaId from './ReplicaId';
+import send from './send';
+import timing from './timing';
+
+const MAX_ENTRIES = 64;
+
+function createProgress(state: ConsensusState): Progress {
+  return {
+    matchIndex: 0,
+    nextIndex: findLastIndex(state) + 1,
+    round: 0,
+    heardAtMs: state.nowMs,
+    snapshotSentAtMs: -Infinity,
+  };
+}
+
+function sendSnapshot(state: ConsensusState, to: ReplicaId): void {
+  const { term, round, snapshot } = state;
+  send(state, to, {
+    kind: 'snapshot', term, snapshot, round,
+  });
+}
+
+/**
+ * Sends a replica the entries that it lacks, or a heartbeat.
+ *
+ * @param state - the leader
+ * @param to - the other replica
+ */
+export default function replicate(state: ConsensusState, to: ReplicaId): void {
+  const progress = state.progress.get(to) ?? createProgress(state);
+  state.progress.set(to, progress);
+  const isSnapshotDue = state.nowMs - progress.snapshotSentAtMs >= timing.snapshotResendMs;
+  if (progress.nextIndex <= state.snapshot.lastIndex && isSnapshotDue) {
+    progress.snapshotSentAtMs = state.nowMs;
+    sendSnapshot(state, to);
+    return;
+  }
+  // While a snapshot is on its way, an append behind it serves as the heartbeat.
+  const nextIndex = Math.max(progress.nextIndex, state.snapshot.lastIndex + 1);
+  const previousIndex = nextIndex - 1;
+  const start = previousIndex - state.snapshot.lastIndex;
+  send(state, to, {
+    kind: 'append',
+    term: state.term,
+    previousIndex,
+    previousTerm: findTerm(state, previousIndex) ?? 0,
+    entries: state.log.slice(start, start + MAX_ENTRIES),
+    commitIndex: state.commitIndex,
+    round: state.round,
+  });
+}
--- /dev/null
+++ b/packages/core/src/consensus/setLeader.ts
@@ -0,0 +1,14 @@
+import type ConsensusState from './ConsensusState';
+import type ReplicaId from './ReplicaId';
+
+/**
+ * Notes who leads, and tells it if it has changed.
+ *
+ * @param state - the replica
+ * @param leader - the leader of the term, undefined if none is known
+ */
+export default function setLeader(state: ConsensusState, leader: ReplicaId | undefined): void {
+  if (state.leader === leader) return;
+  state.leader = leader;
+  state.outbox.push({ kind: 'leader', leader });
+}
--- /dev/null
+++ b/packages/core/src/consensus/step.ts
@@ -0,0 +1,100 @@
+import advanceCommit from './advanceCommit';
+import appendCommand from './appendCommand';
+import broadcast from './broadcast';
+import compact from './compact';
+import confirmReads from './confirmReads';
+import type ConsensusEffect from './ConsensusEffect';
+import type ConsensusEvent from './ConsensusEvent';
+import type ConsensusMessage from './ConsensusMessage';
+import type ConsensusState from './ConsensusState';
+import maintainMembers from './maintainMembers';
+import receiveAppend from './receiveAppend';
+import receiveAppendAnswer from './receiveAppendAnswer';
+import receiveSnapshot from './receiveSnapshot';
+import receiveVoteAnswer from './receiveVoteAnswer';
+import receiveVoteRequest from './receiveVoteRequest';
+import type ReplicaId from './ReplicaId';
+import tick from './tick';
+
+type ProposeEvent = Extract<ConsensusEvent, { kind: 'propose' }>;
+
+function receive(state: ConsensusState, from: ReplicaId, message: ConsensusMessage): void {
+  switch (message.kind) {
+    case 'append':
+      receiveAppend(state, from, message);
+      break;
+    case 'snapshot':
+      receiveSnapshot(state, from, message);
+      break;
+    case 'appendAnswer':
+      receiveAppendAnswer(state, from, message);
+      break;
+    case 'preVoteRequest':
+    case 'voteRequest':
+      receiveVoteRequest(state, from, message);
+      break;
+    default: receiveVoteAnswer(state, from, message);
+  }
+}
+
+function propose(state: ConsensusState, { token, command }: ProposeEvent): void {
+  if (state.role !== 'leader') {
+    state.outbox.push({ kind: 'refused', token });
+    return;
+  }
+  const index = appendCommand(state, command);
+  state.outbox.push({
+    kind: 'proposed', token, index, term: state.term,
+  });
+  broadcast(state);
+  advanceCommit(state);
+}
+
+function read(state: ConsensusState, token: number): void {
+  if (state.role !== 'leader') {
+    state.outbox.push({ kind: 'refused', token });
+    return;
+  }
+  // The next heartbeat confirms the read, so reads cost no messages of their own.
+  state.reads.push({ token, index: state.commitIndex, round: state.round + 1 });
+  confirmReads(state);
+}
+
+function maintain(state: ConsensusState): void {
+  if (state.role !== 'leader' || !maintainMembers(state)) return;
+  broadcast(state);
+  advanceCommit(state);
+}
+
+/**
+ * Lets a replica take one event. This is the whole protocol: Raft with pre-vote, check-quorum,
+ * read index, learners, and members that are changed one at a time.
+ *
+ * @param state - the replica, which is changed in place
+ * @param event - what happened
+ * @returns what is to be done; all writes must be synced before anything else
+ */
+export default function step(state: ConsensusState, event: ConsensusEvent): ConsensusEffect[] {
+  switch (event.kind) {
+    case 'tick':
+      state.nowMs = event.nowMs;
+      tick(state);
+      maintain(state);
+      break;
+    case 'message':
+      receive(state, event.from, event.message);
+      break;
+    case 'propose':
+      propose(state, event);
+      break;
+    case 'read':
+      read(state, event.token);
+      break;
+    case 'join':
+      state.joining = event.replica;
+      break;
+    default: compact(state, event.index, event.data);
+  }
+  if (state.role === 'leader') confirmReads(state);
+  return state.outbox.splice(0);
+}
--- /dev/null
+++ b/packages/core/src/consensus/tick.ts
@@ -0,0 +1,30 @@
+import becomeFollower from './becomeFollower';
+import broadcast from './broadcast';
+import type ConsensusState from './ConsensusState';
+import isQuorum from './isQuorum';
+import isVoter from './isVoter';
+import startPreVote from './startPreVote';
+import timing from './timing';
+
+function hearsQuorum(state: ConsensusState): boolean {
+  return isQuorum(state.members, (voter) => {
+    if (voter === state.self) return true;
+    const progress = state.progress.get(voter);
+    if (progress === undefined) return false;
+    return state.nowMs - progress.heardAtMs < timing.electionMaxMs;
+  });
+}
+
+/**
+ * Does what is due: heartbeats, elections, and stepping down without a quorum (check-quorum).
+ *
+ * @param state - the replica
+ */
+export default function tick(state: ConsensusState): void {
+  if (state.role === 'leader') {
+    if (!hearsQuorum(state)) becomeFollower(state, state.term, undefined);
+    else if (state.nowMs >= state.heartbeatDueMs) broadcast(state);
+    return;
+  }
+  if (state.nowMs >= state.electionDueMs && isVoter(state)) startPreVote(state);
+}
--- /dev/null
+++ b/packages/core/src/consensus/timing.ts
@@ -0,0 +1,10 @@
+/** Times of the protocol, in milliseconds. */
+const timing = {
+  heartbeatMs: 250,
+  /** Shortest silence of a leader after which an election may start. */
+  electionMinMs: 1000,
+  electionMaxMs: 1800,
+  snapshotResendMs: 2000,
+} as const;
+
+export default timing;
--- /dev/null
+++ b/packages/core/src/consensus/vmNameOf.ts
@@ -0,0 +1,9 @@
+import type ReplicaId from './ReplicaId';
+
+/**
+ * @param replica - identity of a replica
+ * @returns the name of its VM
+ */
+export default function vmNameOf(replica: ReplicaId): string {
+  return replica.slice(0, replica.indexOf('#'));
+}
--- a/packages/core/src/errors/errorTable.ts
+++ b/packages/core/src/errors/errorTable.ts
@@ -75,6 +75,13 @@
   internal: {
     code: 16, status: 500, outcome: 'unknown', retryable: false, text: 'an internal error',
   },
+  leaseLapsed: {
+    code: 17,
+    status: 503,
+    outcome: 'not-run',
+    retryable: true,
+    text: 'this VM cannot confirm the latest configuration',
+  },
 } as const satisfies Readonly<Record<string, ErrorAnswer>>;
 
 export default errorTable;
--- a/packages/disk/src/DataFolder.ts
+++ b/packages/disk/src/DataFolder.ts
@@ -1,5 +1,7 @@
 import { constants } from 'node:fs';
-import { access, mkdir, open } from 'node:fs/promises';
+import {
+  access, mkdir, open, readdir,
+} from 'node:fs/promises';
 import { dirname, join } from 'node:path';
 
 /** The one folder that holds a VM's durable state. */
@@ -25,6 +27,11 @@
     return join(this.path, name);
   }
 
+  /** @returns the names of the files in the folder */
+  async list(): Promise<string[]> {
+    return readdir(this.path);
+  }
+
   /** Syncs the folder itself, so that a file made or renamed in it survives a crash. */
   async sync(): Promise<void> {
     await DataFolder.syncDirectory(this.path);
--- /dev/null
+++ b/packages/disk/src/ReplicaLog.ts
@@ -0,0 +1,84 @@
+import { open, rename, type FileHandle } from 'node:fs/promises';
+
+import type ConsensusRecord from '@guavayard/core/consensus/ConsensusRecord';
+import type ConsensusStore from '@guavayard/core/consensus/ConsensusStore';
+import type ReplicaId from '@guavayard/core/consensus/ReplicaId';
+
+import type DataFolder from './DataFolder';
+import encodeRecord from './encodeRecord';
+
+const FILE = 'consensus.log';
+const NEW_FILE = 'consensus.log.new';
+
+/** The file that holds a replica's identity, term, vote and log. It owns its file handle. */
+export default class ReplicaLog implements ConsensusStore {
+  static readonly file = FILE;
+
+  static readonly newFile = NEW_FILE;
+
+  private constructor(
+    private readonly folder: DataFolder,
+    readonly replica: ReplicaId,
+    private handle: FileHandle | undefined,
+  ) {}
+
+  /**
+   * Makes the file of a new replica.
+   *
+   * @param folder - the data folder
+   * @param replica - identity of the replica
+   * @param records - its first records
+   * @returns the log, synced
+   */
+  static async create(
+    folder: DataFolder,
+    replica: ReplicaId,
+    records: readonly ConsensusRecord[],
+  ): Promise<ReplicaLog> {
+    const log = new ReplicaLog(folder, replica, undefined);
+    await log.replace(records);
+    return log;
+  }
+
+  /**
+   * Takes over an existing file, whose torn tail is cut off.
+   *
+   * @param folder - the data folder
+   * @param replica - identity of the replica
+   * @param validBytes - length of the whole records, in bytes
+   * @returns the log, synced
+   */
+  static async resume(
+    folder: DataFolder,
+    replica: ReplicaId,
+    validBytes: number,
+  ): Promise<ReplicaLog> {
+    const handle = await open(folder.file(FILE), 'a');
+    await handle.truncate(validBytes);
+    await handle.sync();
+    return new ReplicaLog(folder, replica, handle);
+  }
+
+  async append(records: readonly ConsensusRecord[]): Promise<void> {
+    await this.handle?.appendFile(Buffer.concat(records.map(encodeRecord)));
+    await this.handle?.datasync();
+  }
+
+  async replace(records: readonly ConsensusRecord[]): Promise<void> {
+    const identity = { kind: 'identity', replica: this.replica };
+    const next = await open(this.folder.file(NEW_FILE), 'w');
+    await next.appendFile(Buffer.concat([identity, ...records].map(encodeRecord)));
+    await next.sync();
+    await rename(this.folder.file(NEW_FILE), this.folder.file(FILE));
+    await this.folder.sync();
+    await this.handle?.close();
+    // The handle goes on at the end of what it has written, under the new name.
+    this.handle = next;
+  }
+
+  /** Closes the file. */
+  async close(): Promise<void> {
+    await this.handle?.close();
+    this.handle = undefined;
+  }
+}
--- a/packages/disk/src/encodeRecord.ts
+++ b/packages/disk/src/encodeRecord.ts
@@ -2,19 +2,21 @@
 
 import { encode } from 'cbor-x';
 
-const HEADER_BYTES = 8;
+import recordLayout from './recordLayout';
 
 /**
- * Encodes a value as a record: its length, its checksum and its CBOR bytes.
+ * Encodes a value as a record: its length, checksums of the length and the body, and the body.
  *
  * @param value - any plain value
  * @returns the bytes of the record
  */
 export default function encodeRecord(value: unknown): Buffer {
   const body = encode(value);
-  const record = Buffer.allocUnsafe(HEADER_BYTES + body.length);
-  record.writeUInt32BE(body.length, 0);
-  record.writeUInt32BE(crc32(body), 4);
-  body.copy(record, HEADER_BYTES);
+  const record = Buffer.allocUnsafe(recordLayout.headerBytes + body.length);
+  record.writeUInt32BE(body.length, recordLayout.lengthOffset);
+  const length = record.subarray(0, recordLayout.bodyChecksumOffset);
+  record.writeUInt32BE(crc32(body), recordLayout.bodyChecksumOffset);
+  record.writeUInt32BE(crc32(length), recordLayout.lengthChecksumOffset);
+  body.copy(record, recordLayout.headerBytes);
   return record;
 }
--- /dev/null
+++ b/packages/disk/src/recordLayout.ts
@@ -0,0 +1,11 @@
+/** Layout of a record, in bytes. */
+const recordLayout = {
+  lengthOffset: 0,
+  bodyChecksumOffset: 4,
+  lengthChecksumOffset: 8,
+  headerBytes: 12,
+  /** Unit in which a disk writes; a torn write leaves whole sectors of zeros. */
+  sectorBytes: 512,
+} as const;
+
+export default recordLayout;
