Let entries dispatch only under a lease that the leader confirms

Cause: an entry that was cut off went on dispatching under an old configuration, any control VM took patches by itself, and an operator who lost an answer could not ask for it.

Change: the control role runs a replica on the hub, syncs before anything leaves the VM, brings operators' calls to the leader, and decides patches one after the other. The leader's table of leases is the membership of entries, told by deltas, and tells which version is in force. Silent sessions are closed after 6 s.

--- a/packages/cli/src/commands/InitCommand.ts
+++ b/packages/cli/src/commands/InitCommand.ts
@@ -1,5 +1,4 @@
-import { open } from 'node:fs/promises';
-
+import createReplica from '@guavayard/disk/createReplica';
 import DataFolder from '@guavayard/disk/DataFolder';
 
 import type Command from './Command';
@@ -29,9 +28,9 @@
     const folder = new DataFolder(settings.disk.folder);
     try {
       await folder.prepare();
-      const handle = await open(folder.file('configuration.log'), 'wx');
-      await handle.close();
-      await folder.sync();
+      if ((await folder.list()).length > 0) throw new Error('the folder is not empty');
+      const { log } = await createReplica(folder, settings.vm.name, true);
+      await log.close();
     } catch (err) {
       printError(`disk.folder: ${folder.path}: ${(err as Error).message}`);
       return ExitCode.failed;
--- a/packages/cli/src/run/startControl.ts
+++ b/packages/cli/src/run/startControl.ts
@@ -1,10 +1,12 @@
+import { performance } from 'node:perf_hooks';
+
 import { Err, Ok, type Result } from 'ts-results';
 
 import DataFolder from '@guavayard/disk/DataFolder';
-import LocalConfigurationStore from '@guavayard/disk/LocalConfigurationStore';
-import RecordLog from '@guavayard/disk/RecordLog';
+import type OpenedReplica from '@guavayard/disk/OpenedReplica';
+import openReplica from '@guavayard/disk/openReplica';
 import OperatorListener from '@guavayard/operator/OperatorListener';
-import ConfigurationPublisher from '@guavayard/vm/control/ConfigurationPublisher';
+import ControlTask from '@guavayard/vm/control/ControlTask';
 
 import readSecret from '../settings/readSecret';
 import closeServer from './closeServer';
@@ -12,26 +14,32 @@
 import type RunContext from './RunContext';
 import type Runnable from './Runnable';
 
-const LOG_FILE = 'configuration.log';
-
-async function openStore(
-  path: string,
-): Promise<Result<{ store: LocalConfigurationStore; publisher: ConfigurationPublisher }, string>> {
+async function openFolder(path: string, vmName: string): Promise<Result<OpenedReplica, string>> {
   const folder = new DataFolder(path);
   try {
     await folder.prepare();
   } catch (err) {
     return Err(`disk.folder: ${path} is not writable: ${(err as NodeJS.ErrnoException).code}`);
   }
-  const opened = await RecordLog.open(folder, LOG_FILE);
-  if (opened.err) return opened;
-  const publisher = new ConfigurationPublisher();
-  const store = new LocalConfigurationStore(
-    opened.val.log,
-    opened.val.values,
-    (latest) => publisher.publish(latest),
-  );
-  return Ok({ store, publisher });
+  return openReplica(folder, vmName);
+}
+
+function createTask(context: RunContext, opened: OpenedReplica): ControlTask {
+  const { identity, hub, log } = context;
+  return new ControlTask({
+    replica: opened.replica,
+    durable: opened.durable,
+    store: opened.log,
+    hub,
+    log,
+    vmName: identity.name,
+    clock: () => performance.now(),
+    random: Math.random,
+    onDiskFailure: (err) => {
+      log.fatal({ err }, 'the data folder cannot be written');
+      process.exit(1);
+    },
+  });
 }
 
 /**
@@ -49,16 +57,18 @@
   }
   const token = await readSecret(settings.operator.tokenFile, 'operator.tokenFile');
   if (token.err) return token;
-  const opened = await openStore(settings.disk.folder);
+  const opened = await openFolder(settings.disk.folder, identity.name);
   if (opened.err) return opened;
-  const { store, publisher } = opened.val;
-  hub.addHandler(publisher);
-  const operatorListener = new OperatorListener(store, () => ({
-    vm: identity.name,
-    version: store.latest.version,
-    entries: publisher.entries.map((entry) => entry.name),
-  }), token.val);
+  const task = createTask(context, opened.val);
+  const operatorListener = new OperatorListener(task, () => task.status(), token.val);
   const operatorBound = await listen(operatorListener.server, settings.operator.listen, 'operator', log);
   if (operatorBound.err) return operatorBound;
-  return Ok({ stop: async () => closeServer(operatorListener.server) });
+  task.start();
+  settings.vm.control.forEach((address) => hub.connect(address));
+  return Ok({
+    stop: async () => {
+      await closeServer(operatorListener.server);
+      task.close();
+    },
+  });
 }
--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -12,6 +12,7 @@
 import TargetDirectory from '@guavayard/target/TargetDirectory';
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
 import ControlSubscription from '@guavayard/vm/entry/ControlSubscription';
+import EntryLeaseRelay from '@guavayard/vm/entry/EntryLeaseRelay';
 import RegionMesh from '@guavayard/vm/entry/RegionMesh';
 
 import closeServer from './closeServer';
@@ -28,8 +29,13 @@
 function createSubscription(context: RunContext): ControlSubscription {
   const mesh = new RegionMesh(context.hub, context.identity);
   return new ControlSubscription({
-    onConfiguration: ({ version }) => context.log.info({ version }, 'configuration in force'),
-    onMembership: (entries) => mesh.update(entries),
+    hub: context.hub,
+    identity: context.identity,
+    clock,
+    listener: {
+      onConfiguration: ({ version }) => context.log.info({ version }, 'configuration in force'),
+      onMembership: (entries) => mesh.update(entries),
+    },
   });
 }
 
@@ -82,6 +88,7 @@
     if (platformBound.err) return platformBound;
   }
   hub.addHandler(subscription);
+  if (!identity.roles.includes('control')) hub.addHandler(new EntryLeaseRelay(hub, clock));
   settings.vm.control.forEach((address) => hub.connect(address));
   const expiry = setInterval(() => directory.expire(), EXPIRY_INTERVAL_MS);
   return Ok({
@@ -90,6 +97,7 @@
       clearInterval(expiry);
       await Promise.all([closeServer(caller.server), closeServer(target.server)]);
       await sender.close();
+      subscription.release();
       await closeServer(platform.server);
     },
   });
--- a/packages/operator/src/OperatorClient.ts
+++ b/packages/operator/src/OperatorClient.ts
@@ -2,6 +2,8 @@
 import { request } from 'undici';
 import { z } from 'zod';
 
+import ConfigurationEnforcement from '@guavayard/core/configuration/ConfigurationEnforcement';
+import PatchOutcome from '@guavayard/core/configuration/PatchOutcome';
 import type ConfigurationPatch from '@guavayard/core/types/ConfigurationPatch';
 import VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
 
@@ -36,6 +38,23 @@
     return this.send('GET', '/v1/configuration', VersionedConfiguration);
   }
 
+  /**
+   * Asks what became of a patch.
+   *
+   * @param id - id of the patch
+   * @param base - version that it was made for
+   * @returns its outcome, or what went wrong
+   */
+  async outcome(id: string, base: number): Promise<Result<PatchOutcome, string>> {
+    const query = new URLSearchParams({ id, base: String(base) });
+    return this.send('GET', `/v1/outcomes?${query.toString()}`, PatchOutcome);
+  }
+
+  /** @returns which version is in force, or what went wrong */
+  async enforcement(): Promise<Result<ConfigurationEnforcement, string>> {
+    return this.send('GET', '/v1/enforcement', ConfigurationEnforcement);
+  }
+
   /** @returns the status of the system, or what went wrong */
   async status(): Promise<Result<SystemStatus, string>> {
     return this.send('GET', '/v1/status', SystemStatus);
--- a/packages/operator/src/OperatorListener.ts
+++ b/packages/operator/src/OperatorListener.ts
@@ -2,7 +2,9 @@
 
 import { H3, readBody, type H3Event } from 'h3';
 import { toNodeHandler } from 'h3/node';
+import type { Result } from 'ts-results';
 
+import type Failure from '@guavayard/core/errors/Failure';
 import createFailureResponse from '@guavayard/core/http/createFailureResponse';
 import ConfigurationPatch from '@guavayard/core/types/ConfigurationPatch';
 import describeMistakes from '@guavayard/core/types/describeMistakes';
@@ -14,6 +16,12 @@
 /** Longest patch, in bytes. */
 const MAX_PATCH_BYTES = 1024 * 1024;
 
+const OutcomeQuery = ConfigurationPatch.pick({ id: true, base: true });
+
+function respond(result: Result<unknown, Failure>): unknown {
+  return result.err ? createFailureResponse(result.val) : result.val;
+}
+
 /** The operators' HTTP API. It owns its server socket. */
 export default class OperatorListener {
   readonly server: Server;
@@ -28,7 +36,9 @@
         ? undefined
         : createFailureResponse({ kind: 'unauthorized', detail: '' })))
       .post('/v1/patches', async (event) => this.submit(event))
-      .get('/v1/configuration', () => this.service.latest)
+      .get('/v1/outcomes', async (event) => this.outcome(event))
+      .get('/v1/configuration', async () => respond(await this.service.current()))
+      .get('/v1/enforcement', async () => respond(await this.service.enforcement()))
       .get('/v1/status', () => this.status());
     this.server = createServer(toNodeHandler(app));
   }
@@ -44,7 +54,17 @@
       return createFailureResponse({ kind: 'invalidPatch', detail });
     }
     const result = await this.service.submit(patch.data);
-    if (result.err) return createFailureResponse(result.val);
-    return { version: result.val };
+    return respond(result.map((version) => ({ version })));
+  }
+
+  private async outcome(event: H3Event): Promise<unknown> {
+    const query = new URL(event.req.url).searchParams;
+    const input = { id: query.get('id'), base: Number(query.get('base') ?? NaN) };
+    const parsed = OutcomeQuery.safeParse(input);
+    if (!parsed.success) {
+      const detail = describeMistakes(parsed.error, input).join('; ');
+      return createFailureResponse({ kind: 'malformedRequest', detail });
+    }
+    return respond(await this.service.outcome(parsed.data.id, parsed.data.base));
   }
 }
--- /dev/null
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -0,0 +1,184 @@
+import createConsensusState from '@guavayard/core/consensus/createConsensusState';
+import createRecords from '@guavayard/core/consensus/createRecords';
+import type Command from '@guavayard/core/consensus/Command';
+import type ConsensusEffect from '@guavayard/core/consensus/ConsensusEffect';
+import type ConsensusEvent from '@guavayard/core/consensus/ConsensusEvent';
+import type ConsensusRecord from '@guavayard/core/consensus/ConsensusRecord';
+import type ConsensusState from '@guavayard/core/consensus/ConsensusState';
+import isMember from '@guavayard/core/consensus/isMember';
+import step from '@guavayard/core/consensus/step';
+import vmNameOf from '@guavayard/core/consensus/vmNameOf';
+
+import type VmMessage from '../messages/VmMessage';
+import type SessionHandler from '../session/SessionHandler';
+import type ConsensusTaskOptions from './ConsensusTaskOptions';
+import PendingCalls from './PendingCalls';
+
+const TICK_MS = 50;
+const JOIN_INTERVAL_MS = 500;
+/** Applied entries behind the snapshot after which a new one is made. */
+const COMPACTION_ENTRIES = 256;
+
+/**
+ * Runs one replica: takes events in turn, syncs what a step writes, and only then carries out the
+ * rest of its effects. Events that arrive during a sync share the next one.
+ */
+export default class ConsensusTask implements SessionHandler {
+  private readonly state: ConsensusState;
+
+  private readonly events: ConsensusEvent[] = [];
+
+  private readonly calls = new PendingCalls();
+
+  private isBusy = false;
+
+  private isClosed = false;
+
+  private nextJoinMs = 0;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: ConsensusTaskOptions) {
+    const {
+      replica, durable, clock, random,
+    } = options;
+    this.state = createConsensusState(replica, durable, clock(), random);
+  }
+
+  /** Starts to take part in the group. */
+  start(): void {
+    this.timer = setInterval(() => this.push({ kind: 'tick', nowMs: this.options.clock() }), TICK_MS);
+    this.push({ kind: 'tick', nowMs: this.options.clock() });
+  }
+
+  /** Stops taking part. */
+  close(): void {
+    this.isClosed = true;
+    clearInterval(this.timer);
+  }
+
+  onOpen(): void {}
+
+  onMessage(_session: unknown, message: VmMessage): void {
+    if (message.kind === 'consensus' && message.to === this.state.self) {
+      this.push({ kind: 'message', from: message.from, message: message.message });
+    }
+    if (message.kind === 'join') this.push({ kind: 'join', replica: message.replica });
+  }
+
+  onClose(): void {}
+
+  get isLeader(): boolean {
+    return this.state.role === 'leader';
+  }
+
+  get term(): number {
+    return this.state.term;
+  }
+
+  /** Name of the leader's VM, undefined if none is known. */
+  get leaderName(): string | undefined {
+    return this.state.leader === undefined ? undefined : vmNameOf(this.state.leader);
+  }
+
+  /** Names of the VMs that vote. */
+  get voterNames(): string[] {
+    return this.state.members.voters.map(vmNameOf);
+  }
+
+  /**
+   * Appends a command to the log.
+   *
+   * @param command - the command
+   * @returns true once it is committed and applied, false if that is not known
+   */
+  async propose(command: Command): Promise<boolean> {
+    return this.calls.create((token) => this.push({ kind: 'propose', token, command }));
+  }
+
+  /**
+   * Waits until all that was accepted before is applied here, and a quorum has confirmed it.
+   *
+   * @returns false if this replica does not lead
+   */
+  async confirm(): Promise<boolean> {
+    return this.calls.create((token) => this.push({ kind: 'read', token }));
+  }
+
+  private push(event: ConsensusEvent): void {
+    if (this.isClosed) return;
+    this.events.push(event);
+    if (this.isBusy) return;
+    this.isBusy = true;
+    this.run().catch((err: Error) => this.options.onDiskFailure(err));
+  }
+
+  private async run(): Promise<void> {
+    while (this.events.length > 0 && !this.isClosed) {
+      const effects = this.stepAll();
+      // eslint-disable-next-line no-await-in-loop -- nothing may leave the VM before the sync
+      await this.write(effects);
+      effects.forEach((effect) => this.carryOut(effect));
+      this.compactIfDue();
+      this.joinIfDue();
+    }
+    this.isBusy = false;
+  }
+
+  private stepAll(): ConsensusEffect[] {
+    const nowMs = this.options.clock();
+    const first = step(this.state, { kind: 'tick', nowMs });
+    const rest = this.events.splice(0).flatMap((event) => step(this.state, event));
+    return [...first, ...rest];
+  }
+
+  private async write(effects: readonly ConsensusEffect[]): Promise<void> {
+    const records: ConsensusRecord[] = effects
+      .flatMap((effect) => (effect.kind === 'write' ? [effect.record] : []));
+    if (records.length === 0) return;
+    const { store } = this.options;
+    if (records.some((record) => record.kind === 'snapshot')) {
+      await store.replace(createRecords(this.state));
+    } else {
+      await store.append(records);
+    }
+  }
+
+  private carryOut(effect: ConsensusEffect): void {
+    const { hub, listener, replica } = this.options;
+    if (effect.kind === 'send') {
+      hub.send(vmNameOf(effect.to), {
+        kind: 'consensus', from: replica, to: effect.to, message: effect.message,
+      });
+    }
+    if (effect.kind === 'commit') {
+      listener.onCommit(effect.entries);
+      effect.entries.forEach(({ index, term }) => this.calls.commit(index, term));
+    }
+    if (effect.kind === 'restore') {
+      listener.onRestore(effect.snapshot);
+      this.calls.abandon();
+    }
+    if (effect.kind === 'proposed') this.calls.propose(effect.token, effect.index, effect.term);
+    if (effect.kind === 'refused') this.calls.finish(effect.token, false);
+    if (effect.kind === 'readReady') this.calls.finish(effect.token, true);
+    if (effect.kind === 'leader') {
+      if (!this.isLeader) this.calls.abandon();
+      listener.onLeader(effect.leader);
+    }
+  }
+
+  private compactIfDue(): void {
+    const { commitIndex, snapshot } = this.state;
+    if (commitIndex - snapshot.lastIndex < COMPACTION_ENTRIES) return;
+    const data = this.options.listener.createSnapshot();
+    this.events.push({ kind: 'compact', index: commitIndex, data });
+  }
+
+  private joinIfDue(): void {
+    const { hub, clock, replica } = this.options;
+    if (isMember(this.state.members, replica) || clock() < this.nextJoinMs) return;
+    this.nextJoinMs = clock() + JOIN_INTERVAL_MS;
+    hub.sendToControl({ kind: 'join', replica });
+  }
+}
--- /dev/null
+++ b/packages/vm/src/control/ControlAnswer.ts
@@ -0,0 +1,24 @@
+import { z } from 'zod';
+
+import ConfigurationEnforcement from '@guavayard/core/configuration/ConfigurationEnforcement';
+import PatchOutcome from '@guavayard/core/configuration/PatchOutcome';
+import errorTable from '@guavayard/core/errors/errorTable';
+import type ErrorKind from '@guavayard/core/errors/ErrorKind';
+import VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
+
+const errorKinds = Object.keys(errorTable) as [ErrorKind, ...ErrorKind[]];
+
+/** The leader's answer to a call. */
+const ControlAnswer = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('accepted'), version: z.int() }),
+  z.strictObject({ kind: z.literal('outcome'), outcome: PatchOutcome }),
+  z.strictObject({ kind: z.literal('configuration'), latest: VersionedConfiguration }),
+  z.strictObject({ kind: z.literal('enforcement'), enforcement: ConfigurationEnforcement }),
+  z.strictObject({
+    kind: z.literal('failure'),
+    failure: z.strictObject({ kind: z.enum(errorKinds), detail: z.string() }),
+  }),
+]);
+type ControlAnswer = z.infer<typeof ControlAnswer>;
+
+export default ControlAnswer;
--- /dev/null
+++ b/packages/vm/src/control/ControlCall.ts
@@ -0,0 +1,16 @@
+import { z } from 'zod';
+
+import ConfigurationPatch from '@guavayard/core/types/ConfigurationPatch';
+
+/** A call of the operators' API that the leader answers. */
+const ControlCall = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('submit'), patch: ConfigurationPatch }),
+  z.strictObject({
+    kind: z.literal('outcome'), id: z.string().min(1).max(128), base: z.int().min(0),
+  }),
+  z.strictObject({ kind: z.literal('configuration') }),
+  z.strictObject({ kind: z.literal('enforcement') }),
+]);
+type ControlCall = z.infer<typeof ControlCall>;
+
+export default ControlCall;
--- /dev/null
+++ b/packages/vm/src/control/describeMembership.ts
@@ -0,0 +1,37 @@
+import findChanges from '@guavayard/core/lease/findChanges';
+import type LeaseTable from '@guavayard/core/lease/LeaseTable';
+
+import type VmIdentity from '../session/VmIdentity';
+import type MembershipChange from './MembershipChange';
+import type MembershipRevision from './MembershipRevision';
+
+/**
+ * Tells an entry what it does not know yet of the table.
+ *
+ * @param table - the leader's table
+ * @param known - what the entry knows, undefined if nothing
+ * @returns the change, or undefined if the entry knows everything
+ */
+export default function describeMembership(
+  table: LeaseTable<VmIdentity>,
+  known: MembershipRevision | undefined,
+): MembershipChange | undefined {
+  const revision = { term: table.term, count: table.count };
+  const base = known?.term === table.term ? known : undefined;
+  if (base?.count === table.count) return undefined;
+  const changes = base === undefined ? undefined : findChanges(table, base.count);
+  if (changes === undefined) {
+    const scope = table.isComplete ? 'whole' : 'union';
+    const joined = [...table.leases.values()].map((lease) => lease.holder);
+    return {
+      scope, revision, joined, left: [],
+    };
+  }
+  return {
+    scope: 'delta',
+    base,
+    revision,
+    joined: changes.joined.flatMap((startId) => table.leases.get(startId)?.holder ?? []),
+    left: [...changes.left],
+  };
+}
--- a/packages/vm/src/messages/VmMessage.ts
+++ b/packages/vm/src/messages/VmMessage.ts
@@ -1,12 +1,14 @@
 import { z } from 'zod';
 
-import configurationMessages from './configurationMessages';
-import membershipMessages from './membershipMessages';
+import consensusMessages from './consensusMessages';
+import leaseMessages from './leaseMessages';
+import sessionMessages from './sessionMessages';
 
 /** Messages between the VMs of the system. */
 const VmMessage = z.discriminatedUnion('kind', [
-  ...configurationMessages,
-  ...membershipMessages,
+  ...consensusMessages,
+  ...leaseMessages,
+  ...sessionMessages,
 ]);
 type VmMessage = z.infer<typeof VmMessage>;
 
--- a/packages/vm/src/session/VmHub.ts
+++ b/packages/vm/src/session/VmHub.ts
@@ -77,6 +77,25 @@
     return session !== undefined;
   }
 
+  /**
+   * @param role - a role
+   * @returns the names of the VMs of that role that there is a session with
+   */
+  namesOf(role: VmIdentity['roles'][number]): string[] {
+    return [...this.sessions]
+      .filter(([, session]) => session.peer?.roles.includes(role))
+      .map(([name]) => name);
+  }
+
+  /**
+   * Sends a message to every VM of the role `control` that there is a session with.
+   *
+   * @param message - the message
+   */
+  sendToControl(message: VmMessage): void {
+    this.namesOf('control').forEach((name) => this.send(name, message));
+  }
+
   /** Ends all sessions. */
   close(): void {
     this.connectors.forEach((connector) => connector.close());
--- a/packages/vm/src/session/VmSession.ts
+++ b/packages/vm/src/session/VmSession.ts
@@ -14,6 +14,12 @@
 const NONCE_BYTES = 16;
 /** Longest time from connect until both sides have proved the shared key. */
 const HANDSHAKE_TIMEOUT_MS = 5000;
+/** Time without a message of its own after which a side says that it is there. */
+const PING_INTERVAL_MS = 2000;
+/** Silence after which the peer is taken to be cut off: TCP alone would wait for minutes. */
+const SILENCE_TIMEOUT_MS = 6000;
+/** Bytes that may wait for a peer that does not read. */
+const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 
 type Role = 'client' | 'server';
 
@@ -33,6 +39,12 @@
 
   private readonly handshakeTimer: NodeJS.Timeout;
 
+  private pingTimer: NodeJS.Timeout | undefined;
+
+  private hasSent = false;
+
+  private silentMs = 0;
+
   constructor(
     private readonly socket: Socket,
     private readonly role: Role,
@@ -55,7 +67,9 @@
    */
   send(message: VmMessage): void {
     if (!this.isOpen || this.isClosed) return;
+    this.hasSent = true;
     this.socket.write(encodeFrame(message));
+    if (this.socket.writableLength > MAX_BUFFERED_BYTES) this.close('peer does not read');
   }
 
   /**
@@ -67,11 +81,23 @@
     if (this.isClosed) return;
     this.isClosed = true;
     clearTimeout(this.handshakeTimer);
+    clearInterval(this.pingTimer);
     this.socket.destroy();
     this.handler.onClose(this, reason);
   }
 
+  private keepAlive(): void {
+    this.silentMs += PING_INTERVAL_MS;
+    if (this.silentMs > SILENCE_TIMEOUT_MS) {
+      this.close('peer is silent');
+      return;
+    }
+    if (!this.hasSent) this.send({ kind: 'ping' });
+    this.hasSent = false;
+  }
+
   private receive(chunk: Buffer): void {
+    this.silentMs = 0;
     const frames = this.decoder.push(chunk);
     if (frames.err) {
       this.close(frames.val);
@@ -99,7 +125,7 @@
       this.close(`message is malformed: ${message.error.message}`);
       return;
     }
-    this.handler.onMessage(this, message.data);
+    if (message.data.kind !== 'ping') this.handler.onMessage(this, message.data);
   }
 
   private receiveHandshake(value: unknown): void {
@@ -136,6 +162,7 @@
     }
     clearTimeout(this.handshakeTimer);
     this.isOpen = true;
+    this.pingTimer = setInterval(() => this.keepAlive(), PING_INTERVAL_MS);
     this.handler.onOpen(this, this.peer);
   }
 }
--- a/packages/vm/test/session.test.ts
+++ b/packages/vm/test/session.test.ts
@@ -40,14 +40,14 @@
     ...IGNORE, onMessage: (_session, message) => deliver(message.kind),
   });
   const connector = new VmConnector(`127.0.0.1:${portOf(listener)}`, 'the same key', IDENTITY, {
-    ...IGNORE, onOpen: (session) => session.send({ kind: 'subscribe' }),
+    ...IGNORE, onOpen: (session) => session.send({ kind: 'leaseRelease' }),
   });
   t.after(() => {
     connector.close();
     listener.close();
   });
   connector.start();
-  assert.equal(await delivered, 'subscribe');
+  assert.equal(await delivered, 'leaseRelease');
 });
 
 test('a session with another key never opens', async (t) => {
