--- a/packages/cli/src/run/startControl.ts
+++ b/packages/cli/src/run/startControl.ts
@@ -10,6 +10,7 @@
 
 import readSecret from '../settings/readSecret';
 import closeServer from './closeServer';
+import createReportService from './createReportService';
 import listen from './listen';
 import type RunContext from './RunContext';
 import type Runnable from './Runnable';
@@ -60,7 +61,9 @@
   const opened = await openFolder(settings.disk.folder, identity.name);
   if (opened.err) return opened;
   const task = createTask(context, opened.val);
-  const operatorListener = new OperatorListener(task, () => task.status(), token.val);
+  context.reports.provide({ version: () => task.latest.version });
+  const reports = createReportService(context, () => task.latest);
+  const operatorListener = new OperatorListener(task, () => task.status(), token.val, reports);
   const operatorBound = await listen(operatorListener.server, settings.operator.listen, 'operator', log);
   if (operatorBound.err) return operatorBound;
   task.start();
--- a/packages/operator/src/OperatorListener.ts
+++ b/packages/operator/src/OperatorListener.ts
@@ -11,6 +11,7 @@
 
 import type ConfigurationService from './ConfigurationService';
 import isAuthorized from './isAuthorized';
+import type ReportService from './ReportService';
 import type SystemStatus from './SystemStatus';
 
 /** Longest patch, in bytes. */
@@ -30,6 +31,7 @@
     private readonly service: ConfigurationService,
     private readonly status: () => SystemStatus,
     token: string,
+    reports: ReportService,
   ) {
     const app = new H3()
       .use((event) => (isAuthorized(event.req.headers.get('authorization'), token)
@@ -39,7 +41,9 @@
       .get('/v1/outcomes', async (event) => this.outcome(event))
       .get('/v1/configuration', async () => respond(await this.service.current()))
       .get('/v1/enforcement', async () => respond(await this.service.enforcement()))
-      .get('/v1/status', () => this.status());
+      .get('/v1/status', () => this.status())
+      .get('/v1/vms', async () => reports.vms())
+      .get('/v1/report', async () => reports.burn());
     this.server = createServer(toNodeHandler(app));
   }
 
--- a/packages/vm/src/messages/VmMessage.ts
+++ b/packages/vm/src/messages/VmMessage.ts
@@ -2,6 +2,7 @@
 
 import consensusMessages from './consensusMessages';
 import leaseMessages from './leaseMessages';
+import reportMessages from './reportMessages';
 import sessionMessages from './sessionMessages';
 
 /** Messages between the VMs of the system. */
@@ -9,6 +10,7 @@
   ...consensusMessages,
   ...leaseMessages,
   ...sessionMessages,
+  ...reportMessages,
 ]);
 type VmMessage = z.infer<typeof VmMessage>;
 
--- a/packages/vm/src/session/VmSession.ts
+++ b/packages/vm/src/session/VmSession.ts
@@ -1,5 +1,6 @@
 import { randomBytes, timingSafeEqual } from 'node:crypto';
 import type { Socket } from 'node:net';
+import { performance } from 'node:perf_hooks';
 
 import { decode } from 'cbor-x';
 
@@ -8,18 +9,16 @@
 import FrameDecoder from './FrameDecoder';
 import Handshake from './Handshake';
 import type SessionHandler from './SessionHandler';
+import type SessionTiming from './SessionTiming';
 import type VmIdentity from './VmIdentity';
 import VmMessage from '../messages/VmMessage';
 
 const NONCE_BYTES = 16;
 /** Longest time from connect until both sides have proved the shared key. */
 const HANDSHAKE_TIMEOUT_MS = 5000;
-/** Time without a message of its own after which a side says that it is there. */
-const PING_INTERVAL_MS = 2000;
-/** Silence after which the peer is taken to be cut off: TCP alone would wait for minutes. */
-const SILENCE_TIMEOUT_MS = 6000;
-/** Bytes that may wait for a peer that does not read. */
-const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
+
+/** Several heartbeats fit into the timeout, so that one late message does not end a session. */
+const DEFAULT_TIMING: SessionTiming = { heartbeatMs: 500, timeoutMs: 2000 };
 
 type Role = 'client' | 'server';
 
@@ -39,11 +38,11 @@
 
   private readonly handshakeTimer: NodeJS.Timeout;
 
-  private pingTimer: NodeJS.Timeout | undefined;
+  private heartbeatTimer: NodeJS.Timeout | undefined;
 
-  private hasSent = false;
+  private lastSentMs = 0;
 
-  private silentMs = 0;
+  private lastReceivedMs = 0;
 
   constructor(
     private readonly socket: Socket,
@@ -51,6 +50,7 @@
     private readonly key: string,
     identity: VmIdentity,
     private readonly handler: SessionHandler,
+    private readonly timing = DEFAULT_TIMING,
   ) {
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => this.receive(chunk));
@@ -67,9 +67,8 @@
    */
   send(message: VmMessage): void {
     if (!this.isOpen || this.isClosed) return;
-    this.hasSent = true;
+    this.lastSentMs = performance.now();
     this.socket.write(encodeFrame(message));
-    if (this.socket.writableLength > MAX_BUFFERED_BYTES) this.close('peer does not read');
   }
 
   /**
@@ -81,23 +80,13 @@
     if (this.isClosed) return;
     this.isClosed = true;
     clearTimeout(this.handshakeTimer);
-    clearInterval(this.pingTimer);
+    clearInterval(this.heartbeatTimer);
     this.socket.destroy();
     this.handler.onClose(this, reason);
   }
 
-  private keepAlive(): void {
-    this.silentMs += PING_INTERVAL_MS;
-    if (this.silentMs > SILENCE_TIMEOUT_MS) {
-      this.close('peer is silent');
-      return;
-    }
-    if (!this.hasSent) this.send({ kind: 'ping' });
-    this.hasSent = false;
-  }
-
   private receive(chunk: Buffer): void {
-    this.silentMs = 0;
+    this.lastReceivedMs = performance.now();
     const frames = this.decoder.push(chunk);
     if (frames.err) {
       this.close(frames.val);
@@ -125,7 +114,8 @@
       this.close(`message is malformed: ${message.error.message}`);
       return;
     }
-    if (message.data.kind !== 'ping') this.handler.onMessage(this, message.data);
+    if (message.data.kind === 'heartbeat') return;
+    this.handler.onMessage(this, message.data);
   }
 
   private receiveHandshake(value: unknown): void {
@@ -162,7 +152,17 @@
     }
     clearTimeout(this.handshakeTimer);
     this.isOpen = true;
-    this.pingTimer = setInterval(() => this.keepAlive(), PING_INTERVAL_MS);
+    this.heartbeatTimer = setInterval(() => this.checkPeer(), this.timing.heartbeatMs);
     this.handler.onOpen(this, this.peer);
   }
+
+  /** A silent network partition closes no connection, so the peer is heard or given up. */
+  private checkPeer(): void {
+    const nowMs = performance.now();
+    if (nowMs - this.lastReceivedMs >= this.timing.timeoutMs) {
+      this.close(`nothing received for ${this.timing.timeoutMs} ms`);
+      return;
+    }
+    if (nowMs - this.lastSentMs >= this.timing.heartbeatMs) this.send({ kind: 'heartbeat' });
+  }
 }
