--- /dev/null
+++ b/packages/vm/test/frames.test.ts
@@ -0,0 +1,43 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import { decode } from 'cbor-x';
+import fc from 'fast-check';
+
+import encodeFrame from '../src/session/encodeFrame';
+import FrameDecoder from '../src/session/FrameDecoder';
+
+const SEED = 20261204;
+
+function cutAt(bytes: Buffer, positions: readonly number[]): Buffer[] {
+  const cuts = [...positions.map((position) => position % (bytes.length + 1))]
+    .sort((left, right) => left - right);
+  return [0, ...cuts].map((start, index) => bytes.subarray(start, cuts[index] ?? bytes.length));
+}
+
+test('frames survive any cutting of the stream', () => {
+  const messages = fc.array(fc.record({
+    text: fc.string({ maxLength: 200 }), count: fc.nat(),
+  }, { noNullPrototype: true }));
+  fc.assert(fc.property(messages, fc.array(fc.nat()), (sent, positions) => {
+    const decoder = new FrameDecoder();
+    const stream = Buffer.concat(sent.map(encodeFrame));
+    const received = cutAt(stream, positions)
+      .flatMap((chunk) => decoder.push(chunk).unwrap())
+      .map((frame) => decode(frame) as unknown);
+    assert.deepEqual(received, sent);
+  }), { seed: SEED, numRuns: 500 });
+});
+
+test('a frame longer than the limit is refused before it is held', () => {
+  const decoder = new FrameDecoder();
+  const refused = decoder.push(Buffer.from([0xff, 0xff, 0xff, 0xff, 1, 2, 3]));
+  assert.equal(refused.val, 'frame of 4294967295 bytes is too long');
+});
+
+test('arbitrary bytes give frames or an error, never an exception', () => {
+  fc.assert(fc.property(fc.array(fc.uint8Array({ maxLength: 64 })), (chunks) => {
+    const decoder = new FrameDecoder();
+    chunks.every((chunk) => decoder.push(Buffer.from(chunk)).ok);
+  }), { seed: SEED, numRuns: 2000 });
+});
