--- a/packages/vm/src/messages/VmMessage.ts
+++ b/packages/vm/src/messages/VmMessage.ts
@@ -1,14 +1,14 @@
 import { z } from 'zod';
 
-import configurationMessages from './configurationMessages';
-import membershipMessages from './membershipMessages';
-import sessionMessages from './sessionMessages';
+import consensusMessages from './consensusMessages';
+import leaseMessages from './leaseMessages';
 import reportMessages from './reportMessages';
+import sessionMessages from './sessionMessages';
 
 /** Messages between the VMs of the system. */
 const VmMessage = z.discriminatedUnion('kind', [
-  ...configurationMessages,
-  ...membershipMessages,
+  ...consensusMessages,
+  ...leaseMessages,
   ...sessionMessages,
   ...reportMessages,
 ]);
