Print burn and status as tables, JSON and a page

Cause: operators could read only a version and a list of entries. Change: report (table, JSON, one HTML page with an SVG plot) and status (table, JSON, watch), both gathered from all VMs by messages on request; the help of each command explains every option, which a test checks; a process test asserts that no invariant was broken at its end. Conclusion: the page was not looked at in a browser, for there is none on the machine.

--- a/packages/cli/src/commands/StatusCommand.ts
+++ b/packages/cli/src/commands/StatusCommand.ts
@@ -1,22 +1,53 @@
+import type OperatorClient from '@guavayard/operator/OperatorClient';
+import renderStatusText from '@guavayard/report/renderStatusText';
+
 import clientOptions from './clientOptions';
 import type Command from './Command';
 import createClient from './createClient';
 import ExitCode from './ExitCode';
 import parseOptions from './parseOptions';
+import print from './print';
 import printResult from './printResult';
 
-/** `guavayard status`: prints the state of the system. */
+const WATCH_INTERVAL_MS = 2000;
+const CLEAR_SCREEN = '\u001b[2J\u001b[H';
+
+async function printStatus(client: OperatorClient, isJson: boolean): Promise<number> {
+  const overview = await client.vms();
+  if (overview.err || isJson) return printResult(overview);
+  renderStatusText(overview.val.vms, overview.val.silent).forEach(print);
+  return ExitCode.ok;
+}
+
+async function watchStatus(client: OperatorClient): Promise<number> {
+  return new Promise(() => {
+    const printRound = async (): Promise<void> => {
+      if (process.stdout.isTTY) process.stdout.write(CLEAR_SCREEN);
+      // A failed round is shown and the next one tried: that is what an operator watches for.
+      await printStatus(client, false);
+      setTimeout(() => {
+        printRound();
+      }, WATCH_INTERVAL_MS);
+    };
+    printRound();
+  });
+}
+
+/** `guavayard status`: prints the state of every VM. */
 export default class StatusCommand implements Command {
   readonly name = 'status';
 
-  readonly summary = 'print the state of the system';
+  readonly summary = 'print versions, leases, leader, targets and invariants of every VM';
 
-  readonly usage = '--url URL --token-file FILE';
+  readonly usage = '--url URL --token-file FILE [--json | --watch]';
 
   async run(args: string[]): Promise<number> {
-    const { values } = parseOptions(args, clientOptions);
+    const { values } = parseOptions(args, {
+      ...clientOptions, json: { type: 'boolean' }, watch: { type: 'boolean' },
+    });
     const client = await createClient(values);
     if (client === undefined) return ExitCode.failed;
-    return printResult(await client.status());
+    if (values.watch === true) return watchStatus(client);
+    return printStatus(client, values.json === true);
   }
 }
--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -2,6 +2,7 @@
 import type Command from './Command';
 import InitCommand from './InitCommand';
 import PatchCommand from './PatchCommand';
+import ReportCommand from './ReportCommand';
 import RunCommand from './RunCommand';
 import ShowCommand from './ShowCommand';
 import StatusCommand from './StatusCommand';
@@ -15,6 +16,7 @@
   new PatchCommand(),
   new ShowCommand(),
   new StatusCommand(),
+  new ReportCommand(),
   new VersionCommand(),
 ];
 
--- a/packages/cli/src/runCommandLine.ts
+++ b/packages/cli/src/runCommandLine.ts
@@ -1,5 +1,5 @@
-import type Command from './commands/Command';
 import commands from './commands/commands';
+import describeCommand from './commands/describeCommand';
 import ExitCode from './commands/ExitCode';
 import print from './commands/print';
 import printError from './commands/printError';
@@ -16,10 +16,6 @@
   ].join('\n');
 }
 
-function describeCommand(command: Command): string {
-  return `usage: guavayard ${command.name} ${command.usage}\n\n${command.summary}`;
-}
-
 /**
  * Runs the command that the words name.
  *
--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -8,6 +8,7 @@
 import EmulatedTarget from '@guavayard/emulator/EmulatedTarget';
 import OperatorClient from '@guavayard/operator/OperatorClient';
 
+import assertNoBreach from './support/assertNoBreach';
 import VmProcess from './support/VmProcess';
 
 const BODY_BYTES = 5 * 1024 * 1024;
@@ -66,6 +67,7 @@
   await unrouted.body.dump();
 
   assert.equal(target.runs, 2);
+  await assertNoBreach(client, 1);
   assert.equal(await entry.stop(), 0);
   assert.equal(await control.stop(), 0);
 });
--- a/test/support/LogLine.ts
+++ b/test/support/LogLine.ts
@@ -4,6 +4,7 @@
   readonly listener?: string;
   readonly address?: string;
   readonly version?: number;
+  readonly failure?: string;
 }
 
 export default LogLine;
