--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -9,6 +9,7 @@
 import TargetDirectory from '@guavayard/target/TargetDirectory';
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
 import ControlSubscription from '@guavayard/vm/entry/ControlSubscription';
+import EntryLeaseRelay from '@guavayard/vm/entry/EntryLeaseRelay';
 import RegionMesh from '@guavayard/vm/entry/RegionMesh';
 
 import closeServer from './closeServer';
@@ -29,8 +30,13 @@
 function createSubscription(context: RunContext): ControlSubscription {
   const mesh = new RegionMesh(context.hub, context.identity);
   return new ControlSubscription({
-    onConfiguration: ({ version }) => context.log.info({ version }, 'configuration in force'),
-    onMembership: (entries) => mesh.update(entries),
+    hub: context.hub,
+    identity: context.identity,
+    clock,
+    listener: {
+      onConfiguration: ({ version }) => context.log.info({ version }, 'configuration in force'),
+      onMembership: (entries) => mesh.update(entries),
+    },
   });
 }
 
@@ -75,6 +81,7 @@
     if (platformBound.err) return platformBound;
   }
   hub.addHandler(subscription);
+  if (!identity.roles.includes('control')) hub.addHandler(new EntryLeaseRelay(hub, clock));
   context.reports.provide({
     entry: () => ({
       hasLease: subscription.latest !== undefined,
@@ -93,6 +100,7 @@
       await Promise.all([closeServer(caller.server), closeServer(target.server)]);
       clearInterval(ticking);
       await sender.close();
+      subscription.release();
       await closeServer(platform.server);
     },
   });
--- a/packages/core/src/errors/errorTable.ts
+++ b/packages/core/src/errors/errorTable.ts
@@ -92,6 +92,13 @@
     retryable: false,
     text: 'the budget for further attempts is used up',
   },
+  leaseLapsed: {
+    code: 20,
+    status: 503,
+    outcome: 'not-run',
+    retryable: true,
+    text: 'this VM cannot confirm the latest configuration',
+  },
 } as const satisfies Readonly<Record<string, ErrorAnswer>>;
 
 export default errorTable;
