Send metrics to a statsd server

Cause: a fleet is watched by its metrics, and there were none. Change: a task of its own sends a closed table of metrics every 10 s, off unless [metrics] names a server. Finished requests are added up in between, so the traffic does not grow with their rate; no tag takes a path, tenant or target, and requests with home regions elsewhere leave none.

--- a/packages/cli/src/run/RunContext.ts
+++ b/packages/cli/src/run/RunContext.ts
@@ -1,5 +1,6 @@
 import type Logger from 'bunyan';
 
+import type MetricsTask from '@guavayard/metrics/MetricsTask';
 import type VmHub from '@guavayard/vm/session/VmHub';
 import type VmIdentity from '@guavayard/vm/session/VmIdentity';
 
@@ -15,6 +16,8 @@
   readonly log: Logger;
   /** What the roles tell about this VM when operators ask. */
   readonly reports: VmReports;
+  /** Sends metrics, where the settings name a server for them. */
+  readonly metrics: MetricsTask | undefined;
 }
 
 export default RunContext;
--- a/packages/cli/src/run/createObservation.ts
+++ b/packages/cli/src/run/createObservation.ts
@@ -4,7 +4,9 @@
 import RecorderGroup from '@guavayard/core/objectives/RecorderGroup';
 import type RequestRecorder from '@guavayard/core/objectives/RequestRecorder';
 import type Clock from '@guavayard/core/types/Clock';
+import type Configuration from '@guavayard/core/types/Configuration';
 import type VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
+import RequestMetrics from '@guavayard/metrics/RequestMetrics';
 
 import isForeignRequest from './isForeignRequest';
 import RequestLog from './RequestLog';
@@ -29,8 +31,11 @@
   clock: Clock,
   latest: () => VersionedConfiguration | undefined,
 ): Observation {
-  const { identity, log, reports } = context;
-  const objectives = new ObjectiveRecorder(clock, () => latest()?.configuration);
+  const {
+    identity, log, reports, metrics,
+  } = context;
+  const configuration = (): Configuration | undefined => latest()?.configuration;
+  const objectives = new ObjectiveRecorder(clock, configuration);
   const requestLog = new RequestLog(clock, log, identity.region);
   const dispatchCheck = new DispatchChecker(identity.name, latest, (invariant, dispatch) => {
     const { record, target } = dispatch;
@@ -39,5 +44,8 @@
     log.error({ invariant, requestId, target: target.id }, `invariant broken: ${meaning}`);
   });
   reports.provide({ services: () => objectives.read(), version: () => latest()?.version });
-  return { recorder: new RecorderGroup([objectives, requestLog]), dispatchCheck };
+  const requestMetrics = new RequestMetrics(clock, identity.region, configuration);
+  metrics?.addSource((sink) => requestMetrics.sendTo(sink));
+  const recorders = [objectives, requestLog, ...(metrics === undefined ? [] : [requestMetrics])];
+  return { recorder: new RecorderGroup(recorders), dispatchCheck };
 }
--- a/packages/cli/src/run/runVm.ts
+++ b/packages/cli/src/run/runVm.ts
@@ -9,6 +9,7 @@
 
 import readSecret from '../settings/readSecret';
 import type Settings from '../settings/Settings';
+import createMetrics from './createMetrics';
 import listen from './listen';
 import type RunContext from './RunContext';
 import type Runnable from './Runnable';
@@ -50,8 +51,9 @@
   identity.address = bound.val;
   const reports = new VmReports(identity);
   hub.addHandler(new ReportResponder(reports));
+  const metrics = createMetrics(settings.metrics?.statsd, identity, reports, log);
   return Ok({
-    settings, identity, hub, log, reports,
+    settings, identity, hub, log, reports, metrics,
   });
 }
 
@@ -80,13 +82,15 @@
 export default async function runVm(settings: Settings): Promise<Result<Runnable, string>> {
   const context = await createContext(settings);
   if (context.err) return context;
-  const { hub, log } = context.val;
+  const { hub, log, metrics } = context.val;
   const running = await startRoles(context.val);
   if (running.err) return running;
+  metrics?.start();
   log.info({ roles: settings.vm.roles }, 'started');
   return Ok({
     stop: async () => {
       await Promise.all(running.val.map(async (runnable) => runnable.stop()));
+      await metrics?.stop();
       hub.close();
       log.info('stopped');
     },
--- a/packages/cli/src/settings/Settings.ts
+++ b/packages/cli/src/settings/Settings.ts
@@ -32,6 +32,8 @@
   disk: z.strictObject({ folder: z.string().min(1) }).optional(),
   /** Readiness for the platform's balancer. */
   platform: Listener.optional(),
+  /** Where metrics are sent; without the section none are. */
+  metrics: z.strictObject({ statsd: HostPort }).optional(),
   log: z.strictObject({
     level: z.enum(['debug', 'info', 'warn', 'error']),
   }).default({ level: 'info' }),
