Spread targets over all entries and give each one owner

Cause: a target was known only to the entry that it announced itself to; entries of other regions had no sessions with each other; nobody owned a target. Change: records of targets, totally ordered by (start, sequence, claim, holder), travel as changes over a mesh of all entries; heartbeats stay with the entry that holds the target, which vouches for all of them in one message a second; copies of a lost holder expire unless an entry with heartbeats takes over. Owners by rendezvous hashing over the views of membership of the last lease. Announcing a replaced start or an older sequence is refused as invalidAnnouncement. VmProcess registers one exit listener in place of one a wait.

--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -9,27 +9,31 @@
 import DirectScheduler from '@guavayard/core/scheduling/DirectScheduler';
 import PlatformListener from '@guavayard/platform/PlatformListener';
 import AnnouncementListener from '@guavayard/target/AnnouncementListener';
-import TargetDirectory from '@guavayard/target/TargetDirectory';
+import type TargetDirectory from '@guavayard/target/TargetDirectory';
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
 import ControlSubscription from '@guavayard/vm/entry/ControlSubscription';
-import RegionMesh from '@guavayard/vm/entry/RegionMesh';
 
 import closeServer from './closeServer';
+import createTargetTasks from './createTargetTasks';
 import listen from './listen';
 import type RunContext from './RunContext';
 import type Runnable from './Runnable';
-
-const EXPIRY_INTERVAL_MS = 100;
+import type TargetTasks from './TargetTasks';
 
 function clock(): number {
   return performance.now();
 }
 
-function createSubscription(context: RunContext): ControlSubscription {
-  const mesh = new RegionMesh(context.hub, context.identity);
+function createSubscription(
+  context: RunContext,
+  targets: TargetTasks,
+): ControlSubscription {
   return new ControlSubscription({
-    onConfiguration: ({ version }) => context.log.info({ version }, 'configuration in force'),
-    onMembership: (entries) => mesh.update(entries),
+    onConfiguration: ({ version, configuration }) => {
+      context.log.info({ version }, 'configuration in force');
+      targets.ownership.takeConfiguration(configuration);
+    },
+    onMembership: (entries) => targets.updateMembership(entries),
   });
 }
 
@@ -59,9 +63,10 @@
   if (settings.caller === undefined || settings.target === undefined) {
     return Err('role "entry" needs the sections [caller] and [target]');
   }
-  const directory = new TargetDirectory(clock);
   const sender = new UndiciTargetSender();
-  const subscription = createSubscription(context);
+  const targets = createTargetTasks(context, clock);
+  const { directory } = targets;
+  const subscription = createSubscription(context, targets);
   const handler = new RequestHandler({
     clock,
     scheduler: createScheduler(context, subscription, directory),
@@ -83,13 +88,13 @@
   }
   hub.addHandler(subscription);
   settings.vm.control.forEach((address) => hub.connect(address));
-  const expiry = setInterval(() => directory.expire(), EXPIRY_INTERVAL_MS);
   return Ok({
     stop: async () => {
       isStopping = true;
-      clearInterval(expiry);
+      targets.releaseOwnership();
       await Promise.all([closeServer(caller.server), closeServer(target.server)]);
       await sender.close();
+      targets.stop();
       await closeServer(platform.server);
     },
   });
--- a/packages/core/src/types/TargetAnnouncement.ts
+++ b/packages/core/src/types/TargetAnnouncement.ts
@@ -19,6 +19,11 @@
   /** New for each start of the target's process. */
   startId: z.string().min(1).max(64),
   state: z.enum(['cold', 'ready', 'draining']),
+  /**
+   * Grows with each change that this start of the target announces. Without it, an announcement
+   * that was overtaken on its way cannot be told from a new one.
+   */
+  sequence: z.int().min(0).optional(),
   timeToLiveMs: z.int().min(MIN_TIME_TO_LIVE_MS).max(MAX_TIME_TO_LIVE_MS),
 });
 type TargetAnnouncement = z.infer<typeof TargetAnnouncement>;
--- /dev/null
+++ b/packages/core/test/ownership.test.ts
@@ -0,0 +1,111 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import fc from 'fast-check';
+
+import chooseOwner from '../src/ownership/chooseOwner';
+import createOwnershipState from '../src/ownership/createOwnershipState';
+import findOwner from '../src/ownership/findOwner';
+import type Member from '../src/ownership/Member';
+import ownershipLeaseMs from '../src/ownership/ownershipLeaseMs';
+import releaseOwner from '../src/ownership/releaseOwner';
+import takeMembership from '../src/ownership/takeMembership';
+
+const SEED = 5;
+const TARGETS = 1300;
+
+function createMember(index: number): Member {
+  const region = index % 3;
+  return { name: `entry-${index}`, region: `r${region}`, dataCentre: `r${region}-${index % 2}` };
+}
+
+const members = Array.from({ length: 18 }, (_, index) => createMember(index));
+const targets = Array.from({ length: TARGETS }, (_, index) => ({
+  id: `target-${index}`, dataCentre: `r${index % 3}-${index % 2}`, region: `r${index % 3}`,
+}));
+
+test('owners stand in the data centre, else in the region, else nowhere', () => {
+  const target = { id: 't', dataCentre: 'r0-0', region: 'r0' };
+  const ofName = (name: string | undefined): Member | undefined => (
+    members.find((member) => member.name === name)
+  );
+  assert.equal(ofName(chooseOwner(target, members))?.dataCentre, 'r0-0');
+  const others = members.filter((member) => member.dataCentre !== 'r0-0');
+  assert.equal(ofName(chooseOwner(target, others))?.region, 'r0');
+  assert.equal(chooseOwner(target, others.filter((member) => member.region !== 'r0')), undefined);
+});
+
+test('only the targets of a lost entry change their owner', () => {
+  const [lost, ...rest] = members;
+  const moved = targets.filter((target) => (
+    chooseOwner(target, members) !== chooseOwner(target, rest)
+  ));
+  assert.ok(moved.length > 0);
+  assert.ok(moved.every((target) => chooseOwner(target, members) === lost?.name));
+});
+
+test('ownership is spread evenly', () => {
+  const counts = new Map<string, number>();
+  targets.forEach((target) => {
+    const owner = chooseOwner(target, members) ?? '';
+    counts.set(owner, (counts.get(owner) ?? 0) + 1);
+  });
+  const mean = TARGETS / members.length;
+  assert.ok(Math.max(...counts.values()) < 1.5 * mean);
+});
+
+test('an owner that left is replaced at once, one that was lost after its lease', () => {
+  const target = { id: 'target-0', dataCentre: 'r0-0', region: 'r0' };
+  const old = chooseOwner(target, members) ?? '';
+  const rest = members.filter((member) => member.name !== old);
+  const next = chooseOwner(target, rest) ?? '';
+  const state = createOwnershipState(next);
+  takeMembership(state, members, 0);
+  assert.equal(findOwner(state, target, ownershipLeaseMs), old);
+  takeMembership(state, rest, 10_000);
+  assert.equal(findOwner(state, target, 10_000 + ownershipLeaseMs - 1), undefined);
+  assert.equal(findOwner(state, target, 10_000 + ownershipLeaseMs), next);
+  const informed = createOwnershipState(next);
+  takeMembership(informed, members, 0);
+  assert.equal(findOwner(informed, target, ownershipLeaseMs), old);
+  releaseOwner(informed, old);
+  assert.equal(findOwner(informed, target, ownershipLeaseMs), next);
+});
+
+// Each change of membership reaches each entry after a delay below the lease, for an entry that
+// does not hear of it in that time has lost its lease and acts no longer.
+test(`a target has one owner at a time under membership races, seed ${SEED}`, () => {
+  const small = members.filter((member) => member.region === 'r0');
+  const target = { id: 'target-0', dataCentre: 'r0-0', region: 'r0' };
+  const change = fc.record({
+    afterMs: fc.integer({ min: 1, max: 6000 }),
+    present: fc.subarray(small, { minLength: 1 }),
+    delaysMs: fc.array(fc.integer({ min: 0, max: ownershipLeaseMs - 1 }), {
+      minLength: small.length, maxLength: small.length,
+    }),
+  });
+  fc.assert(fc.property(fc.array(change, { minLength: 1, maxLength: 8 }), (changes) => {
+    const states = small.map((member) => createOwnershipState(member.name));
+    const news: { atMs: number; index: number; present: Member[] }[] = [];
+    const lastAtMs = small.map(() => 0);
+    let atMs = 0;
+    changes.forEach(({ afterMs, present, delaysMs }) => {
+      atMs += afterMs;
+      small.forEach((member, index) => {
+        // A session delivers in order.
+        const arrivalMs = Math.max(atMs + (delaysMs[index] ?? 0), lastAtMs[index] ?? 0);
+        lastAtMs[index] = arrivalMs;
+        news.push({ atMs: arrivalMs, index, present });
+      });
+    });
+    news.sort((left, right) => left.atMs - right.atMs);
+    news.forEach((item) => {
+      const state = states[item.index];
+      if (state !== undefined) takeMembership(state, item.present, item.atMs);
+      const claims = states.filter((other) => (
+        findOwner(other, target, item.atMs) === other.self
+      ));
+      assert.ok(claims.length <= 1, claims.map((claim) => claim.self).join(' and '));
+    });
+  }), { seed: SEED, numRuns: 500 });
+});
--- a/packages/target/src/AnnouncementListener.ts
+++ b/packages/target/src/AnnouncementListener.ts
@@ -35,12 +35,13 @@
       const detail = describeMistakes(announcement.error, input).join('; ');
       return createFailureResponse({ kind: 'invalidAnnouncement', detail });
     }
-    this.directory.announce(announcement.data);
+    const accepted = this.directory.announce(announcement.data);
+    if (accepted.err) return createFailureResponse(accepted.val);
     return { id: announcement.data.id, timeToLiveMs: announcement.data.timeToLiveMs };
   }
 
   private withdraw(event: H3Event): unknown {
-    this.directory.remove(event.context.params?.id ?? '');
+    this.directory.withdraw(event.context.params?.id ?? '');
     return {};
   }
 }
--- /dev/null
+++ b/packages/target/src/OwnershipTable.ts
@@ -0,0 +1,65 @@
+import createOwnershipState from '@guavayard/core/ownership/createOwnershipState';
+import expireViews from '@guavayard/core/ownership/expireViews';
+import findOwner from '@guavayard/core/ownership/findOwner';
+import type Member from '@guavayard/core/ownership/Member';
+import type OwnershipState from '@guavayard/core/ownership/OwnershipState';
+import releaseOwner from '@guavayard/core/ownership/releaseOwner';
+import takeMembership from '@guavayard/core/ownership/takeMembership';
+import type Clock from '@guavayard/core/types/Clock';
+import type Configuration from '@guavayard/core/types/Configuration';
+import type TargetAnnouncement from '@guavayard/core/types/TargetAnnouncement';
+
+import type TargetOwnership from './TargetOwnership';
+
+/** The owners of targets by the membership of entries. */
+export default class OwnershipTable implements TargetOwnership {
+  private readonly state: OwnershipState;
+
+  private dataCentres: Configuration['dataCentres'] = {};
+
+  /**
+   * @param clock - monotonic clock
+   * @param self - name of this entry
+   */
+  constructor(private readonly clock: Clock, self: string) {
+    this.state = createOwnershipState(self);
+  }
+
+  epoch(): number {
+    expireViews(this.state, this.clock());
+    return this.state.epoch;
+  }
+
+  ownerOf({ id, dataCentre }: TargetAnnouncement): string | undefined {
+    const region = this.dataCentres[dataCentre]?.region;
+    return findOwner(this.state, { id, dataCentre, region }, this.clock());
+  }
+
+  /**
+   * Takes a new view of the entries.
+   *
+   * @param members - the entries, this one included
+   */
+  takeMembership(members: readonly Member[]): void {
+    takeMembership(this.state, members, this.clock());
+  }
+
+  /**
+   * Takes an entry's promise that it acts as an owner no longer.
+   *
+   * @param name - name of the entry
+   */
+  release(name: string): void {
+    releaseOwner(this.state, name);
+  }
+
+  /**
+   * Takes the regions of the data centres.
+   *
+   * @param configuration - the configuration in force
+   */
+  takeConfiguration(configuration: Configuration): void {
+    this.dataCentres = configuration.dataCentres;
+    this.state.epoch += 1;
+  }
+}
--- a/packages/target/src/TargetDirectory.ts
+++ b/packages/target/src/TargetDirectory.ts
@@ -1,67 +1,184 @@
+import { Ok, type Result } from 'ts-results';
+
+import type Failure from '@guavayard/core/errors/Failure';
+import type Clock from '@guavayard/core/types/Clock';
 import type KnownTarget from '@guavayard/core/types/KnownTarget';
 import type TargetAnnouncement from '@guavayard/core/types/TargetAnnouncement';
+import type TargetRecord from '@guavayard/core/types/TargetRecord';
 
-interface Entry {
-  readonly announcement: TargetAnnouncement;
-  readonly expiresAtMs: number;
-}
+import announceTarget from './directory/announceTarget';
+import createDirectoryState from './directory/createDirectoryState';
+import type DirectoryEffect from './directory/DirectoryEffect';
+import type DirectoryState from './directory/DirectoryState';
+import expireTargets from './directory/expireTargets';
+import listHeldRecords from './directory/listHeldRecords';
+import releaseTargets from './directory/releaseTargets';
+import takeForwardedHeartbeat from './directory/takeForwardedHeartbeat';
+import takeHeldRecords from './directory/takeHeldRecords';
+import takeRecord from './directory/takeRecord';
+import unvouchTargets from './directory/unvouchTargets';
+import vouchTargets from './directory/vouchTargets';
+import withdrawTarget from './directory/withdrawTarget';
+import type TargetOwnership from './TargetOwnership';
 
-/** The targets that have announced themselves and whose time to live has not run out. */
+/** The live targets of the system, as far as this entry knows. */
 export default class TargetDirectory {
-  private readonly entries = new Map<string, Entry>();
+  private readonly state: DirectoryState;
+
+  private listener: ((effects: readonly DirectoryEffect[]) => void) | undefined;
+
+  private readonly byService = new Map<string, KnownTarget[]>();
 
-  private byService = new Map<string, KnownTarget[]>();
+  private seenChanges = -1;
+
+  private seenEpoch = -1;
 
   /**
-   * @param now - monotonic clock, in milliseconds
+   * @param clock - monotonic clock
+   * @param self - name of this entry
+   * @param ownership - tells the owners of targets
    */
-  constructor(private readonly now: () => number) {}
+  constructor(
+    private readonly clock: Clock,
+    self: string,
+    private readonly ownership: TargetOwnership,
+  ) {
+    this.state = createDirectoryState(self);
+  }
 
   /**
-   * Takes an announcement in place of the target's earlier one.
+   * Sets the receiver of what other entries are to be told.
+   *
+   * @param listener - the receiver
+   */
+  setListener(listener: (effects: readonly DirectoryEffect[]) => void): void {
+    this.listener = listener;
+  }
+
+  /**
+   * Takes an announcement that a target made to this entry.
    *
    * @param announcement - the announcement
+   * @returns nothing, or `invalidAnnouncement` if later news of the target is known
    */
-  announce(announcement: TargetAnnouncement): void {
-    const expiresAtMs = this.now() + announcement.timeToLiveMs;
-    this.entries.set(announcement.id, { announcement, expiresAtMs });
-    this.byService.clear();
+  announce(announcement: TargetAnnouncement): Result<undefined, Failure> {
+    const effects = announceTarget(this.state, announcement, this.clock());
+    if (effects.err) return effects;
+    this.listener?.(effects.val);
+    return Ok(undefined);
   }
 
   /**
-   * Forgets a target.
+   * Takes a target's withdrawal; this start of it does not come back.
    *
    * @param id - the target
    */
-  remove(id: string): void {
-    this.entries.delete(id);
-    this.byService.clear();
+  withdraw(id: string): void {
+    this.listener?.(withdrawTarget(this.state, id, this.clock()));
   }
 
-  /** Forgets the targets whose time to live has run out. */
+  /** Ends the targets whose time to live has run out. */
   expire(): void {
-    const nowMs = this.now();
-    this.entries.forEach((entry, id) => {
-      if (entry.expiresAtMs <= nowMs) this.remove(id);
-    });
+    this.listener?.(expireTargets(this.state, this.clock()));
+  }
+
+  /**
+   * Takes records that another entry told.
+   *
+   * @param from - name of the entry
+   * @param records - the records
+   */
+  takeRecords(from: string, records: readonly TargetRecord[]): void {
+    const nowMs = this.clock();
+    this.listener?.(records.flatMap((record) => takeRecord(this.state, from, record, nowMs)));
+  }
+
+  /**
+   * Takes the complete list of what another entry holds.
+   *
+   * @param from - name of the entry
+   * @param records - the records
+   */
+  takeHeld(from: string, records: readonly TargetRecord[]): void {
+    this.listener?.(takeHeldRecords(this.state, from, records, this.clock()));
+  }
+
+  /**
+   * Takes the news that an entry has lost the heartbeats of some targets.
+   *
+   * @param from - name of the entry
+   * @param targetIds - the targets
+   * @param isExpired - whether they are silent
+   */
+  takeRelease(from: string, targetIds: readonly string[], isExpired: boolean): void {
+    releaseTargets(this.state, from, targetIds, isExpired, this.clock());
+  }
+
+  /**
+   * Notes that an entry vouches for all that it holds.
+   *
+   * @param from - name of the entry
+   */
+  takeVouch(from: string): void {
+    vouchTargets(this.state, from, this.clock());
+  }
+
+  /**
+   * Takes a heartbeat that another entry passed on.
+   *
+   * @param targetId - the target
+   * @param startId - its start
+   */
+  takeHeartbeat(targetId: string, startId: string): void {
+    takeForwardedHeartbeat(this.state, targetId, startId, this.clock());
+  }
+
+  /**
+   * Notes that the session with an entry is over.
+   *
+   * @param name - name of the entry
+   */
+  forgetEntry(name: string): void {
+    unvouchTargets(this.state, name);
+  }
+
+  /** @returns the records whose heartbeats this entry receives */
+  held(): TargetRecord[] {
+    return listHeldRecords(this.state);
   }
 
   /**
    * @param service - service name
-   * @returns the targets of the service, sorted by id
+   * @returns the live targets of the service, sorted by id
    */
   targetsOf(service: string): readonly KnownTarget[] {
-    const known = this.byService.get(service);
-    if (known !== undefined) return known;
-    const targets = this.all().filter((target) => target.service === service);
-    this.byService.set(service, targets);
-    return targets;
+    this.refresh();
+    return this.byService.get(service) ?? [];
   }
 
-  /** @returns all targets, sorted by id */
+  /** @returns all live targets, sorted by service and id */
   all(): readonly KnownTarget[] {
-    return [...this.entries.values()]
-      .map((entry) => ({ ...entry.announcement, owner: undefined }))
-      .sort((left, right) => (left.id < right.id ? -1 : 1));
+    this.refresh();
+    return [...this.byService.values()].flat();
+  }
+
+  private refresh(): void {
+    const epoch = this.ownership.epoch();
+    if (this.seenChanges === this.state.changes && this.seenEpoch === epoch) return;
+    this.seenChanges = this.state.changes;
+    this.seenEpoch = epoch;
+    this.byService.clear();
+    [...this.state.entries.values()]
+      .filter(({ isLive }) => isLive)
+      .map(({ record: { announcement } }) => announcement)
+      .sort((left, right) => (left.id < right.id ? -1 : 1))
+      .forEach((announcement) => this.list(announcement));
+  }
+
+  private list(announcement: TargetAnnouncement): void {
+    const target = { ...announcement, owner: this.ownership.ownerOf(announcement) };
+    const targets = this.byService.get(announcement.service);
+    if (targets === undefined) this.byService.set(announcement.service, [target]);
+    else targets.push(target);
   }
 }
--- a/packages/vm/src/entry/RegionMesh.ts
+++ b/packages/vm/src/entry/EntryMesh.ts
@@ -1,21 +1,20 @@
 import type VmHub from '../session/VmHub';
 import type VmIdentity from '../session/VmIdentity';
 
-/** Keeps one session to each other entry of the own region. */
-export default class RegionMesh {
+/** Keeps one session to each other entry of the system. */
+export default class EntryMesh {
   private peers: readonly VmIdentity[] = [];
 
   constructor(private readonly hub: VmHub, private readonly identity: VmIdentity) {}
 
   /**
-   * Connects to new entries of the region and drops those that are gone.
+   * Connects to new entries and drops those that are gone.
    *
    * @param entries - all entries of the system
    */
   update(entries: readonly VmIdentity[]): void {
-    const { name, region } = this.identity;
     // Of each pair, the entry whose name sorts first connects.
-    const peers = entries.filter((entry) => entry.region === region && entry.name > name);
+    const peers = entries.filter((entry) => entry.name > this.identity.name);
     const addresses = new Set(peers.map((peer) => peer.address));
     this.peers
       .filter((peer) => !addresses.has(peer.address))
--- /dev/null
+++ b/packages/vm/src/entry/EntrySessions.ts
@@ -0,0 +1,85 @@
+import type VmMessage from '../messages/VmMessage';
+import type SessionHandler from '../session/SessionHandler';
+import type VmIdentity from '../session/VmIdentity';
+import type VmSession from '../session/VmSession';
+import type EntrySessionListener from './EntrySessionListener';
+
+/**
+ * The open sessions with other entries, by name. VMs with both roles may have two sessions with
+ * each other; the newest is used.
+ */
+export default class EntrySessions implements SessionHandler {
+  private readonly sessions = new Map<string, VmSession[]>();
+
+  private readonly listeners: EntrySessionListener[] = [];
+
+  constructor(private readonly self: VmIdentity) {}
+
+  /**
+   * Registers a receiver.
+   *
+   * @param listener - the receiver
+   */
+  addListener(listener: EntrySessionListener): void {
+    this.listeners.push(listener);
+  }
+
+  /**
+   * Sends a message to one entry.
+   *
+   * @param name - name of the entry
+   * @param message - the message
+   * @returns false if there is no session with the entry
+   */
+  send(name: string, message: VmMessage): boolean {
+    const session = this.sessions.get(name)?.at(-1);
+    session?.send(message);
+    return session !== undefined;
+  }
+
+  /**
+   * Sends a message to every other entry.
+   *
+   * @param message - the message
+   */
+  broadcast(message: VmMessage): void {
+    this.sessions.forEach((_sessions, name) => this.send(name, message));
+  }
+
+  /** Sends a message to every other entry of the own region.
+   *
+   * @param message - the message
+   */
+  broadcastInRegion(message: VmMessage): void {
+    this.sessions.forEach((sessions, name) => {
+      if (sessions.at(-1)?.peer?.region === this.self.region) this.send(name, message);
+    });
+  }
+
+  onOpen(session: VmSession, peer: VmIdentity): void {
+    if (!peer.roles.includes('entry') || peer.name === this.self.name) return;
+    this.sessions.set(peer.name, [...this.sessions.get(peer.name) ?? [], session]);
+    this.listeners.forEach((listener) => listener.onEntryOpen(peer));
+  }
+
+  onMessage(session: VmSession, message: VmMessage): void {
+    const { peer } = session;
+    if (peer === undefined || !this.sessions.has(peer.name)) return;
+    this.listeners.forEach((listener) => listener.onEntryMessage(peer, message));
+  }
+
+  onClose(session: VmSession): void {
+    const { peer } = session;
+    const known = this.sessions.get(peer?.name ?? '');
+    if (peer === undefined || !known?.includes(session)) return;
+    const rest = known.filter((other) => other !== session);
+    if (rest.length === 0) {
+      this.sessions.delete(peer.name);
+      this.listeners.forEach((listener) => listener.onEntryClose(peer));
+      return;
+    }
+    this.sessions.set(peer.name, rest);
+    if (known.at(-1) !== session) return;
+    this.listeners.forEach((listener) => listener.onEntryOpen(peer));
+  }
+}
--- a/test/support/VmProcess.ts
+++ b/test/support/VmProcess.ts
@@ -45,6 +45,7 @@
       stdio: ['ignore', 'pipe', 'inherit'],
     });
     this.child.stdout?.on('data', (chunk: Buffer) => this.receive(chunk.toString()));
+    this.child.once('exit', () => this.wake());
     await this.waitForLine((line) => line.msg === 'started');
   }
 
@@ -86,7 +87,6 @@
     if (this.child?.exitCode !== null) throw new Error('the process has exited');
     await new Promise<void>((wake) => {
       this.waiters.push(wake);
-      this.child?.once('exit', () => wake());
     });
     return this.waitForLine(matches);
   }
@@ -117,6 +117,10 @@
     const parts = (this.unfinished + text).split('\n');
     this.unfinished = parts.pop() ?? '';
     this.lines.push(...parts.map((part) => JSON.parse(part) as LogLine));
+    this.wake();
+  }
+
+  private wake(): void {
     this.waiters.splice(0).forEach((wake) => wake());
   }
 
--- /dev/null
+++ b/test/targets.test.ts
@@ -0,0 +1,109 @@
+import assert from 'node:assert/strict';
+import { performance } from 'node:perf_hooks';
+import { after, before, test } from 'node:test';
+
+import SmallSystem from './support/SmallSystem';
+
+const TIME_TO_LIVE_MS = 2000;
+const HEARTBEAT_MS = 500;
+/** "A few seconds" of the promises, beyond the time to live where a target is silent. */
+const FEW_SECONDS_MS = 4000;
+const TIMEOUT = { timeout: 30_000 };
+
+const system = new SmallSystem();
+
+before(async () => {
+  await system.start(['munster-1', 'munster-2', 'leinster-1', 'munster-1']);
+});
+after(async () => system.remove());
+
+test('a target announced to one entry serves requests at every other', TIMEOUT, async () => {
+  await system.addService('one');
+  const { target, announcement } = await system.startTarget('one-1');
+  await system.announce(0, announcement);
+  const others = [1, 2, 3];
+  await Promise.all(others.map(async (index) => (
+    system.waitForTarget(index, 'one-1', (known) => known?.state === 'ready')
+  )));
+  assert.deepEqual(await Promise.all(others.map(async (index) => system.get(index, '/one'))), [200, 200, 200]);
+  assert.equal(target.runs, 3);
+});
+
+test('a draining target gets no new work while the old is finished', TIMEOUT, async () => {
+  await system.addService('two');
+  const { target, announcement } = await system.startTarget('two-1');
+  await system.announce(0, announcement);
+  await system.waitForTarget(2, 'two-1', (known) => known !== undefined);
+  const running = system.get(2, '/two', { 'emulated-service-time-ms': '2500' });
+  await new Promise<void>((resolve) => {
+    target.server.once('request', () => resolve());
+  });
+  const drainedAtMs = performance.now();
+  await system.announce(1, { ...announcement, state: 'draining' });
+  await system.waitForTarget(2, 'two-1', (known) => known?.state === 'draining');
+  assert.ok(performance.now() - drainedAtMs < FEW_SECONDS_MS);
+  assert.equal(await system.get(2, '/two'), 503);
+  assert.equal(await running, 200);
+  assert.equal(target.runs, 1);
+});
+
+test('a target that is silent is gone from every entry', TIMEOUT, async () => {
+  await system.addService('three');
+  const { target, announcement } = await system.startTarget('three-1', TIME_TO_LIVE_MS);
+  await system.announce(1, announcement);
+  await system.waitForTarget(2, 'three-1', (known) => known !== undefined);
+  const silentAtMs = performance.now();
+  target.crash();
+  await system.waitForTarget(2, 'three-1', (known) => known === undefined);
+  assert.ok(performance.now() - silentAtMs < TIME_TO_LIVE_MS + FEW_SECONDS_MS);
+});
+
+test('a restarted target replaces its former start at every entry', TIMEOUT, async () => {
+  await system.addService('four');
+  const former = await system.startTarget('four-1');
+  await system.announce(0, former.announcement);
+  await system.waitForTarget(2, 'four-1', (known) => known !== undefined);
+  const restarted = await system.startTarget('four-1');
+  const { startId } = restarted.announcement;
+  const restartedAtMs = performance.now();
+  await system.announce(1, restarted.announcement);
+  await Promise.all([0, 2, 3].map(async (index) => (
+    system.waitForTarget(index, 'four-1', (known) => known?.startId === startId)
+  )));
+  assert.ok(performance.now() - restartedAtMs < FEW_SECONDS_MS);
+  await assert.rejects(system.announce(3, former.announcement), /has been replaced/);
+  assert.equal(await system.get(2, '/four'), 200);
+  assert.deepEqual([former.target.runs, restarted.target.runs], [0, 1]);
+});
+
+test('a data centre that is taken out gets no new work and returns', TIMEOUT, async () => {
+  await system.addService('five');
+  const { target, announcement } = await system.startTarget('five-1');
+  await system.announce(0, { ...announcement, dataCentre: 'munster-2' });
+  await system.waitForTarget(2, 'five-1', (known) => known !== undefined);
+  assert.equal(await system.get(2, '/five'), 200);
+  const outAtMs = performance.now();
+  await system.patch([{ op: 'replace', path: '/dataCentres/munster-2/state', value: 'out' }]);
+  assert.ok(performance.now() - outAtMs < FEW_SECONDS_MS);
+  assert.deepEqual(await Promise.all([0, 1, 2, 3].map(async (index) => system.get(index, '/five'))), [503, 503, 503, 503]);
+  assert.equal(target.runs, 1);
+  await system.patch([{ op: 'replace', path: '/dataCentres/munster-2/state', value: 'in' }]);
+  assert.equal(await system.get(2, '/five'), 200);
+});
+
+test('a target outlives the entry that took its announcements', TIMEOUT, async (t) => {
+  await system.addService('six');
+  const heartbeating = await system.startTarget('six-1', TIME_TO_LIVE_MS);
+  const silent = await system.startTarget('six-2', TIME_TO_LIVE_MS);
+  await system.announce(3, heartbeating.announcement);
+  await system.announce(3, silent.announcement);
+  await system.waitForTarget(2, 'six-2', (known) => known !== undefined);
+  assert.equal(await system.entry(3).stop('SIGKILL'), null);
+  const heartbeat = setInterval(() => {
+    system.announce(0, heartbeating.announcement).catch((err: Error) => assert.fail(err));
+  }, HEARTBEAT_MS);
+  t.after(() => clearInterval(heartbeat));
+  await system.waitForTarget(2, 'six-2', (known) => known === undefined);
+  assert.equal(await system.get(2, '/six'), 200);
+  assert.equal(heartbeating.target.runs, 1);
+});
