--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -4,22 +4,24 @@
 
 import CallerListener from '@guavayard/caller/CallerListener';
 import RequestHandler from '@guavayard/caller/RequestHandler';
-import LeastInFlightChooser from '@guavayard/core/choice/LeastInFlightChooser';
-import findCandidates from '@guavayard/core/routing/findCandidates';
-import DirectScheduler from '@guavayard/core/scheduling/DirectScheduler';
 import PlatformListener from '@guavayard/platform/PlatformListener';
 import AnnouncementListener from '@guavayard/target/AnnouncementListener';
-import type TargetDirectory from '@guavayard/target/TargetDirectory';
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
 import ControlSubscription from '@guavayard/vm/entry/ControlSubscription';
+import EntryLeaseRelay from '@guavayard/vm/entry/EntryLeaseRelay';
 
 import closeServer from './closeServer';
+import createObservation from './createObservation';
+import countTargets from './countTargets';
+import createScheduler from './createScheduler';
 import createTargetTasks from './createTargetTasks';
 import listen from './listen';
 import type RunContext from './RunContext';
 import type Runnable from './Runnable';
 import type TargetTasks from './TargetTasks';
 
+const SCHEDULER_INTERVAL_MS = 5;
+
 function clock(): number {
   return performance.now();
 }
@@ -29,27 +31,19 @@
   targets: TargetTasks,
 ): ControlSubscription {
   return new ControlSubscription({
-    onConfiguration: ({ version, configuration }) => {
-      context.log.info({ version }, 'configuration in force');
-      targets.ownership.takeConfiguration(configuration);
+    hub: context.hub,
+    identity: context.identity,
+    clock,
+    listener: {
+      onConfiguration: ({ version, configuration }) => {
+        context.log.info({ version }, 'configuration in force');
+        targets.ownership.takeConfiguration(configuration);
+      },
+      onMembership: (entries) => targets.updateMembership(entries),
     },
-    onMembership: (entries) => targets.updateMembership(entries),
   });
 }
 
-function createScheduler(
-  context: RunContext,
-  subscription: ControlSubscription,
-  directory: TargetDirectory,
-): DirectScheduler {
-  return new DirectScheduler(({ match }) => {
-    const configuration = subscription.latest?.configuration;
-    if (configuration === undefined) return [];
-    const targets = directory.targetsOf(match.serviceName);
-    return findCandidates(configuration, targets, match, context.identity);
-  }, (countInFlight) => new LeastInFlightChooser(countInFlight));
-}
-
 /**
  * Starts the entry role.
  *
@@ -67,9 +61,14 @@
   const targets = createTargetTasks(context, clock);
   const { directory } = targets;
   const subscription = createSubscription(context, targets);
+  const observation = createObservation(context, clock, () => subscription.latest);
+  const scheduler = createScheduler(context, subscription, directory, {
+    onWarm: ({ id }) => log.info({ target: id }, 'target is warm'),
+  }, clock);
   const handler = new RequestHandler({
+    ...observation,
     clock,
-    scheduler: createScheduler(context, subscription, directory),
+    scheduler,
     sender,
     configuration: () => subscription.latest,
   });
@@ -87,14 +86,26 @@
     if (platformBound.err) return platformBound;
   }
   hub.addHandler(subscription);
+  if (!identity.roles.includes('control')) hub.addHandler(new EntryLeaseRelay(hub, clock));
+  context.reports.provide({
+    entry: () => ({
+      hasLease: subscription.latest !== undefined,
+      isReady: subscription.latest !== undefined && !isStopping,
+      ...countTargets(directory.all(), identity.name),
+      invariants: observation.dispatchCheck.counts,
+    }),
+  });
   settings.vm.control.forEach((address) => hub.connect(address));
+  const ticking = setInterval(() => scheduler.tick(), SCHEDULER_INTERVAL_MS);
   return Ok({
     stop: async () => {
       isStopping = true;
       targets.releaseOwnership();
       await Promise.all([closeServer(caller.server), closeServer(target.server)]);
+      clearInterval(ticking);
       await sender.close();
       targets.stop();
+      subscription.release();
       await closeServer(platform.server);
     },
   });
--- a/packages/vm/src/messages/VmMessage.ts
+++ b/packages/vm/src/messages/VmMessage.ts
@@ -1,14 +1,18 @@
 import { z } from 'zod';
 
-import configurationMessages from './configurationMessages';
+import consensusMessages from './consensusMessages';
 import directoryMessages from './directoryMessages';
-import membershipMessages from './membershipMessages';
+import leaseMessages from './leaseMessages';
+import reportMessages from './reportMessages';
+import sessionMessages from './sessionMessages';
 
 /** Messages between the VMs of the system. */
 const VmMessage = z.discriminatedUnion('kind', [
-  ...configurationMessages,
+  ...consensusMessages,
   ...directoryMessages,
-  ...membershipMessages,
+  ...leaseMessages,
+  ...sessionMessages,
+  ...reportMessages,
 ]);
 type VmMessage = z.infer<typeof VmMessage>;
 
