--- a/packages/cli/src/settings/Settings.ts
+++ b/packages/cli/src/settings/Settings.ts
@@ -3,40 +3,38 @@
 import HostPort from '@guavayard/core/types/HostPort';
 import Name from '@guavayard/core/types/Name';
 
-const Listener = z.strictObject({ listen: HostPort });
+const Listener = z.strictObject({
+  listen: HostPort.describe('IP number and port to listen on; port 0 lets the system choose'),
+});
 
 const Vm = z.strictObject({
-  /** Name of this VM, unique in the system. */
-  name: Name,
-  region: Name,
-  dataCentre: Name,
-  roles: z.array(z.enum(['entry', 'control'])).min(1),
-  /** Address for sessions with other VMs. */
-  listen: HostPort,
-  /** Addresses of the control VMs. */
-  control: z.array(HostPort).min(1),
-  /** File that holds the key shared by all VMs. */
-  keyFile: z.string().min(1),
+  name: Name.describe('name of this VM, unique in the system'),
+  region: Name.describe('region that the VM stands in'),
+  dataCentre: Name.describe('data centre that the VM stands in'),
+  roles: z.array(z.enum(['entry', 'control'])).min(1).describe('what the VM does'),
+  listen: HostPort.describe('address for sessions with other VMs'),
+  control: z.array(HostPort).min(1).describe('addresses of the control VMs'),
+  keyFile: z.string().min(1).describe('file that holds the key shared by all VMs, at least 16 characters'),
 });
 
-/** Settings of one VM, read from its TOML file. */
+/** Settings of one VM, read from its TOML file. Each key describes itself for docs/SETTINGS.md. */
 const Settings = z.strictObject({
-  vm: Vm,
-  /** Callers' HTTP listener; role `entry`. */
-  caller: Listener.optional(),
-  /** Targets' announcements; role `entry`. */
-  target: Listener.optional(),
-  /** Operators' API; role `control`. */
-  operator: Listener.extend({ tokenFile: z.string().min(1) }).optional(),
-  /** Durable state; role `control`. */
-  disk: z.strictObject({ folder: z.string().min(1) }).optional(),
-  /** Readiness for the platform's balancer. */
-  platform: Listener.optional(),
-  /** Where metrics are sent; without the section none are. */
-  metrics: z.strictObject({ statsd: HostPort }).optional(),
+  vm: Vm.describe('this VM'),
+  caller: Listener.optional().describe('callers\' HTTP listener; role `entry`'),
+  target: Listener.optional().describe('targets\' announcements; role `entry`'),
+  operator: Listener.extend({
+    tokenFile: z.string().min(1).describe('file that holds the operators\' token, at least 16 characters'),
+  }).optional().describe('operators\' API; role `control`'),
+  disk: z.strictObject({
+    folder: z.string().min(1).describe('data folder; `guavayard init` or a running quorum fills it'),
+  }).optional().describe('durable state; role `control`'),
+  platform: Listener.optional().describe('readiness for the platform\'s balancer'),
+  metrics: z.strictObject({
+    statsd: HostPort.describe('address of a statsd server, over UDP'),
+  }).optional().describe('where metrics are sent; without the section none are'),
   log: z.strictObject({
-    level: z.enum(['debug', 'info', 'warn', 'error']),
-  }).default({ level: 'info' }),
+    level: z.enum(['debug', 'info', 'warn', 'error']).describe('least level that is logged'),
+  }).default({ level: 'info' }).describe('log on the standard output, a JSON object a line'),
 }).superRefine((settings, context) => {
   const required = {
     entry: ['caller', 'target'],
