Carry load reports between entries and declare warm targets to all

Cause: the scheduler makes load reports and finds cold targets warm, and nobody carried either. The owner's finding that a start is warm becomes part of the target's record, kept against news of the same moment by declaring it again.

--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -9,6 +9,7 @@
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
 import ControlSubscription from '@guavayard/vm/entry/ControlSubscription';
 import EntryLeaseRelay from '@guavayard/vm/entry/EntryLeaseRelay';
+import LoadReportExchange from '@guavayard/vm/load/LoadReportExchange';
 
 import closeServer from './closeServer';
 import createObservation from './createObservation';
@@ -63,8 +64,13 @@
   const subscription = createSubscription(context, targets);
   const observation = createObservation(context, clock, () => subscription.latest);
   const scheduler = createScheduler(context, subscription, directory, {
-    onWarm: ({ id }) => log.info({ target: id }, 'target is warm'),
+    onWarm: (warm) => {
+      log.info({ target: warm.id }, 'target is warm');
+      directory.declareWarm(warm);
+    },
   }, clock);
+  const loadReports = new LoadReportExchange(identity.region, targets.sessions, scheduler, clock);
+  targets.sessions.addListener(loadReports);
   const handler = new RequestHandler({
     ...observation,
     clock,
@@ -96,7 +102,10 @@
     }),
   });
   settings.vm.control.forEach((address) => hub.connect(address));
-  const ticking = setInterval(() => scheduler.tick(), SCHEDULER_INTERVAL_MS);
+  const ticking = setInterval(() => {
+    scheduler.tick();
+    loadReports.tick();
+  }, SCHEDULER_INTERVAL_MS);
   return Ok({
     stop: async () => {
       isStopping = true;
--- a/packages/core/src/types/TargetRecord.ts
+++ b/packages/core/src/types/TargetRecord.ts
@@ -16,6 +16,8 @@
   claim: z.int().min(0),
   /** Name of the entry that receives the heartbeats. */
   holder: Name,
+  /** The owner has found that this start of the target carries its full load. */
+  isWarm: z.boolean(),
   /** The target withdrew, and this start of it never comes back. */
   isWithdrawn: z.boolean(),
   /** Latest start ids that later ones have replaced; they are never taken again. */
--- a/packages/target/src/TargetDirectory.ts
+++ b/packages/target/src/TargetDirectory.ts
@@ -8,8 +8,10 @@
 
 import announceTarget from './directory/announceTarget';
 import createDirectoryState from './directory/createDirectoryState';
+import declareWarm from './directory/declareWarm';
 import type DirectoryEffect from './directory/DirectoryEffect';
 import type DirectoryState from './directory/DirectoryState';
+import describeTarget from './directory/describeTarget';
 import expireTargets from './directory/expireTargets';
 import listHeldRecords from './directory/listHeldRecords';
 import releaseTargets from './directory/releaseTargets';
@@ -29,6 +31,9 @@
 
   private readonly byService = new Map<string, KnownTarget[]>();
 
+  /** Starts of targets that this entry has found warm, by target. */
+  private readonly warmStarts = new Map<string, string>();
+
   private seenChanges = -1;
 
   private seenEpoch = -1;
@@ -77,9 +82,26 @@
     this.listener?.(withdrawTarget(this.state, id, this.clock()));
   }
 
-  /** Ends the targets whose time to live has run out. */
+  /**
+   * Declares to all entries that a cold target carries its full load.
+   *
+   * @param target - the target, which this entry owns
+   */
+  declareWarm({ id, startId }: TargetAnnouncement): void {
+    this.warmStarts.set(id, startId);
+    this.listener?.(declareWarm(this.state, id, startId, this.clock()));
+  }
+
+  /** Ends the targets whose time to live has run out. To be called every now and then. */
   expire(): void {
-    this.listener?.(expireTargets(this.state, this.clock()));
+    const nowMs = this.clock();
+    this.listener?.(expireTargets(this.state, nowMs));
+    // News of another entry at the same moment may have replaced the declaration.
+    this.warmStarts.forEach((startId, id) => {
+      const known = this.state.entries.get(id)?.record.announcement;
+      if (known?.startId !== startId) this.warmStarts.delete(id);
+      else this.listener?.(declareWarm(this.state, id, startId, nowMs));
+    });
   }
 
   /**
@@ -170,9 +192,9 @@
     this.byService.clear();
     [...this.state.entries.values()]
       .filter(({ isLive }) => isLive)
-      .map(({ record: { announcement } }) => announcement)
+      .map(({ record }) => describeTarget(record))
       .sort((left, right) => (left.id < right.id ? -1 : 1))
-      .forEach((announcement) => this.list(announcement));
+      .forEach((target) => this.list(target));
   }
 
   private list(announcement: TargetAnnouncement): void {
--- a/packages/target/src/directory/announceTarget.ts
+++ b/packages/target/src/directory/announceTarget.ts
@@ -27,6 +27,7 @@
     sequence: announcement.sequence ?? 0,
     claim: 0,
     holder: state.self,
+    isWarm: false,
     isWithdrawn: false,
     retiredStartIds: [],
   };
--- a/packages/target/test/directory.test.ts
+++ b/packages/target/test/directory.test.ts
@@ -194,3 +194,32 @@
     assert.equal(new Set(entries.map(stateOf)).size, 1);
   }), { seed: SEED, numRuns: 500 });
 });
+
+test('a warm start is ready at every entry and a new start is cold again', () => {
+  const network = new Network();
+  const [owner, other] = [network.create('entry-1'), network.create('entry-2')];
+  const cold = { ...READY, state: 'cold' as const };
+  other.announce(cold).unwrap();
+  owner.takeRecords('entry-2', network.published('entry-2'));
+  owner.declareWarm(cold);
+  other.takeRecords('entry-1', network.published('entry-1'));
+  // The target goes on saying that it is cold.
+  other.announce(cold).unwrap();
+  assert.deepEqual([stateOf(owner), stateOf(other)], ['start-1 ready', 'start-1 ready']);
+  // A change that another entry took at the same moment replaces the declaration.
+  owner.takeRecords('entry-2', [{
+    announcement: { ...cold, slots: 3 },
+    generation: 1,
+    sequence: 9,
+    claim: 0,
+    holder: 'entry-2',
+    isWarm: false,
+    isWithdrawn: false,
+    retiredStartIds: [],
+  }]);
+  assert.equal(stateOf(owner), 'start-1 cold');
+  owner.expire();
+  assert.equal(stateOf(owner), 'start-1 ready');
+  owner.announce(RESTARTED).unwrap();
+  assert.equal(stateOf(owner), 'start-2 cold');
+});
--- a/packages/vm/src/entry/EntrySessions.ts
+++ b/packages/vm/src/entry/EntrySessions.ts
@@ -2,13 +2,14 @@
 import type SessionHandler from '../session/SessionHandler';
 import type VmIdentity from '../session/VmIdentity';
 import type VmSession from '../session/VmSession';
+import type EntryBroadcast from './EntryBroadcast';
 import type EntrySessionListener from './EntrySessionListener';
 
 /**
  * The open sessions with other entries, by name. VMs with both roles may have two sessions with
  * each other; the newest is used.
  */
-export default class EntrySessions implements SessionHandler {
+export default class EntrySessions implements SessionHandler, EntryBroadcast {
   private readonly sessions = new Map<string, VmSession[]>();
 
   private readonly listeners: EntrySessionListener[] = [];
@@ -46,14 +47,12 @@
     this.sessions.forEach((_sessions, name) => this.send(name, message));
   }
 
-  /** Sends a message to every other entry of the own region.
-   *
-   * @param message - the message
-   */
-  broadcastInRegion(message: VmMessage): void {
-    this.sessions.forEach((sessions, name) => {
-      if (sessions.at(-1)?.peer?.region === this.self.region) this.send(name, message);
-    });
+  broadcastInRegion(message: VmMessage): number {
+    const near = [...this.sessions.values()]
+      .flatMap((sessions) => sessions.at(-1) ?? [])
+      .filter((session) => session.peer?.region === this.self.region);
+    near.forEach((session) => session.send(message));
+    return near.length;
   }
 
   onOpen(session: VmSession, peer: VmIdentity): void {
--- a/packages/vm/src/messages/VmMessage.ts
+++ b/packages/vm/src/messages/VmMessage.ts
@@ -3,6 +3,7 @@
 import consensusMessages from './consensusMessages';
 import directoryMessages from './directoryMessages';
 import leaseMessages from './leaseMessages';
+import loadMessages from './loadMessages';
 import reportMessages from './reportMessages';
 import sessionMessages from './sessionMessages';
 
@@ -11,6 +12,7 @@
   ...consensusMessages,
   ...directoryMessages,
   ...leaseMessages,
+  ...loadMessages,
   ...sessionMessages,
   ...reportMessages,
 ]);
--- /dev/null
+++ b/packages/vm/src/messages/loadMessages.ts
@@ -0,0 +1,10 @@
+import { z } from 'zod';
+
+import LoadReport from '@guavayard/core/types/LoadReport';
+
+/** Messages by which the entries of a region share what they have in flight. */
+const loadMessages = [
+  z.strictObject({ kind: z.literal('load'), report: LoadReport }),
+] as const;
+
+export default loadMessages;
--- a/test/support/VmProcess.ts
+++ b/test/support/VmProcess.ts
@@ -75,6 +75,14 @@
     return line.address;
   }
 
+  /**
+   * @param matches - tells the line that is looked for
+   * @returns whether the log has such a line
+   */
+  hasLine(matches: (line: LogLine) => boolean): boolean {
+    return this.lines.some(matches);
+  }
+
   /**
    * Waits for a line of the log.
    *
--- a/test/targets.test.ts
+++ b/test/targets.test.ts
@@ -91,6 +91,25 @@
   assert.equal(await system.get(2, '/five'), 200);
 });
 
+test('a cold target is used by its owner alone until it is warm', TIMEOUT, async () => {
+  await system.addService('cold');
+  const { target, announcement } = await system.startTarget('cold-1');
+  target.change({ slots: 2, coldRequests: 8 });
+  const cold = { ...announcement, dataCentre: 'munster-2', state: 'cold' as const };
+  await system.announce(2, cold);
+  // The only entry of the data centre is the owner.
+  await system.waitForTarget(1, 'cold-1', (known) => known?.owner === 'entry-2');
+  const warmUp = async (): Promise<void> => {
+    await Promise.all([1, 1, 1].map(async (index) => system.get(index, '/cold')));
+    if (system.entry(1).hasLine((line) => line.msg === 'target is warm')) return;
+    await warmUp();
+  };
+  await warmUp();
+  await system.waitForTarget(2, 'cold-1', (known) => known?.state === 'ready');
+  assert.equal(target.statistics.overloads, 0);
+  assert.equal(await system.get(2, '/cold'), 200);
+});
+
 test('a target outlives the entry that took its announcements', TIMEOUT, async (t) => {
   await system.addService('six');
   const heartbeating = await system.startTarget('six-1', TIME_TO_LIVE_MS);
