Sort routes once for each configuration

Change: routes are sorted by the length of their prefix once a configuration, and the first match wins.

--- a/packages/core/src/routing/matchRoute.ts
+++ b/packages/core/src/routing/matchRoute.ts
@@ -6,6 +6,18 @@
 import type Route from '../types/Route';
 import type RouteMatch from './RouteMatch';
 
+/** Routes by configuration, the longest prefix first; a configuration is never changed in place. */
+const sortedRoutes = new WeakMap<Configuration, readonly (readonly [string, Route])[]>();
+
+function listRoutes(configuration: Configuration): readonly (readonly [string, Route])[] {
+  const known = sortedRoutes.get(configuration);
+  if (known !== undefined) return known;
+  const routes = Object.entries(configuration.routes)
+    .sort(([, left], [, right]) => right.pathPrefix.length - left.pathPrefix.length);
+  sortedRoutes.set(configuration, routes);
+  return routes;
+}
+
 function isPrefixOf(prefix: string, path: string): boolean {
   if (!path.startsWith(prefix)) return false;
   if (prefix.endsWith('/')) return true;
@@ -35,22 +47,17 @@
   path: string,
   tenantName: string | undefined,
 ): Result<RouteMatch, Failure> {
-  let bestName: string | undefined;
-  let best: Route | undefined;
-  Object.entries(configuration.routes).forEach(([name, route]) => {
-    if (!isPrefixOf(route.pathPrefix, path)) return;
-    if (best !== undefined && best.pathPrefix.length >= route.pathPrefix.length) return;
-    bestName = name;
-    best = route;
-  });
-  if (best === undefined || bestName === undefined) return fail('noRoute');
-  const service = configuration.services[best.service];
-  if (service === undefined) return fail('noRoute', `no service "${best.service}"`);
+  const found = listRoutes(configuration)
+    .find(([, { pathPrefix }]) => isPrefixOf(pathPrefix, path));
+  if (found === undefined) return fail('noRoute');
+  const [routeName, route] = found;
+  const service = configuration.services[route.service];
+  if (service === undefined) return fail('noRoute', `no service "${route.service}"`);
   const tenant = tenantName === undefined ? undefined : configuration.tenants[tenantName];
   return Ok({
-    routeName: bestName,
-    serviceName: best.service,
+    routeName,
+    serviceName: route.service,
     service,
-    homeRegions: intersectRegions(best.homeRegions, tenant?.homeRegions),
+    homeRegions: intersectRegions(route.homeRegions, tenant?.homeRegions),
   });
 }
