--- a/packages/vm/src/control/ControlTask.ts
+++ b/packages/vm/src/control/ControlTask.ts
@@ -9,6 +9,7 @@
 import type ReplicaId from '@guavayard/core/consensus/ReplicaId';
 import type Failure from '@guavayard/core/errors/Failure';
 import type ConfigurationPatch from '@guavayard/core/types/ConfigurationPatch';
+import type VmStatus from '@guavayard/core/types/VmStatus';
 import type VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
 
 import CallRouter from './CallRouter';
@@ -89,6 +90,16 @@
     this.leases.close();
   }
 
+  /** @returns the part of this replica in the group, for operators */
+  replicaStatus(): VmStatus['control'] {
+    const {
+      isLeader, term, leaderName, voterNames,
+    } = this.consensus;
+    return {
+      state: isLeader ? 'leader' : 'follower', term, leader: leaderName, voters: voterNames,
+    };
+  }
+
   /** Submits a patch; see `ConfigurationService`. */
   async submit(patch: ConfigurationPatch): Promise<Result<number, Failure>> {
     const answer = await this.call<'accepted'>({ kind: 'submit', patch });
--- /dev/null
+++ b/scripts/capacity/readUsage.ts
@@ -0,0 +1,23 @@
+import { readFileSync } from 'node:fs';
+
+import type ProcessUsage from './ProcessUsage';
+
+const MS_PER_TICK = 10;
+const BYTES_PER_PAGE = 4096;
+const USER_TICKS = 11;
+const SYSTEM_TICKS = 12;
+const RESIDENT_PAGES = 21;
+
+/**
+ * Reads what a process has used, from the kernel.
+ *
+ * @param pid - the process
+ * @returns its processor time and memory
+ */
+export default function readUsage(pid: number): ProcessUsage {
+  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? [];
+  return {
+    cpuMs: (Number(fields[USER_TICKS]) + Number(fields[SYSTEM_TICKS])) * MS_PER_TICK,
+    memoryBytes: Number(fields[RESIDENT_PAGES]) * BYTES_PER_PAGE,
+  };
+}
--- a/test/report.test.ts
+++ b/test/report.test.ts
@@ -88,6 +88,7 @@
   const status = await runBinary('status', ...options);
   assert.match(status.stdout, /entry-1 +munster +munster-1 +entry +1 /);
   assert.match(status.stdout, /entry-1 +held +ready +1 +0 +0 /);
+  assert.match(status.stdout, /control-1 +leader +[1-9]\d* +control-1 +control-1\n/);
   assert.match(status.stdout, /invariants: no breach/);
   await assertNoBreach(client, 1);
 });
