--- a/packages/caller/src/AnswerWriter.ts
+++ b/packages/caller/src/AnswerWriter.ts
@@ -2,6 +2,10 @@
 
 import type AnswerHeaders from '@guavayard/core/dispatch/AnswerHeaders';
 import selectAnswerHeaders from '@guavayard/core/http/selectAnswerHeaders';
+import StoredAnswer from '@guavayard/core/idempotency/StoredAnswer';
+
+/** Longest answer of which a copy is kept, in bytes. */
+const MAX_STORED_BYTES = 64 * 1024;
 
 interface Head {
   readonly status: number;
@@ -16,7 +20,24 @@
 
   private isForwarding = false;
 
-  constructor(private readonly res: ServerResponse) {}
+  private stored: Buffer[] | undefined;
+
+  private storedBytes = 0;
+
+  /**
+   * @param res - the caller's response
+   * @param isStored - whether a copy of the answer is kept
+   */
+  constructor(private readonly res: ServerResponse, isStored: boolean) {
+    if (isStored) this.stored = [];
+  }
+
+  /** The whole answer, unless it is too large to be stored. */
+  get storedAnswer(): StoredAnswer | undefined {
+    if (this.head === undefined || this.stored === undefined) return undefined;
+    const answer = StoredAnswer.safeParse({ ...this.head, body: Buffer.concat(this.stored) });
+    return answer.data;
+  }
 
   /** Status of the answer, once its headers have come. */
   get status(): number | undefined {
@@ -40,7 +61,9 @@
    * @returns false if the caller does not read fast enough
    */
   write(chunk: Buffer): boolean {
-    if (this.isForwarding) return this.res.write(chunk);
+    this.store(chunk);
+    // A caller that has left must not stop the run of a request with an idempotency key.
+    if (this.isForwarding) return this.res.write(chunk) || this.res.destroyed;
     this.held.push(chunk);
     return true;
   }
@@ -66,4 +89,10 @@
   end(): void {
     this.res.end();
   }
+
+  private store(chunk: Buffer): void {
+    this.storedBytes += chunk.length;
+    if (this.storedBytes > MAX_STORED_BYTES) this.stored = undefined;
+    this.stored?.push(Buffer.from(chunk));
+  }
 }
--- a/packages/caller/src/EntryView.ts
+++ b/packages/caller/src/EntryView.ts
@@ -1,4 +1,5 @@
 import type TargetSender from '@guavayard/core/dispatch/TargetSender';
+import type KeyKeeper from '@guavayard/core/idempotency/KeyKeeper';
 import type DispatchCheck from '@guavayard/core/invariants/DispatchCheck';
 import type RequestRecorder from '@guavayard/core/objectives/RequestRecorder';
 import type Scheduler from '@guavayard/core/scheduling/Scheduler';
@@ -12,6 +13,7 @@
   readonly sender: TargetSender;
   readonly recorder: RequestRecorder;
   readonly dispatchCheck: DispatchCheck;
+  readonly keys: KeyKeeper;
   /** @returns the configuration in force, or undefined while requests may not be dispatched */
   configuration: () => VersionedConfiguration | undefined;
 }
--- a/packages/caller/src/Exchange.ts
+++ b/packages/caller/src/Exchange.ts
@@ -3,6 +3,7 @@
 import type AnswerHandler from '@guavayard/core/dispatch/AnswerHandler';
 import type AnswerHeaders from '@guavayard/core/dispatch/AnswerHeaders';
 import type Dispatch from '@guavayard/core/dispatch/Dispatch';
+import errorTable from '@guavayard/core/errors/errorTable';
 import type Failure from '@guavayard/core/errors/Failure';
 import createExchange from '@guavayard/core/exchange/createExchange';
 import type ExchangeEffect from '@guavayard/core/exchange/ExchangeEffect';
@@ -12,6 +13,7 @@
 import createTargetHeaders from '@guavayard/core/http/createTargetHeaders';
 import isFramedAnswer from '@guavayard/core/http/isFramedAnswer';
 import isHoldableAnswer from '@guavayard/core/http/isHoldableAnswer';
+import type KeyOutcome from '@guavayard/core/idempotency/KeyOutcome';
 import type Assignment from '@guavayard/core/scheduling/Assignment';
 import type AttemptResult from '@guavayard/core/scheduling/AttemptResult';
 import type ScheduledAttempt from '@guavayard/core/scheduling/ScheduledAttempt';
@@ -21,7 +23,7 @@
 import checkDispatch from './checkDispatch';
 import type EntryView from './EntryView';
 import recordOf from './recordOf';
-import ReplayableBody from './ReplayableBody';
+import type ReplayableBody from './ReplayableBody';
 import sendFailure from './sendFailure';
 
 const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
@@ -33,8 +35,6 @@
 export default class Exchange implements AnswerHandler {
   private readonly state: ExchangeState;
 
-  private readonly body: ReplayableBody;
-
   private readonly writer: AnswerWriter;
 
   private readonly triedTargetIds: string[] = [];
@@ -57,12 +57,13 @@
     private readonly entry: EntryView,
     private readonly request: CallerRequest,
     private readonly res: ServerResponse,
+    private readonly body: ReplayableBody,
+    private readonly onKeyOutcome?: (outcome: KeyOutcome) => void,
   ) {
     const { req, isIdempotent } = request;
     // A request that carries an attempt number comes from inside a chain whose first entry retries.
     this.state = createExchange(isIdempotent, req.headers[ATTEMPT_HEADER] === undefined);
-    this.body = new ReplayableBody(req, true);
-    this.writer = new AnswerWriter(res);
+    this.writer = new AnswerWriter(res, onKeyOutcome !== undefined);
   }
 
   /** Starts the exchange. The response is always finished or destroyed in the end. */
@@ -70,10 +71,7 @@
     const remainingMs = this.request.deadlineMs - this.entry.clock();
     this.deadline = setTimeout(() => this.step({ kind: 'deadline' }), remainingMs);
     this.res.on('drain', () => this.dispatch?.resume());
-    this.res.once('close', () => {
-      this.step({ kind: 'callerGone' });
-      this.release();
-    });
+    this.res.once('close', () => this.leave());
     this.run({ kind: 'schedule', purpose: 'first' });
   }
 
@@ -196,17 +194,31 @@
     assignment?.finish({ evidence, status: this.writer.status, loadHeader });
   }
 
+  private leave(): void {
+    // A run with an idempotency key goes on: the caller that sends it again gets its answer.
+    const isRunning = this.assignment !== undefined && this.request.req.complete;
+    if (this.onKeyOutcome !== undefined && isRunning) return;
+    this.step({ kind: 'callerGone' });
+    this.onKeyOutcome?.({ kind: 'unknown' });
+    this.release();
+  }
+
   private complete(): void {
+    const { isMarkedNotRun } = this.state;
+    this.onKeyOutcome?.(isMarkedNotRun ? { kind: 'notRun' } : { kind: 'done', answer: this.writer.storedAnswer });
     this.writer.end();
     this.release();
   }
 
   private refuse(failure: Failure): void {
+    const isNotRun = errorTable[failure.kind].outcome === 'not-run';
+    this.onKeyOutcome?.({ kind: isNotRun ? 'notRun' : 'unknown' });
     sendFailure(this.res, failure);
     this.release();
   }
 
   private cut(failure: Failure): void {
+    this.onKeyOutcome?.({ kind: 'unknown' });
     recordOf(this.res).failure = failure.kind;
     this.res.destroy();
     this.release();
--- a/packages/caller/src/ReplayableBody.ts
+++ b/packages/caller/src/ReplayableBody.ts
@@ -25,6 +25,8 @@
 
   private current: Readable | undefined;
 
+  private onPrefix: ((prefix: readonly Buffer[]) => void) | undefined;
+
   /**
    * @param req - the caller's request
    * @param mayRecord - false where nothing of the request may be kept
@@ -41,7 +43,21 @@
 
   /** Whether the whole body can be sent once more. */
   get isReplayable(): boolean {
-    return !this.hasBody || this.isRecording || this.recordedBytes === 0;
+    return !this.hasBody || this.isRecorded || this.recordedBytes === 0;
+  }
+
+  /**
+   * Reads the body up to its end or to what is kept of it, before any attempt.
+   *
+   * @param onRead - called once with what was read
+   */
+  readPrefix(onRead: (prefix: readonly Buffer[]) => void): void {
+    if (!this.hasBody) {
+      onRead([]);
+      return;
+    }
+    this.onPrefix = onRead;
+    this.req.resume();
   }
 
   /**
@@ -55,6 +71,7 @@
     const stream = new Readable({ read: () => this.req.resume() });
     this.current = stream;
     this.recorded.forEach((chunk) => stream.push(chunk));
+    if (!this.isRecorded) this.forget();
     if (this.req.readableEnded) stream.push(null);
     return stream;
   }
@@ -72,8 +89,7 @@
    */
   discard(): void {
     this.close();
-    this.recorded = [];
-    this.isRecording = false;
+    this.forget();
     const { req } = this;
     if (req.complete || req.destroyed) return;
     let discardedBytes = 0;
@@ -87,22 +103,32 @@
     req.resume();
   }
 
+  private get isRecorded(): boolean {
+    return this.isRecording && this.recordedBytes <= MAX_RECORDED_BYTES;
+  }
+
   private readonly onData = (chunk: Buffer): void => {
-    this.record(chunk);
+    this.recordedBytes += chunk.length;
+    if (this.isRecording) this.recorded.push(chunk);
+    if (this.current !== undefined && !this.isRecorded) this.forget();
     if (this.current?.push(chunk) === false) this.req.pause();
+    if (this.recordedBytes > MAX_RECORDED_BYTES) this.endPrefix();
   };
 
   private readonly onEnd = (): void => {
     this.current?.push(null);
+    this.endPrefix();
   };
 
-  private record(chunk: Buffer): void {
-    this.recordedBytes += chunk.length;
-    if (!this.isRecording) return;
-    if (this.recordedBytes <= MAX_RECORDED_BYTES) {
-      this.recorded.push(chunk);
-      return;
-    }
+  private endPrefix(): void {
+    const { onPrefix } = this;
+    if (onPrefix === undefined) return;
+    this.onPrefix = undefined;
+    this.req.pause();
+    onPrefix(this.recorded);
+  }
+
+  private forget(): void {
     this.recorded = [];
     this.isRecording = false;
   }
--- a/packages/caller/src/RequestHandler.ts
+++ b/packages/caller/src/RequestHandler.ts
@@ -10,12 +10,12 @@
 import type CallerRequest from './CallerRequest';
 import checkFraming from './checkFraming';
 import type EntryView from './EntryView';
-import Exchange from './Exchange';
 import findDeadline from './findDeadline';
 import matchRequest from './matchRequest';
 import recordOf from './recordOf';
 import ReplayableBody from './ReplayableBody';
 import sendFailure from './sendFailure';
+import serveRequest from './serveRequest';
 
 const DEADLINE_HEADER = 'guavayard-deadline-ms';
 /** Longest body of a request, in bytes. */
@@ -42,7 +42,7 @@
     if (request.ok) {
       record.serviceName = request.val.match.serviceName;
       record.homeRegions = request.val.match.homeRegions;
-      new Exchange(this.entry, request.val, res).start();
+      serveRequest(this.entry, request.val, res);
       return;
     }
     sendFailure(res, request.val);
--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -10,11 +10,13 @@
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
 import ControlSubscription from '@guavayard/vm/entry/ControlSubscription';
 import EntryLeaseRelay from '@guavayard/vm/entry/EntryLeaseRelay';
+import type SubscriptionListener from '@guavayard/vm/entry/SubscriptionListener';
 import RegionMesh from '@guavayard/vm/entry/RegionMesh';
 
 import closeServer from './closeServer';
 import createObservation from './createObservation';
 import countTargets from './countTargets';
+import createKeyTask from './createKeyTask';
 import createScheduler from './createScheduler';
 import listen from './listen';
 import type RunContext from './RunContext';
@@ -27,7 +29,10 @@
   return performance.now();
 }
 
-function createSubscription(context: RunContext): ControlSubscription {
+function createSubscription(
+  context: RunContext,
+  onMembership: SubscriptionListener['onMembership'],
+): ControlSubscription {
   const mesh = new RegionMesh(context.hub, context.identity);
   return new ControlSubscription({
     hub: context.hub,
@@ -35,7 +40,10 @@
     clock,
     listener: {
       onConfiguration: ({ version }) => context.log.info({ version }, 'configuration in force'),
-      onMembership: (entries) => mesh.update(entries),
+      onMembership: (entries, change) => {
+        mesh.update(entries);
+        onMembership(entries, change);
+      },
     },
   });
 }
@@ -55,7 +63,9 @@
   }
   const directory = new TargetDirectory(clock);
   const sender = new UndiciTargetSender();
-  const subscription = createSubscription(context);
+  const keys = createKeyTask(context, clock);
+  const subscription = createSubscription(context, keys.update);
+  keys.attach(() => subscription.latest);
   const observation = createObservation(context, clock, () => subscription.latest);
   const scheduler = createScheduler(context, subscription, directory, {
     onWarm: ({ id }) => log.info({ target: id }, 'target is warm'),
@@ -65,6 +75,7 @@
     clock,
     scheduler,
     sender,
+    keys: keys.task,
     configuration: () => subscription.latest,
   });
   let isStopping = false;
@@ -100,6 +111,7 @@
       await Promise.all([closeServer(caller.server), closeServer(target.server)]);
       clearInterval(ticking);
       await sender.close();
+      keys.task.close();
       subscription.release();
       await closeServer(platform.server);
     },
--- /dev/null
+++ b/packages/core/src/idempotency/StoredAnswer.ts
@@ -0,0 +1,11 @@
+import { z } from 'zod';
+
+/** An answer that is kept for resends of its request. */
+const StoredAnswer = z.strictObject({
+  status: z.int().min(200).max(999),
+  headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])),
+  body: z.instanceof(Uint8Array),
+});
+type StoredAnswer = z.infer<typeof StoredAnswer>;
+
+export default StoredAnswer;
--- /dev/null
+++ b/packages/core/src/idempotency/hashText.ts
@@ -0,0 +1,22 @@
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+const MIX_1 = 0x85ebca6b;
+const MIX_2 = 0xc2b2ae35;
+
+/* eslint-disable no-bitwise -- the hash is defined by bitwise operations */
+/**
+ * Hashes a text to 32 bits (FNV-1a with the final mix of Murmur3, so that all bits depend on the
+ * last letters too).
+ *
+ * @param text - the text
+ * @returns a number from 0 to 2^32 - 1
+ */
+export default function hashText(text: string): number {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), MIX_1);
+  hash = Math.imul(hash ^ (hash >>> 13), MIX_2);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
--- a/packages/vm/src/entry/ControlSubscription.ts
+++ b/packages/vm/src/entry/ControlSubscription.ts
@@ -101,6 +101,7 @@
   }
 
   private takeMembership({ change }: Parameters<EntryMembership['take']>[0]): void {
-    if (this.membership.take({ change })) this.options.listener.onMembership(this.entries);
+    if (change === undefined || !this.membership.take({ change })) return;
+    this.options.listener.onMembership(this.entries, change);
   }
 }
--- /dev/null
+++ b/packages/vm/src/idempotency/KeyTask.ts
@@ -0,0 +1,256 @@
+import type { Result } from 'ts-results';
+
+import fail from '@guavayard/core/errors/fail';
+import type Failure from '@guavayard/core/errors/Failure';
+import findKeyRegion from '@guavayard/core/idempotency/findKeyRegion';
+import findReplicas from '@guavayard/core/idempotency/findReplicas';
+import type KeyClaim from '@guavayard/core/idempotency/KeyClaim';
+import KeyGroup from '@guavayard/core/idempotency/KeyGroup';
+import type KeyKeeper from '@guavayard/core/idempotency/KeyKeeper';
+import type KeyMember from '@guavayard/core/idempotency/KeyMember';
+import type KeyOutcome from '@guavayard/core/idempotency/KeyOutcome';
+import type KeyRecord from '@guavayard/core/idempotency/KeyRecord';
+import KeyTable from '@guavayard/core/idempotency/KeyTable';
+import type StoredAnswer from '@guavayard/core/idempotency/StoredAnswer';
+
+import type VmMessage from '../messages/VmMessage';
+import type SessionHandler from '../session/SessionHandler';
+import type VmIdentity from '../session/VmIdentity';
+import type VmSession from '../session/VmSession';
+import KeyClaimant from './KeyClaimant';
+import KeyOwner from './KeyOwner';
+import type KeyTaskOptions from './KeyTaskOptions';
+
+const TICK_MS = 50;
+
+type MessageOf<Kind extends VmMessage['kind']> = Extract<VmMessage, { kind: Kind }>;
+type View = KeyGroup['view'];
+
+/** Keeps records of idempotency keys as owner and as backup, and claims keys for this entry. */
+export default class KeyTask implements SessionHandler, KeyKeeper {
+  private readonly table: KeyTable;
+
+  private group: KeyGroup | undefined;
+
+  private owner: KeyOwner | undefined;
+
+  private entries: readonly VmIdentity[] = [];
+
+  private readonly claimants = new Map<string, KeyClaimant>();
+
+  private readonly timer: NodeJS.Timeout;
+
+  constructor(private readonly options: KeyTaskOptions) {
+    this.table = new KeyTable(options.clock);
+    this.timer = setInterval(() => this.tick(), TICK_MS);
+  }
+
+  /** Whether this entry has every copy that it is to keep. */
+  get isSettled(): boolean {
+    return this.group?.isSettled ?? false;
+  }
+
+  /** Stops. */
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  /**
+   * Takes a new view of the entries.
+   *
+   * @param entries - all entries that hold a lease
+   * @param revision - number of the view
+   * @param isContinuous - true if it is known that no entry of the own region came or went
+   */
+  changeEntries(
+    entries: readonly VmIdentity[],
+    revision: View['revision'],
+    isContinuous: boolean,
+  ): void {
+    this.entries = entries;
+    const group = this.group ?? this.createGroup();
+    const members = this.membersOf(this.options.identity.region);
+    group.change(members, revision, isContinuous);
+    if (isContinuous) return;
+    this.owner?.reset();
+    this.tick();
+  }
+
+  claim(
+    claim: KeyClaim,
+    onDecision: (decision: Result<StoredAnswer | undefined, Failure>) => void,
+  ): (outcome: KeyOutcome) => void {
+    const { clock, identity, windowMs } = this.options;
+    const current = this.options.configuration();
+    const region = current && findKeyRegion(current.configuration, claim.match, claim.key);
+    if (region === undefined) {
+      queueMicrotask(() => onDecision(fail('keyUnavailable')));
+      return () => undefined;
+    }
+    const record = (): KeyRecord => ({
+      key: claim.key,
+      fingerprint: claim.fingerprint,
+      claimId: claim.claimId,
+      runner: identity.startId,
+      state: 'pending',
+      expiresInMs: windowMs,
+      runLeftMs: claim.deadlineMs - clock(),
+    });
+    const replicas = (): KeyMember[] => findReplicas(claim.key, this.membersOf(region));
+    const report = (outcome: KeyOutcome): void => replicas().forEach((replica) => {
+      this.deliver(replica, {
+        kind: 'keyOutcome', key: claim.key, claimId: claim.claimId, outcome,
+      });
+    });
+    const claimant = new KeyClaimant(clock, claim.deadlineMs, () => {
+      replicas().slice(0, 1).forEach((owner) => this.deliver(owner, { kind: 'keyClaim', record: record() }));
+    }, (decision) => {
+      this.claimants.delete(claim.claimId);
+      // The owner may hold a record of a claim that was given up.
+      if (decision.err && decision.val.kind === 'keyUnavailable') report({ kind: 'notRun' });
+      onDecision(decision);
+    });
+    this.claimants.set(claim.claimId, claimant);
+    queueMicrotask(() => claimant.start());
+    return report;
+  }
+
+  onOpen(): void {}
+
+  onMessage(session: VmSession, message: VmMessage): void {
+    const name = session.peer?.name;
+    const from = this.entries.find((entry) => entry.name === name) ?? session.peer;
+    if (from !== undefined) this.receive(from, message);
+  }
+
+  onClose(): void {}
+
+  private receive(from: KeyMember, message: VmMessage): void {
+    if (message.kind === 'keyClaim') this.takeClaim(from, message);
+    if (message.kind === 'keyDecision') this.claimants.get(message.claimId)?.take(message.decision);
+    if (message.kind === 'keyOutcome') this.takeOutcome(message);
+    if (message.kind === 'keyBackup') this.takeBackup(from, message);
+    if (message.kind === 'keyBackedUp') this.takeBackedUp(from, message);
+    if (message.kind === 'keyCopyRequest') this.giveCopy(from, message.view);
+    if (message.kind === 'keyCopy') this.takeCopy(message);
+    if (message.kind === 'keySettled' && this.isInView(message.view)) {
+      this.group?.noteSettled(message.startId);
+    }
+  }
+
+  /** A member without a lease may have been replaced: it grants and acknowledges nothing. */
+  private get hasLease(): boolean {
+    return this.options.configuration() !== undefined;
+  }
+
+  private isInView(view: View): boolean {
+    return this.group?.accepts(view) ?? false;
+  }
+
+  private takeClaim(from: KeyMember, { record }: MessageOf<'keyClaim'>): void {
+    if (!this.hasLease) return;
+    this.owner?.claim(record, (decision) => {
+      this.deliver(from, { kind: 'keyDecision', claimId: record.claimId, decision });
+    });
+  }
+
+  private takeBackup(from: KeyMember, message: MessageOf<'keyBackup'>): void {
+    const { group, table } = this;
+    if (group === undefined) return;
+    const known = table.find(message.record.key);
+    const isSame = known === undefined || known.claimId === message.record.claimId;
+    const isReady = this.hasLease && group.isSettled && group.accepts(message.view);
+    const isAccepted = isReady && isSame && table.store(known ?? message.record);
+    const { operation } = message;
+    this.deliver(from, {
+      kind: 'keyBackedUp', operation, view: group.view, isAccepted,
+    });
+  }
+
+  private takeBackedUp(from: KeyMember, message: MessageOf<'keyBackedUp'>): void {
+    if (!this.hasLease) return;
+    const { operation, view, isAccepted } = message;
+    this.owner?.takeBackedUp(operation, from.startId, view, isAccepted);
+  }
+
+  private takeOutcome({ key, claimId, outcome }: MessageOf<'keyOutcome'>): void {
+    const known = this.table.find(key);
+    if (known?.claimId !== claimId) return;
+    this.owner?.forget(claimId);
+    if (outcome.kind === 'notRun') this.table.remove(key);
+    if (outcome.kind === 'unknown') this.table.store({ ...known, state: 'unknown' });
+    if (outcome.kind === 'done') {
+      this.table.store({ ...known, state: 'done', answer: outcome.answer });
+    }
+  }
+
+  private giveCopy(from: KeyMember, view: View): void {
+    const { group } = this;
+    if (!group?.accepts(view)) return;
+    const records = this.table.all().filter(({ key }) => (
+      findReplicas(key, group.members).some(({ startId }) => startId === from.startId)
+    ));
+    this.deliver(from, {
+      kind: 'keyCopy',
+      view: group.view,
+      startId: this.options.identity.startId,
+      records,
+      horizons: group.describeHorizons(),
+      isInformed: group.isInformed,
+    });
+  }
+
+  private takeCopy(message: MessageOf<'keyCopy'>): void {
+    if (!this.isInView(message.view)) return;
+    message.records.forEach((record) => this.merge(record));
+    this.group?.takeCopy(message.startId, message.horizons, message.isInformed);
+    this.tick();
+  }
+
+  private merge(record: KeyRecord): void {
+    const known = this.table.find(record.key);
+    if (known === undefined || known.state === 'pending') this.table.store(record);
+  }
+
+  private tick(): void {
+    this.table.expire();
+    const { group } = this;
+    if (group === undefined) return;
+    const { view } = group;
+    group.sources.forEach((source) => this.deliver(source, { kind: 'keyCopyRequest', view }));
+    if (!group.isSettled || group.isWhole) return;
+    const { startId } = this.options.identity;
+    group.members.filter((member) => member.startId !== startId)
+      .forEach((member) => this.deliver(member, { kind: 'keySettled', view, startId }));
+  }
+
+  private createGroup(): KeyGroup {
+    const { identity, clock, windowMs } = this.options;
+    // Without any configuration no request can have been served yet.
+    const isNewSystem = this.options.configuration()?.version === 0;
+    const group = new KeyGroup(identity.startId, windowMs, clock, isNewSystem);
+    this.group = group;
+    this.owner = new KeyOwner({
+      startId: identity.startId,
+      group,
+      table: this.table,
+      send: (member, message) => this.deliver(member, message),
+      isAlive: (startId) => this.entries.some((entry) => entry.startId === startId),
+    });
+    return group;
+  }
+
+  private membersOf(region: string): KeyMember[] {
+    return this.entries.filter((entry) => entry.region === region)
+      .map(({ name, startId, dataCentre }) => ({ name, startId, dataCentre }));
+  }
+
+  private deliver(to: KeyMember, message: VmMessage): void {
+    if (to.startId === this.options.identity.startId) {
+      this.receive(to, message);
+      return;
+    }
+    const entry = this.entries.find(({ startId }) => startId === to.startId);
+    if (entry !== undefined) this.options.send(entry, message);
+  }
+}
--- /dev/null
+++ b/packages/vm/src/idempotency/KeyTaskOptions.ts
@@ -0,0 +1,19 @@
+import type Clock from '@guavayard/core/types/Clock';
+import type VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
+
+import type VmMessage from '../messages/VmMessage';
+import type VmIdentity from '../session/VmIdentity';
+
+/** What the keeper of idempotency keys is made of. */
+interface KeyTaskOptions {
+  readonly identity: VmIdentity;
+  readonly clock: Clock;
+  /** How long keys are remembered, in milliseconds; longer than any request may run. */
+  readonly windowMs: number;
+  /** @returns the configuration in force, undefined while this entry may not dispatch */
+  readonly configuration: () => VersionedConfiguration | undefined;
+  /** Sends a message to another entry, by a session that is made if there is none. */
+  readonly send: (entry: VmIdentity, message: VmMessage) => void;
+}
+
+export default KeyTaskOptions;
--- /dev/null
+++ b/test/outcomes-keys.test.ts
@@ -0,0 +1,302 @@
+import assert from 'node:assert/strict';
+import { test, type TestContext } from 'node:test';
+
+import type { Result } from 'ts-results';
+import { Client } from 'undici';
+
+import type Failure from '@guavayard/core/errors/Failure';
+import type KeyOutcome from '@guavayard/core/idempotency/KeyOutcome';
+import type StoredAnswer from '@guavayard/core/idempotency/StoredAnswer';
+import Service from '@guavayard/core/types/Service';
+
+import KeyCluster from './support/KeyCluster';
+import type KeyNode from './support/KeyNode';
+import RawTarget from './support/RawTarget';
+import TestEntry from './support/TestEntry';
+
+type Decision = Result<StoredAnswer | undefined, Failure>;
+
+const KEY = 'key-1';
+const MATCH = {
+  routeName: 'all', serviceName: 'ledger', service: Service.parse({}), homeRegions: undefined,
+};
+const DONE: KeyOutcome = { kind: 'done', answer: { status: 200, headers: {}, body: Buffer.from('run 1') } };
+
+interface Claimed {
+  readonly decision: Promise<string>;
+  readonly report: (outcome: KeyOutcome) => void;
+}
+
+function describe(decision: Decision): string {
+  if (decision.err) return decision.val.kind;
+  return decision.val === undefined ? 'granted' : Buffer.from(decision.val.body).toString();
+}
+
+let claims = 0;
+
+function claim(node: KeyNode, waitMs = 4000, fingerprint = 'same'): Claimed {
+  claims += 1;
+  let report: Claimed['report'] = () => undefined;
+  const decision = new Promise<string>((resolve) => {
+    report = node.task.claim({
+      key: KEY, fingerprint, claimId: `claim-${claims}`, match: MATCH, deadlineMs: node.now() + waitMs,
+    }, (result) => resolve(describe(result)));
+  });
+  return { decision, report };
+}
+
+async function start(t: TestContext, size = 6, version = 0): Promise<KeyCluster> {
+  const cluster = new KeyCluster(size, version);
+  t.after(() => cluster.close());
+  await cluster.settle();
+  return cluster;
+}
+
+/** A node that keeps no copy of the key. */
+function bystanderOf(cluster: KeyCluster): KeyNode {
+  const replicas = cluster.replicasOf(KEY);
+  const node = cluster.nodes.find((candidate) => !replicas.includes(candidate));
+  assert.ok(node !== undefined);
+  return node;
+}
+
+async function runOnce(node: KeyNode): Promise<void> {
+  const run = claim(node);
+  assert.equal(await run.decision, 'granted');
+  run.report(DONE);
+}
+
+/** What happens between the run of a request, by a bystander, and its resend. */
+interface Fault {
+  readonly name: string;
+  readonly strike: (cluster: KeyCluster, replicas: readonly KeyNode[]) => Promise<void> | void;
+  /** What the resend gets. */
+  readonly resend: string;
+}
+
+const FAULTS: readonly Fault[] = [
+  { name: 'nothing', strike: () => undefined, resend: 'run 1' },
+  {
+    name: 'the owner is killed',
+    strike: (cluster, [owner]) => {
+      owner?.kill();
+      if (owner !== undefined) cluster.drop(owner);
+    },
+    resend: 'run 1',
+  },
+  {
+    name: 'two of three copies are killed at once',
+    strike: (cluster, replicas) => {
+      const lost = replicas.slice(0, 2);
+      lost.forEach((node) => node.kill());
+      cluster.drop(...lost);
+    },
+    resend: 'run 1',
+  },
+  {
+    name: 'a second copy is lost right after the repair of the first',
+    strike: async (cluster, [owner, backup]) => {
+      if (owner === undefined || backup === undefined) return;
+      owner.kill();
+      cluster.drop(owner);
+      await cluster.settle();
+      backup.kill();
+      cluster.drop(backup);
+    },
+    resend: 'run 1',
+  },
+  {
+    name: 'all copies are killed at once',
+    strike: (cluster, replicas) => {
+      replicas.forEach((node) => node.kill());
+      cluster.drop(...replicas);
+    },
+    resend: 'keyOutcomeUnknown',
+  },
+  {
+    name: 'two copies are lost before the repair of the first is done',
+    strike: (cluster, replicas) => {
+      const [owner, ...backups] = replicas;
+      if (owner === undefined) return;
+      owner.kill();
+      cluster.drop(owner);
+      backups.forEach((node) => node.kill());
+      cluster.drop(...backups);
+    },
+    resend: 'keyOutcomeUnknown',
+  },
+  {
+    name: 'each copy starts again in turn',
+    strike: async (cluster, replicas) => {
+      for (let index = 0; index < replicas.length; index += 1) {
+        const node = replicas[index];
+        assert.ok(node !== undefined);
+        node.kill();
+        cluster.drop(node);
+        cluster.add(node.identity.name, Number(node.identity.name.split('-')[1]));
+        cluster.publish();
+        // eslint-disable-next-line no-await-in-loop -- one after the other
+        await cluster.settle();
+      }
+    },
+    resend: 'run 1',
+  },
+  {
+    name: 'every entry starts again at once',
+    strike: (cluster) => {
+      cluster.restart();
+    },
+    resend: 'keyOutcomeUnknown',
+  },
+];
+
+FAULTS.forEach(({ name, strike, resend }) => {
+  test(`a resend after a run does not run again: ${name}`, async (t) => {
+    const cluster = await start(t, 6, name.startsWith('every') ? 1 : 0);
+    cluster.advance(cluster.windowMs);
+    const replicas = cluster.replicasOf(KEY);
+    await runOnce(bystanderOf(cluster));
+    await strike(cluster, replicas);
+    const survivor = cluster.nodes.at(-1);
+    assert.ok(survivor !== undefined);
+    assert.equal(await claim(survivor).decision, resend);
+    if (resend !== 'keyOutcomeUnknown') return;
+    // The window over, the key is free again.
+    cluster.advance(cluster.windowMs);
+    assert.equal(await claim(survivor).decision, 'granted');
+  });
+});
+
+test('of two entries that claim a key at once one runs and the other gets its answer', async (t) => {
+  const cluster = await start(t);
+  const [first, second] = cluster.nodes.slice(0, 2).map((node) => claim(node));
+  assert.ok(first !== undefined && second !== undefined);
+  const winner = await Promise.race([
+    first.decision.then(() => first), second.decision.then(() => second),
+  ]);
+  assert.equal(await winner.decision, 'granted');
+  winner.report(DONE);
+  const loser = winner === first ? second : first;
+  assert.equal(await loser.decision, 'run 1');
+});
+
+test('the same key with another request is an error', async (t) => {
+  const cluster = await start(t);
+  await runOnce(bystanderOf(cluster));
+  assert.equal(await claim(bystanderOf(cluster), 4000, 'another').decision, 'keyConflict');
+});
+
+test('a request that did not run frees its key', async (t) => {
+  const cluster = await start(t);
+  const run = claim(bystanderOf(cluster));
+  assert.equal(await run.decision, 'granted');
+  run.report({ kind: 'notRun' });
+  assert.equal(await claim(bystanderOf(cluster)).decision, 'granted');
+});
+
+test('a resend waits for the run under way, also after its owner is killed', async (t) => {
+  const cluster = await start(t);
+  const run = claim(bystanderOf(cluster));
+  assert.equal(await run.decision, 'granted');
+  const resend = claim(bystanderOf(cluster));
+  const [owner] = cluster.replicasOf(KEY);
+  assert.ok(owner !== undefined);
+  owner.kill();
+  cluster.drop(owner);
+  await cluster.settle();
+  run.report(DONE);
+  assert.equal(await resend.decision, 'run 1');
+});
+
+test('a run whose entry is killed is unknown', async (t) => {
+  const cluster = await start(t);
+  const runner = bystanderOf(cluster);
+  assert.equal(await claim(runner).decision, 'granted');
+  runner.kill();
+  cluster.drop(runner);
+  assert.equal(await claim(bystanderOf(cluster)).decision, 'keyOutcomeUnknown');
+});
+
+test('an owner killed before it could grant leaves the claim to its successor', async (t) => {
+  const cluster = await start(t);
+  const claimant = bystanderOf(cluster);
+  const [owner] = cluster.replicasOf(KEY);
+  assert.ok(owner !== undefined);
+  cluster.cut(owner, claimant);
+  const run = claim(claimant);
+  owner.kill();
+  cluster.drop(owner);
+  assert.equal(await run.decision, 'granted');
+});
+
+test('a frozen owner that wakes grants nothing, even if it believes in its lease', async (t) => {
+  const cluster = await start(t);
+  const [owner] = cluster.replicasOf(KEY);
+  assert.ok(owner !== undefined);
+  owner.freeze();
+  cluster.drop(owner);
+  await runOnce(bystanderOf(cluster));
+  // It is back on the network before it has heard of the new view.
+  cluster.nodes.push(owner);
+  owner.thaw();
+  assert.equal(await claim(owner, 300).decision, 'keyUnavailable');
+  assert.equal(await claim(bystanderOf(cluster)).decision, 'run 1');
+  // Once a member again, it has copied what it missed.
+  cluster.publish();
+  assert.equal(await claim(owner).decision, 'run 1');
+});
+
+test('an owner cut off from a backup grants nothing until the cut is mended', async (t) => {
+  const cluster = await start(t);
+  const [owner, , backup] = cluster.replicasOf(KEY);
+  assert.ok(owner !== undefined && backup !== undefined);
+  cluster.cut(owner, backup);
+  assert.equal(await claim(bystanderOf(cluster), 300).decision, 'keyUnavailable');
+  cluster.mend();
+  assert.equal(await claim(bystanderOf(cluster)).decision, 'granted');
+});
+
+test('an entry without a lease neither claims nor grants', async (t) => {
+  const cluster = await start(t);
+  const [owner] = cluster.replicasOf(KEY);
+  assert.ok(owner !== undefined);
+  owner.hasLease = false;
+  assert.equal(await claim(owner, 300).decision, 'keyUnavailable');
+  assert.equal(await claim(bystanderOf(cluster), 300).decision, 'keyUnavailable');
+});
+
+test('one run answers a caller that leaves and sends again, and another entry at the same time', async (t) => {
+  const cluster = await start(t);
+  const target = new RawTarget((socket, req) => {
+    if (req.path !== '/hold') socket.end();
+  });
+  const address = await target.listen();
+  const entries = cluster.nodes.slice(0, 2).map(({ task }) => new TestEntry(task));
+  const clients = await Promise.all(entries.map(async (entry) => {
+    entry.addTarget(address);
+    return new Client(`http://127.0.0.1:${await entry.listen()}`);
+  }));
+  t.after(async () => {
+    await Promise.all(clients.map(async (client) => client.destroy()));
+    await Promise.all(entries.map(async (entry) => entry.close()));
+    await target.close();
+  });
+  const options = {
+    method: 'POST' as const, path: '/hold', body: 'lot 7', headers: { 'idempotency-key': 'hold-7' },
+  };
+  const leaving = new AbortController();
+  const [first, second] = clients;
+  assert.ok(first !== undefined && second !== undefined);
+  const left = first.request({ ...options, signal: leaving.signal }).catch(() => 'left');
+  await target.waitFor(() => target.received.length === 1);
+  leaving.abort();
+  assert.equal(await left, 'left');
+  const resends = [first.request(options), second.request(options)];
+  target.answerAll('held');
+  const answers = await Promise.all(resends.map(async (resend) => {
+    const res = await resend;
+    return `${res.statusCode} ${await res.body.text()}`;
+  }));
+  assert.deepEqual(answers, ['200 held', '200 held']);
+  assert.equal(target.received.length, 1);
+});
--- a/test/support/RawTarget.ts
+++ b/test/support/RawTarget.ts
@@ -59,6 +59,13 @@
     }
   }
 
+  /** Answers on every open connection. */
+  answerAll(body: string): void {
+    this.sockets.forEach((socket) => {
+      socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+    });
+  }
+
   /** Connections that are open now. */
   get open(): number {
     return this.sockets.size;
--- a/test/support/TestEntry.ts
+++ b/test/support/TestEntry.ts
@@ -1,8 +1,11 @@
 import type { AddressInfo } from 'node:net';
 
+import { Ok } from 'ts-results';
+
 import CallerListener from '@guavayard/caller/CallerListener';
 import RequestHandler from '@guavayard/caller/RequestHandler';
 import LeastInFlightChooser from '@guavayard/core/choice/LeastInFlightChooser';
+import type KeyKeeper from '@guavayard/core/idempotency/KeyKeeper';
 import findCandidates from '@guavayard/core/routing/findCandidates';
 import DirectScheduler from '@guavayard/core/scheduling/DirectScheduler';
 import Configuration from '@guavayard/core/types/Configuration';
@@ -12,6 +15,12 @@
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
 
 const PLACE = { region: 'munster', dataCentre: 'munster-1' };
+const GRANT_ALL: KeyKeeper = {
+  claim: (_claim, onDecision) => {
+    queueMicrotask(() => onDecision(Ok(undefined)));
+    return () => undefined;
+  },
+};
 const TIME_TO_LIVE_MS = 3_600_000;
 
 /** The request path of one entry inside the test's own process. */
@@ -33,7 +42,10 @@
 
   private readonly listener: CallerListener;
 
-  constructor() {
+  /**
+   * @param keys - keeper of idempotency keys; by default every claim is granted
+   */
+  constructor(keys: KeyKeeper = GRANT_ALL) {
     const scheduler = new DirectScheduler(({ match }) => (
       this.configuration === undefined
         ? [] : findCandidates(this.configuration, this.targets, match, PLACE)
@@ -44,6 +56,7 @@
       sender: this.sender,
       recorder: { record: () => undefined },
       dispatchCheck: this.check,
+      keys,
       configuration: () => this.current(),
     });
     this.listener = new CallerListener(handler);
