--- a/packages/caller/src/Exchange.ts
+++ b/packages/caller/src/Exchange.ts
@@ -195,6 +195,7 @@
   }
 
   private leave(): void {
+    if (this.state.step === 'ended') return;
     // A run with an idempotency key goes on: the caller that sends it again gets its answer.
     const isRunning = this.assignment !== undefined && this.request.req.complete;
     if (this.onKeyOutcome !== undefined && isRunning) return;
--- a/packages/vm/src/idempotency/KeyTask.ts
+++ b/packages/vm/src/idempotency/KeyTask.ts
@@ -175,7 +175,7 @@
 
   private takeOutcome({ key, claimId, outcome }: MessageOf<'keyOutcome'>): void {
     const known = this.table.find(key);
-    if (known?.claimId !== claimId) return;
+    if (known?.claimId !== claimId || known.state !== 'pending') return;
     this.owner?.forget(claimId);
     if (outcome.kind === 'notRun') this.table.remove(key);
     if (outcome.kind === 'unknown') this.table.store({ ...known, state: 'unknown' });
--- a/test/outcomes-keys.test.ts
+++ b/test/outcomes-keys.test.ts
@@ -34,12 +34,12 @@
 
 let claims = 0;
 
-function claim(node: KeyNode, waitMs = 4000, fingerprint = 'same'): Claimed {
+function claim(node: KeyNode, waitMs = 4000, fingerprint = 'same', key = KEY): Claimed {
   claims += 1;
   let report: Claimed['report'] = () => undefined;
   const decision = new Promise<string>((resolve) => {
     report = node.task.claim({
-      key: KEY, fingerprint, claimId: `claim-${claims}`, match: MATCH, deadlineMs: node.now() + waitMs,
+      key, fingerprint, claimId: `claim-${claims}`, match: MATCH, deadlineMs: node.now() + waitMs,
     }, (result) => resolve(describe(result)));
   });
   return { decision, report };
@@ -246,6 +246,27 @@
   assert.equal(await claim(owner).decision, 'run 1');
 });
 
+test('an owner frozen while all copies moved to new entries grants nothing', async (t) => {
+  const cluster = await start(t);
+  const old = [...cluster.nodes];
+  const keys = Array.from({ length: 1000 }, (_, index) => `key-${index}`);
+  const ownersBefore = new Map(keys.map((key) => [key, cluster.replicasOf(key)[0]]));
+  for (let index = 7; index <= 18; index += 1) cluster.add(`entry-${index}`, index);
+  const key = keys.find((name) => cluster.replicasOf(name).every((node) => !old.includes(node)));
+  const owner = ownersBefore.get(key ?? '');
+  assert.ok(key !== undefined && owner !== undefined);
+  owner.freeze();
+  cluster.nodes = cluster.nodes.filter((node) => node !== owner);
+  cluster.publish();
+  await cluster.settle();
+  const run = claim(bystanderOf(cluster), 4000, 'same', key);
+  assert.equal(await run.decision, 'granted');
+  run.report(DONE);
+  cluster.nodes.push(owner);
+  owner.thaw();
+  assert.equal(await claim(owner, 300, 'same', key).decision, 'keyUnavailable');
+});
+
 test('an owner cut off from a backup grants nothing until the cut is mended', async (t) => {
   const cluster = await start(t);
   const [owner, , backup] = cluster.replicasOf(KEY);
