Run a request with an idempotency key at most once

Cause: a resend after a lost answer ran again; nothing kept the keys. The first run of the test with two entries and a caller that leaves failed: each whole answer was reported as unknown when its response closed; mended.

--- a/packages/caller/src/Exchange.ts
+++ b/packages/caller/src/Exchange.ts
@@ -9,6 +9,7 @@
 import type ExchangeEffect from '@guavayard/core/exchange/ExchangeEffect';
 import type ExchangeEvent from '@guavayard/core/exchange/ExchangeEvent';
 import type ExchangeState from '@guavayard/core/exchange/ExchangeState';
+import failureProofs from '@guavayard/core/exchange/failureProofs';
 import stepExchange from '@guavayard/core/exchange/stepExchange';
 import createTargetHeaders from '@guavayard/core/http/createTargetHeaders';
 import isFramedAnswer from '@guavayard/core/http/isFramedAnswer';
@@ -199,8 +200,10 @@
     // A run with an idempotency key goes on: the caller that sends it again gets its answer.
     const isRunning = this.assignment !== undefined && this.request.req.complete;
     if (this.onKeyOutcome !== undefined && isRunning) return;
+    const isProved = failureProofs[this.state.step].outcome === 'not-run';
+    const isNotRun = isProved && this.state.uncertainFailure === undefined;
     this.step({ kind: 'callerGone' });
-    this.onKeyOutcome?.({ kind: 'unknown' });
+    this.onKeyOutcome?.({ kind: isNotRun ? 'notRun' : 'unknown' });
     this.release();
   }
 
