--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -6,23 +6,23 @@
 import RequestHandler from '@guavayard/caller/RequestHandler';
 import PlatformListener from '@guavayard/platform/PlatformListener';
 import AnnouncementListener from '@guavayard/target/AnnouncementListener';
-import TargetDirectory from '@guavayard/target/TargetDirectory';
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
 import ControlSubscription from '@guavayard/vm/entry/ControlSubscription';
 import EntryLeaseRelay from '@guavayard/vm/entry/EntryLeaseRelay';
 import type SubscriptionListener from '@guavayard/vm/entry/SubscriptionListener';
-import RegionMesh from '@guavayard/vm/entry/RegionMesh';
+import LoadReportExchange from '@guavayard/vm/load/LoadReportExchange';
 
 import closeServer from './closeServer';
 import createObservation from './createObservation';
 import countTargets from './countTargets';
 import createKeyTask from './createKeyTask';
 import createScheduler from './createScheduler';
+import createTargetTasks from './createTargetTasks';
 import listen from './listen';
 import type RunContext from './RunContext';
 import type Runnable from './Runnable';
+import type TargetTasks from './TargetTasks';
 
-const EXPIRY_INTERVAL_MS = 100;
 const SCHEDULER_INTERVAL_MS = 5;
 
 function clock(): number {
@@ -31,17 +31,20 @@
 
 function createSubscription(
   context: RunContext,
+  targets: TargetTasks,
   onMembership: SubscriptionListener['onMembership'],
 ): ControlSubscription {
-  const mesh = new RegionMesh(context.hub, context.identity);
   return new ControlSubscription({
     hub: context.hub,
     identity: context.identity,
     clock,
     listener: {
-      onConfiguration: ({ version }) => context.log.info({ version }, 'configuration in force'),
+      onConfiguration: ({ version, configuration }) => {
+        context.log.info({ version }, 'configuration in force');
+        targets.ownership.takeConfiguration(configuration);
+      },
       onMembership: (entries, change) => {
-        mesh.update(entries);
+        targets.updateMembership(entries);
         onMembership(entries, change);
       },
     },
@@ -61,15 +64,21 @@
   if (settings.caller === undefined || settings.target === undefined) {
     return Err('role "entry" needs the sections [caller] and [target]');
   }
-  const directory = new TargetDirectory(clock);
   const sender = new UndiciTargetSender();
+  const targets = createTargetTasks(context, clock);
+  const { directory } = targets;
   const keys = createKeyTask(context, clock);
-  const subscription = createSubscription(context, keys.update);
+  const subscription = createSubscription(context, targets, keys.update);
   keys.attach(() => subscription.latest);
   const observation = createObservation(context, clock, () => subscription.latest);
   const scheduler = createScheduler(context, subscription, directory, {
-    onWarm: ({ id }) => log.info({ target: id }, 'target is warm'),
+    onWarm: (warm) => {
+      log.info({ target: warm.id }, 'target is warm');
+      directory.declareWarm(warm);
+    },
   }, clock);
+  const loadReports = new LoadReportExchange(identity.region, targets.sessions, scheduler, clock);
+  targets.sessions.addListener(loadReports);
   const handler = new RequestHandler({
     ...observation,
     clock,
@@ -102,16 +111,19 @@
     }),
   });
   settings.vm.control.forEach((address) => hub.connect(address));
-  const expiry = setInterval(() => directory.expire(), EXPIRY_INTERVAL_MS);
-  const ticking = setInterval(() => scheduler.tick(), SCHEDULER_INTERVAL_MS);
+  const ticking = setInterval(() => {
+    scheduler.tick();
+    loadReports.tick();
+  }, SCHEDULER_INTERVAL_MS);
   return Ok({
     stop: async () => {
       isStopping = true;
-      clearInterval(expiry);
+      targets.releaseOwnership();
       await Promise.all([closeServer(caller.server), closeServer(target.server)]);
       clearInterval(ticking);
       await sender.close();
       keys.task.close();
+      targets.stop();
       subscription.release();
       await closeServer(platform.server);
     },
--- a/packages/vm/src/messages/VmMessage.ts
+++ b/packages/vm/src/messages/VmMessage.ts
@@ -1,16 +1,20 @@
 import { z } from 'zod';
 
 import consensusMessages from './consensusMessages';
+import directoryMessages from './directoryMessages';
 import idempotencyMessages from './idempotencyMessages';
 import leaseMessages from './leaseMessages';
+import loadMessages from './loadMessages';
 import reportMessages from './reportMessages';
 import sessionMessages from './sessionMessages';
 
 /** Messages between the VMs of the system. */
 const VmMessage = z.discriminatedUnion('kind', [
   ...consensusMessages,
+  ...directoryMessages,
   ...idempotencyMessages,
   ...leaseMessages,
+  ...loadMessages,
   ...sessionMessages,
   ...reportMessages,
 ]);
