--- /dev/null
+++ b/packages/bench/src/LatencySummary.ts
@@ -0,0 +1,8 @@
+/** Latencies at the 50th, 99th and 99.9th of 100, in milliseconds. */
+interface LatencySummary {
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+  readonly p999Ms: number;
+}
+
+export default LatencySummary;
--- /dev/null
+++ b/packages/bench/src/createRandom.ts
@@ -0,0 +1,21 @@
+import type Random from '@guavayard/core/types/Random';
+
+const INCREMENT = 0x6d2b79f5;
+const RANGE = 4_294_967_296;
+
+/* eslint-disable no-bitwise -- the generator is defined by bitwise operations */
+/**
+ * Makes a source of random numbers that gives the same numbers for the same seed (mulberry32).
+ *
+ * @param seed - any whole number
+ * @returns the source
+ */
+export default function createRandom(seed: number): Random {
+  let state = seed | 0;
+  return () => {
+    state = (state + INCREMENT) | 0;
+    let mixed = Math.imul(state ^ (state >>> 15), 1 | state);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / RANGE;
+  };
+}
