Let one request wait at a target beyond its slots

Cause: with no queue at targets an entry's news of a freed slot is the way there late, so slots stand idle at 95% load and spill-over grows to 32%. Change: targetQueue 0 -> 1.

--- a/packages/core/src/scheduling/defaultOptions.ts
+++ b/packages/core/src/scheduling/defaultOptions.ts
@@ -6,7 +6,7 @@
   sharingBurstBytes: 600,
   sharingUrgentIntervalMs: 5,
   sharingIdleIntervalMs: 25,
-  targetQueue: 0,
+  targetQueue: 1,
   reportDecayMs: 20,
   slownessDecayMs: 100,
   queueLimit: 256,
