--- a/packages/cli/src/run/runVm.ts
+++ b/packages/cli/src/run/runVm.ts
@@ -5,14 +5,17 @@
 
 import VmHub from '@guavayard/vm/session/VmHub';
 import type VmIdentity from '@guavayard/vm/session/VmIdentity';
+import ReportResponder from '@guavayard/vm/status/ReportResponder';
 
 import readSecret from '../settings/readSecret';
 import type Settings from '../settings/Settings';
+import createMetrics from './createMetrics';
 import listen from './listen';
 import type RunContext from './RunContext';
 import type Runnable from './Runnable';
 import startControl from './startControl';
 import startEntry from './startEntry';
+import VmReports from './VmReports';
 
 const START_ID_BYTES = 8;
 
@@ -46,8 +49,11 @@
   if (bound.err) return bound;
   // Other VMs are told the bound address, for the settings may leave the port to the system.
   identity.address = bound.val;
+  const reports = new VmReports(identity);
+  hub.addHandler(new ReportResponder(reports));
+  const metrics = createMetrics(settings.metrics?.statsd, identity, reports, log);
   return Ok({
-    settings, identity, hub, log,
+    settings, identity, hub, log, reports, metrics,
   });
 }
 
@@ -76,13 +82,15 @@
 export default async function runVm(settings: Settings): Promise<Result<Runnable, string>> {
   const context = await createContext(settings);
   if (context.err) return context;
-  const { hub, log } = context.val;
+  const { hub, log, metrics } = context.val;
   const running = await startRoles(context.val);
   if (running.err) return running;
+  metrics?.start();
   log.info({ roles: settings.vm.roles }, 'started');
   return Ok({
     stop: async () => {
       await Promise.all(running.val.map(async (runnable) => runnable.stop()));
+      await metrics?.stop();
       hub.close();
       log.info('stopped');
     },
--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -6,29 +6,42 @@
 import RequestHandler from '@guavayard/caller/RequestHandler';
 import PlatformListener from '@guavayard/platform/PlatformListener';
 import AnnouncementListener from '@guavayard/target/AnnouncementListener';
-import TargetDirectory from '@guavayard/target/TargetDirectory';
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
 import ControlSubscription from '@guavayard/vm/entry/ControlSubscription';
-import RegionMesh from '@guavayard/vm/entry/RegionMesh';
+import EntryLeaseRelay from '@guavayard/vm/entry/EntryLeaseRelay';
+import LoadReportExchange from '@guavayard/vm/load/LoadReportExchange';
 
 import closeServer from './closeServer';
+import createObservation from './createObservation';
+import countTargets from './countTargets';
 import createScheduler from './createScheduler';
+import createTargetTasks from './createTargetTasks';
 import listen from './listen';
 import type RunContext from './RunContext';
 import type Runnable from './Runnable';
+import type TargetTasks from './TargetTasks';
 
-const EXPIRY_INTERVAL_MS = 100;
 const SCHEDULER_INTERVAL_MS = 5;
 
 function clock(): number {
   return performance.now();
 }
 
-function createSubscription(context: RunContext): ControlSubscription {
-  const mesh = new RegionMesh(context.hub, context.identity);
+function createSubscription(
+  context: RunContext,
+  targets: TargetTasks,
+): ControlSubscription {
   return new ControlSubscription({
-    onConfiguration: ({ version }) => context.log.info({ version }, 'configuration in force'),
-    onMembership: (entries) => mesh.update(entries),
+    hub: context.hub,
+    identity: context.identity,
+    clock,
+    listener: {
+      onConfiguration: ({ version, configuration }) => {
+        context.log.info({ version }, 'configuration in force');
+        targets.ownership.takeConfiguration(configuration);
+      },
+      onMembership: (entries) => targets.updateMembership(entries),
+    },
   });
 }
 
@@ -45,13 +58,21 @@
   if (settings.caller === undefined || settings.target === undefined) {
     return Err('role "entry" needs the sections [caller] and [target]');
   }
-  const directory = new TargetDirectory(clock);
   const sender = new UndiciTargetSender();
-  const subscription = createSubscription(context);
+  const targets = createTargetTasks(context, clock);
+  const { directory } = targets;
+  const subscription = createSubscription(context, targets);
+  const observation = createObservation(context, clock, () => subscription.latest);
   const scheduler = createScheduler(context, subscription, directory, {
-    onWarm: ({ id }) => log.info({ target: id }, 'target is warm'),
+    onWarm: (warm) => {
+      log.info({ target: warm.id }, 'target is warm');
+      directory.declareWarm(warm);
+    },
   }, clock);
+  const loadReports = new LoadReportExchange(identity.region, targets.sessions, scheduler, clock);
+  targets.sessions.addListener(loadReports);
   const handler = new RequestHandler({
+    ...observation,
     clock,
     scheduler,
     sender,
@@ -71,16 +92,29 @@
     if (platformBound.err) return platformBound;
   }
   hub.addHandler(subscription);
+  if (!identity.roles.includes('control')) hub.addHandler(new EntryLeaseRelay(hub, clock));
+  context.reports.provide({
+    entry: () => ({
+      hasLease: subscription.latest !== undefined,
+      isReady: subscription.latest !== undefined && !isStopping,
+      ...countTargets(directory.all(), identity.name),
+      invariants: observation.dispatchCheck.counts,
+    }),
+  });
   settings.vm.control.forEach((address) => hub.connect(address));
-  const expiry = setInterval(() => directory.expire(), EXPIRY_INTERVAL_MS);
-  const ticking = setInterval(() => scheduler.tick(), SCHEDULER_INTERVAL_MS);
+  const ticking = setInterval(() => {
+    scheduler.tick();
+    loadReports.tick();
+  }, SCHEDULER_INTERVAL_MS);
   return Ok({
     stop: async () => {
       isStopping = true;
-      clearInterval(expiry);
+      targets.releaseOwnership();
       await Promise.all([closeServer(caller.server), closeServer(target.server)]);
       clearInterval(ticking);
       await sender.close();
+      targets.stop();
+      subscription.release();
       await closeServer(platform.server);
     },
   });
--- a/packages/vm/src/messages/VmMessage.ts
+++ b/packages/vm/src/messages/VmMessage.ts
@@ -1,12 +1,20 @@
 import { z } from 'zod';
 
-import configurationMessages from './configurationMessages';
-import membershipMessages from './membershipMessages';
+import consensusMessages from './consensusMessages';
+import directoryMessages from './directoryMessages';
+import leaseMessages from './leaseMessages';
+import loadMessages from './loadMessages';
+import reportMessages from './reportMessages';
+import sessionMessages from './sessionMessages';
 
 /** Messages between the VMs of the system. */
 const VmMessage = z.discriminatedUnion('kind', [
-  ...configurationMessages,
-  ...membershipMessages,
+  ...consensusMessages,
+  ...directoryMessages,
+  ...leaseMessages,
+  ...loadMessages,
+  ...sessionMessages,
+  ...reportMessages,
 ]);
 type VmMessage = z.infer<typeof VmMessage>;
 
--- a/packages/vm/test/session.test.ts
+++ b/packages/vm/test/session.test.ts
@@ -40,14 +40,30 @@
     ...IGNORE, onMessage: (_session, message) => deliver(message.kind),
   });
   const connector = new VmConnector(`127.0.0.1:${portOf(listener)}`, 'the same key', IDENTITY, {
-    ...IGNORE, onOpen: (session) => session.send({ kind: 'subscribe' }),
+    ...IGNORE, onOpen: (session) => session.send({ kind: 'leaseRelease' }),
   });
   t.after(() => {
     connector.close();
     listener.close();
   });
   connector.start();
-  assert.equal(await delivered, 'subscribe');
+  assert.equal(await delivered, 'leaseRelease');
+});
+
+test('a session whose peer falls silent is closed', async (t) => {
+  const listener = await listen('the same key', IGNORE);
+  t.after(() => listener.close());
+  const reason = await new Promise((resolve) => {
+    const socket = connect(portOf(listener), '127.0.0.1');
+    const client = new VmSession(socket, 'client', 'the same key', IDENTITY, {
+      ...IGNORE,
+      // A paused socket delivers nothing, as in a network partition that closes no connection.
+      onOpen: () => socket.pause(),
+      onClose: (_session, why) => resolve(why),
+    }, { heartbeatMs: 20, timeoutMs: 200 });
+    t.after(() => client.close('test over'));
+  });
+  assert.equal(reason, 'nothing received for 200 ms');
 });
 
 test('a session with another key never opens', async (t) => {
