--- a/packages/core/test/scheduler.test.ts
+++ b/packages/core/test/scheduler.test.ts
@@ -22,6 +22,14 @@
   assert.deepEqual(rig.schedule(), []);
 });
 
+test('a target queue lets that many attempts wait at each target', () => {
+  const rig = new SchedulerRig('entry-1', { targetQueue: 1 });
+  ['a', 'b'].forEach((id) => rig.addTarget(id));
+  const ids = Array.from({ length: 6 }, () => rig.assign().target.id);
+  assert.deepEqual(ids.sort(), ['a', 'a', 'a', 'b', 'b', 'b']);
+  assert.deepEqual(rig.schedule(), []);
+});
+
 test('the earliest deadline leaves the queue first', () => {
   const rig = new SchedulerRig();
   rig.addTarget('a', { slots: 1 });
--- a/packages/core/test/support/SchedulerRig.ts
+++ b/packages/core/test/support/SchedulerRig.ts
@@ -35,7 +35,7 @@
       },
       findCandidates: () => this.candidates,
       listener: { onWarm: ({ id }) => this.warm.push(id) },
-    }, { ...defaultOptions, ...options });
+    }, { ...defaultOptions, targetQueue: 0, ...options });
   }
 
   /**
