--- a/packages/core/src/consensus/createRecords.ts
+++ b/packages/core/src/consensus/createRecords.ts
@@ -10,6 +10,6 @@
   return [
     { kind: 'snapshot', snapshot },
     { kind: 'vote', term, votedFor },
-    ...(state.log.length > 0 ? [{ kind: 'append' as const, entries: state.log }] : []),
+    ...(state.log.length > 0 ? [{ kind: 'append' as const, entries: [...state.log] }] : []),
   ];
 }
