--- a/packages/caller/src/RequestHandler.ts
+++ b/packages/caller/src/RequestHandler.ts
@@ -1,26 +1,25 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 
-import type { Result } from 'ts-results';
+import { Ok, type Result } from 'ts-results';
 
 import fail from '@guavayard/core/errors/fail';
 import type Failure from '@guavayard/core/errors/Failure';
-import forwardHeaders from '@guavayard/core/http/forwardHeaders';
 import isIdempotentMethod from '@guavayard/core/http/isIdempotentMethod';
-import matchRoute from '@guavayard/core/routing/matchRoute';
-import type RouteMatch from '@guavayard/core/routing/RouteMatch';
-import type Admission from '@guavayard/core/scheduling/Admission';
-import type Assignment from '@guavayard/core/scheduling/Assignment';
-import type AttemptResult from '@guavayard/core/scheduling/AttemptResult';
 
-import AnswerForwarder from './AnswerForwarder';
 import assignRequestId from './assignRequestId';
-import createRequestBody from './createRequestBody';
+import type CallerRequest from './CallerRequest';
+import checkFraming from './checkFraming';
 import type EntryView from './EntryView';
+import Exchange from './Exchange';
+import findDeadline from './findDeadline';
+import matchRequest from './matchRequest';
 import recordOf from './recordOf';
+import ReplayableBody from './ReplayableBody';
 import sendFailure from './sendFailure';
 
-const TENANT_HEADER = 'guavayard-tenant';
-const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
+const DEADLINE_HEADER = 'guavayard-deadline-ms';
+/** Longest body of a request, in bytes. */
+const MAX_BODY_BYTES = 1024 * 1024 * 1024;
 
 /** Serves one caller's request after the other: route, schedule, send, answer. */
 export default class RequestHandler {
@@ -31,88 +30,45 @@
    *
    * @param req - the caller's request
    * @param res - the caller's response
-   * @returns once the response is finished or destroyed
    */
-  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+  handle(req: IncomingMessage, res: ServerResponse): void {
     const record = recordOf(res);
     record.startedAtMs = this.entry.clock();
     record.requestId = assignRequestId(req, res);
-    return new Promise((resolve) => {
-      res.once('close', () => {
-        this.entry.recorder.record(record, res.statusCode, res.writableFinished);
-        resolve();
-      });
-      const match = this.match(req);
-      if (match.err) sendFailure(res, match.val);
-      else this.schedule(req, res, match.val);
+    res.once('close', () => {
+      this.entry.recorder.record(record, res.statusCode, res.writableFinished);
     });
+    const request = this.accept(req);
+    if (request.ok) {
+      record.serviceName = request.val.match.serviceName;
+      record.homeRegions = request.val.match.homeRegions;
+      new Exchange(this.entry, request.val, res).start();
+      return;
+    }
+    sendFailure(res, request.val);
+    new ReplayableBody(req, false).discard();
   }
 
-  private match(req: IncomingMessage): Result<RouteMatch, Failure> {
+  private accept(req: IncomingMessage): Result<CallerRequest, Failure> {
+    const framing = checkFraming(req, MAX_BODY_BYTES);
+    if (framing.err) return framing;
     const current = this.entry.configuration();
     if (current === undefined) return fail('noConfiguration');
-    const tenant = req.headers[TENANT_HEADER] as string | undefined;
-    return matchRoute(current.configuration, req.url ?? '/', tenant);
-  }
-
-  private schedule(req: IncomingMessage, res: ServerResponse, match: RouteMatch): void {
-    const record = recordOf(res);
-    record.serviceName = match.serviceName;
-    record.homeRegions = match.homeRegions;
-    const admission: Admission = {
-      match,
-      deadlineMs: this.entry.clock() + match.service.timeoutMs,
-      isIdempotent: isIdempotentMethod(req.method ?? 'GET'),
-      purpose: 'first',
-      triedTargetIds: [],
-    };
-    const attempt = this.entry.scheduler.schedule(admission, (decision) => {
-      if (decision.err) sendFailure(res, decision.val);
-      else this.dispatch(req, res, admission, decision.val);
-    });
-    res.once('close', () => attempt.cancel());
-  }
-
-  private dispatch(
-    req: IncomingMessage,
-    res: ServerResponse,
-    admission: Admission,
-    assignment: Assignment,
-  ): void {
-    let deadline: NodeJS.Timeout | undefined;
-    const endCheck = this.check(req, res, admission, assignment);
-    const forwarder = new AnswerForwarder(res, (result) => {
-      clearTimeout(deadline);
-      endCheck(result.evidence);
-      assignment.finish(result);
-    });
-    const dispatch = this.entry.sender.send(assignment.target, {
-      method: req.method ?? 'GET',
+    const match = matchRequest(current.configuration, req);
+    if (match.err) return match;
+    const { timeoutMs } = match.val.service;
+    const header = req.headers[DEADLINE_HEADER]?.toString();
+    const deadlineMs = findDeadline(this.entry.clock(), timeoutMs, header);
+    if (deadlineMs.err) return deadlineMs;
+    const method = req.method ?? 'GET';
+    return Ok({
+      req,
+      method,
       path: req.url ?? '/',
-      headers: forwardHeaders(req.rawHeaders),
-      body: createRequestBody(req),
-    }, forwarder);
-    deadline = setTimeout(() => {
-      dispatch.abort({ kind: 'deadlineExceeded', detail: '' });
-    }, admission.deadlineMs - this.entry.clock());
-    res.on('drain', () => dispatch.resume());
-    res.once('close', () => dispatch.abort({ kind: 'callerGone', detail: '' }));
-  }
-
-  private check(
-    req: IncomingMessage,
-    res: ServerResponse,
-    { match, isIdempotent }: Admission,
-    { target }: Assignment,
-  ): (evidence: AttemptResult['evidence']) => void {
-    const record = recordOf(res);
-    record.targetDataCentre = target.dataCentre;
-    return this.entry.dispatchCheck.begin({
-      record,
-      match,
-      target,
-      isIdempotent,
-      idempotencyKey: req.headers[IDEMPOTENCY_KEY_HEADER] as string | undefined,
+      match: match.val,
+      version: current.version,
+      deadlineMs: deadlineMs.val,
+      isIdempotent: isIdempotentMethod(method),
     });
   }
 }
