Test control VMs as processes under kills, cuts, freezes and lost disks

Cause: nothing showed that separate processes keep the promises about the configuration.

The leader answers at once what became of a patch whose version is made. A lease that lapses before dispatch has an error kind of its own. The enforcement tells the voters.

--- a/packages/caller/src/checkDispatch.ts
+++ b/packages/caller/src/checkDispatch.ts
@@ -22,7 +22,7 @@
   request: CallerRequest,
   target: KnownTarget,
 ): Result<undefined, Failure> {
-  if (current === undefined) return fail('noConfiguration');
+  if (current === undefined) return fail('leaseLapsed');
   if (current.version === request.version) return Ok(undefined);
   const match = matchRequest(current.configuration, request.req);
   if (match.err) return match;
--- a/packages/core/src/configuration/ConfigurationEnforcement.ts
+++ b/packages/core/src/configuration/ConfigurationEnforcement.ts
@@ -7,6 +7,10 @@
   /** The highest version that no entry can dispatch behind, undefined while that is not known. */
   inForceVersion: z.int().min(0).optional(),
   leader: z.string(),
+  /** Names of the control VMs that vote. */
+  voters: z.array(z.string()),
+  /** Names of the control VMs that do not vote yet. */
+  learners: z.array(z.string()),
   entries: z.array(z.strictObject({ name: z.string(), heldVersion: z.int().min(0).optional() })),
 });
 type ConfigurationEnforcement = z.infer<typeof ConfigurationEnforcement>;
--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -86,6 +86,11 @@
     return this.state.members.voters.map(vmNameOf);
   }
 
+  /** Names of the VMs that hold the log and do not vote. */
+  get learnerNames(): string[] {
+    return this.state.members.learners.map(vmNameOf);
+  }
+
   /**
    * Appends a command to the log.
    *
--- a/packages/vm/src/control/ControlTask.ts
+++ b/packages/vm/src/control/ControlTask.ts
@@ -126,7 +126,9 @@
   private async answer(call: ControlCall): Promise<ControlAnswer | undefined> {
     if (!this.consensus.isLeader) return undefined;
     if (call.kind === 'submit') return this.decider.decide(call.patch);
-    if (!await this.consensus.confirm()) return undefined;
+    const known = call.kind === 'outcome' ? this.patches.outcome(call.id, call.base) : undefined;
+    const isKnown = known !== undefined && known.outcome !== 'undecided';
+    if (!isKnown && !await this.consensus.confirm()) return undefined;
     if (call.kind === 'outcome') {
       return { kind: 'outcome', outcome: this.patches.outcome(call.id, call.base) };
     }
--- a/packages/vm/src/control/LeaseTask.ts
+++ b/packages/vm/src/control/LeaseTask.ts
@@ -101,6 +101,8 @@
       version,
       inForceVersion: findInForceVersion(table, version),
       leader: this.options.vmName,
+      voters: this.options.consensus.voterNames,
+      learners: this.options.consensus.learnerNames,
       entries: [...table.leases.values()]
         .map(({ holder, heldVersion }) => ({ name: holder.name, heldVersion })),
     };
--- a/packages/vm/src/entry/ControlSubscription.ts
+++ b/packages/vm/src/entry/ControlSubscription.ts
@@ -36,7 +36,7 @@
     this.renewal = new LeaseRenewal(options, () => ({
       heldVersion: this.held?.version, membership: this.membership.revision,
     }));
-    this.timer = setInterval(() => this.renewal.renewIfDue(), TICK_MS);
+    this.timer = setInterval(() => this.renewIfDue(), TICK_MS);
   }
 
   /** The latest configuration, undefined while this entry may not dispatch. */
@@ -71,6 +71,11 @@
 
   onClose(): void {}
 
+  /** Asks for the lease if it is time to. */
+  renewIfDue(): void {
+    this.renewal.renewIfDue();
+  }
+
   /** Gives the lease back: this entry dispatches nothing from now on. */
   release(): void {
     this.close();
--- /dev/null
+++ b/packages/vm/test/lease.test.ts
@@ -0,0 +1,119 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import Configuration from '@guavayard/core/types/Configuration';
+import type VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
+
+import ControlSubscription from '../src/entry/ControlSubscription';
+import type VmMessage from '../src/messages/VmMessage';
+import VmHub from '../src/session/VmHub';
+import type VmIdentity from '../src/session/VmIdentity';
+import type VmSession from '../src/session/VmSession';
+
+const LEASE_MS = 4000;
+
+const IDENTITY: VmIdentity = {
+  name: 'entry-1',
+  region: 'munster',
+  dataCentre: 'munster-1',
+  startId: 'start',
+  roles: ['entry'],
+  address: '127.0.0.1:1',
+};
+
+const LEADER: VmIdentity = { ...IDENTITY, name: 'control-1', roles: ['control'] };
+
+const SESSION = { send: () => undefined } as unknown as VmSession;
+
+/** A hub whose only session is one to the leader; it keeps the requests. */
+class FakeHub extends VmHub {
+  readonly nonces: string[] = [];
+
+  private readonly names = [LEADER.name];
+
+  override send(_vmName: string, message: VmMessage): boolean {
+    if (message.kind === 'leaseRequest') this.nonces.push(message.nonce);
+    return true;
+  }
+
+  override namesOf(): string[] {
+    return this.names;
+  }
+}
+
+interface Entry {
+  readonly subscription: ControlSubscription;
+  readonly hub: FakeHub;
+  readonly time: { nowMs: number };
+}
+
+function createEntry(t: { after: (run: () => void) => void }): Entry {
+  const time = { nowMs: 0 };
+  const hub = new FakeHub('a key', IDENTITY);
+  const subscription = new ControlSubscription({
+    hub,
+    identity: IDENTITY,
+    clock: () => time.nowMs,
+    listener: { onConfiguration: () => undefined, onMembership: () => undefined },
+  });
+  t.after(() => subscription.close());
+  subscription.onOpen(SESSION, LEADER);
+  return { subscription, hub, time };
+}
+
+function createVersion(version: number): VersionedConfiguration {
+  return { version, configuration: Configuration.parse({}) };
+}
+
+function heldVersion({ subscription }: Entry): number | undefined {
+  return subscription.latest?.version;
+}
+
+function grant({ subscription, hub }: Entry, version: number, held?: VersionedConfiguration): void {
+  const nonce = hub.nonces.at(-1) ?? '';
+  subscription.onMessage(SESSION, {
+    kind: 'leaseGrant', nonce, version, leader: LEADER.name, configuration: held,
+  });
+}
+
+test('the lease is counted from the moment of asking', (t) => {
+  const entry = createEntry(t);
+  assert.equal(heldVersion(entry), undefined);
+  entry.time.nowMs = 1500;
+  grant(entry, 1, createVersion(1));
+  entry.time.nowMs = LEASE_MS - 1;
+  assert.equal(heldVersion(entry), 1);
+  entry.time.nowMs = LEASE_MS;
+  assert.equal(heldVersion(entry), undefined);
+});
+
+test('a grant for another nonce gives no lease', (t) => {
+  const entry = createEntry(t);
+  const { subscription } = entry;
+  subscription.onMessage(SESSION, {
+    kind: 'leaseGrant', nonce: 'of another start', version: 1, leader: 'control-1', configuration: createVersion(1),
+  });
+  assert.equal(subscription.latest, undefined);
+});
+
+test('a grant for a version that the entry does not hold stops it from dispatching', (t) => {
+  const entry = createEntry(t);
+  grant(entry, 1, createVersion(1));
+  entry.time.nowMs = 1000;
+  entry.subscription.renewIfDue();
+  grant(entry, 2);
+  assert.equal(heldVersion(entry), undefined);
+  entry.subscription.onMessage(SESSION, { kind: 'configuration', latest: createVersion(2) });
+  assert.equal(heldVersion(entry), 2);
+});
+
+test('a version that goes backwards is refused', (t) => {
+  const entry = createEntry(t);
+  grant(entry, 2, createVersion(2));
+  entry.subscription.onMessage(SESSION, { kind: 'configuration', latest: createVersion(1) });
+  assert.equal(heldVersion(entry), 2);
+  entry.time.nowMs = 1000;
+  entry.subscription.renewIfDue();
+  grant(entry, 1, createVersion(1));
+  assert.equal(heldVersion(entry), 2);
+});
--- /dev/null
+++ b/test/control.test.ts
@@ -0,0 +1,148 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import { performance } from 'node:perf_hooks';
+import { after, before, test } from 'node:test';
+
+import ControlGroup from './support/ControlGroup';
+import eventually from './support/eventually';
+
+const RACE_ROUNDS = 100;
+const PATCHES_BEFORE_RESTART = 500;
+
+const group = new ControlGroup();
+const expected = { version: 0 };
+
+function createPatch(id: string, base: number): Parameters<ReturnType<typeof group.client>['submit']>[0] {
+  const dataCentre = { region: 'munster', state: 'in' };
+  return { id, base, operations: [{ op: 'add', path: '/dataCentres/munster-1', value: dataCentre }] };
+}
+
+async function submit(at: number, id: string): Promise<void> {
+  const accepted = await group.client(at).submit(createPatch(id, expected.version));
+  expected.version += 1;
+  assert.equal(accepted.unwrap(), expected.version);
+}
+
+async function submitAll(at: number, name: string, count: number): Promise<void> {
+  for (let index = 0; index < count; index += 1) {
+    // eslint-disable-next-line no-await-in-loop -- each patch is made for the version before
+    await submit(at, `${name}-${index}`);
+  }
+}
+
+before(async () => group.start());
+after(async () => group.remove());
+
+test('of three operators who race on one version one wins, a hundred times', async () => {
+  for (let round = 0; round < RACE_ROUNDS; round += 1) {
+    const ids = [0, 1, 2].map((at) => `race-${round}-${at}`);
+    // eslint-disable-next-line no-await-in-loop -- each round is made for the version before
+    const answers = await Promise.all(ids.map(async (id, at) => (
+      group.client(at).submit(createPatch(id, expected.version))
+    )));
+    expected.version += 1;
+    const versions = answers.flatMap((answer) => (answer.ok ? [answer.val] : []));
+    assert.deepEqual(versions, [expected.version]);
+    // eslint-disable-next-line no-await-in-loop
+    const outcomes = await Promise.all(ids.map(async (id, at) => (
+      (await group.client(at + 1).outcome(id, expected.version - 1)).unwrap().outcome
+    )));
+    assert.deepEqual(outcomes, answers.map((answer) => (answer.ok ? 'accepted' : 'superseded')));
+  }
+});
+
+test('a resend is recognised after the leader was killed before its answer', async () => {
+  const leader = await group.findLeader(0);
+  const other = leader + 1;
+  const patch = createPatch('unanswered', expected.version);
+  const body = JSON.stringify(patch);
+  const [host, port] = group.vm(leader).address('operator').split(':');
+  const socket = connect(Number(port), host);
+  await once(socket, 'connect');
+  socket.on('error', () => undefined);
+  // The answer is never read: the operator has lost it.
+  socket.pause();
+  socket.write(`POST /v1/patches HTTP/1.1\r\nhost: a\r\nauthorization: Bearer ${group.vm(leader).token}\r\n`
+    + `content-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`);
+  expected.version += 1;
+  await group.waitForVersion(leader, expected.version);
+  await group.vm(leader).stop('SIGKILL');
+  socket.destroy();
+  const outcome = await group.client(other).outcome('unanswered', expected.version - 1);
+  assert.deepEqual(outcome.unwrap(), { outcome: 'accepted', version: expected.version });
+  assert.equal((await group.client(other).submit(patch)).unwrap(), expected.version);
+  assert.equal((await group.client(other).configuration()).unwrap().version, expected.version);
+  const late = await group.client(other).submit(createPatch('late', expected.version - 1));
+  assert.match(late.val as string, /another version/);
+  await group.vm(leader).start();
+});
+
+test('every voter is killed in turn, and nothing accepted is lost', async () => {
+  for (let at = 0; at < group.vms.length; at += 1) {
+    // eslint-disable-next-line no-await-in-loop -- one after the other
+    await group.vm(at).stop('SIGKILL');
+    // eslint-disable-next-line no-await-in-loop
+    await submitAll(at + 1, `without-${at}`, 5);
+    // eslint-disable-next-line no-await-in-loop
+    await group.vm(at).start();
+    // eslint-disable-next-line no-await-in-loop
+    await group.waitForVersion(at, expected.version);
+  }
+});
+
+test('all voters killed after 500 patches come back to the last accepted version', async (t) => {
+  await submitAll(await group.findLeader(0), 'many', PATCHES_BEFORE_RESTART);
+  await Promise.all(group.vms.map(async (vm) => vm.stop('SIGKILL')));
+  const startMs = performance.now();
+  await Promise.all(group.vms.map(async (vm) => vm.start()));
+  const current = await eventually('the configuration', async () => {
+    const answer = await group.client(0).configuration();
+    return answer.ok ? answer.val : undefined;
+  });
+  t.diagnostic(`back after ${Math.round(performance.now() - startMs)} ms at version ${expected.version}`);
+  assert.equal(current.version, expected.version);
+  const last = await group.client(1).outcome(`many-${PATCHES_BEFORE_RESTART - 1}`, expected.version - 1);
+  assert.deepEqual(last.unwrap(), { outcome: 'accepted', version: expected.version });
+});
+
+test('a frozen leader that wakes accepts nothing by itself and takes what was accepted', async () => {
+  const leader = await group.findLeader(0);
+  process.kill(group.vm(leader).pid, 'SIGSTOP');
+  await submitAll(leader + 1, 'while-frozen', 3);
+  process.kill(group.vm(leader).pid, 'SIGCONT');
+  const stale = await group.client(leader).submit(createPatch('stale', expected.version - 1));
+  assert.match(stale.val as string, /another version/);
+  const outcome = await group.client(leader).outcome('stale', expected.version - 1);
+  assert.equal(outcome.unwrap().outcome, 'superseded');
+  await group.waitForVersion(leader, expected.version);
+});
+
+test('a voter that is cut off silently accepts nothing, and catches up without an election', async () => {
+  const cutOff = group.vms.length - 1;
+  group.cutLast();
+  await submitAll(0, 'while-cut', 3);
+  const leader = await group.findLeader(0);
+  assert.notEqual(leader, cutOff);
+  const alone = await group.client(cutOff).submit(createPatch('alone', expected.version));
+  assert.match(alone.val as string, /no quorum/);
+  await submitAll(0, 'after-alone', 1);
+  group.mendLast();
+  await group.waitForVersion(cutOff, expected.version);
+  assert.equal(await group.findLeader(cutOff), leader);
+});
+
+test('a lost disk is repaired, and a second VM may be lost right after', async () => {
+  const lost = (await group.findLeader(0) + 1) % group.vms.length;
+  await group.vm(lost).stop('SIGKILL');
+  group.loseDisk(lost);
+  await submitAll(lost + 1, 'disk-lost', 3);
+  await group.vm(lost).start();
+  await group.waitForVoters(lost);
+  const second = lost + 1;
+  await group.vm(second).stop('SIGKILL');
+  await submitAll(lost, 'second-lost', 3);
+  assert.equal((await group.client(lost + 2).configuration()).unwrap().version, expected.version);
+  await group.vm(second).start();
+  await group.waitForVersion(second, expected.version);
+});
