Apply a declaration, and tell what became of a patch, on the command line

Cause: operators had to compute patches by hand, and could not ask after a lost answer.

Conclusion: tested through the binary in test/control.test.ts.

--- a/packages/cli/src/commands/PatchCommand.ts
+++ b/packages/cli/src/commands/PatchCommand.ts
@@ -8,9 +8,10 @@
 import createClient from './createClient';
 import ExitCode from './ExitCode';
 import parseOptions from './parseOptions';
-import print from './print';
+import parseVersion from './parseVersion';
 import printError from './printError';
 import requireOption from './requireOption';
+import submitPatch from './submitPatch';
 
 async function readOperations(path: string): Promise<unknown> {
   try {
@@ -27,13 +28,13 @@
 
   readonly summary = 'submit a JSON patch (RFC 6902) against a version of the configuration';
 
-  readonly usage = 'FILE --base VERSION --id ID --url URL --token-file FILE';
+  readonly usage = 'FILE --base VERSION --id ID [--wait] --url URL --token-file FILE';
 
   async run(args: string[]): Promise<number> {
     const { values, positionals } = parseOptions(args, {
-      ...clientOptions, base: { type: 'string' }, id: { type: 'string' },
+      ...clientOptions, base: { type: 'string' }, id: { type: 'string' }, wait: { type: 'boolean' },
     }, 1);
-    const base = Number(requireOption(values.base, 'base'));
+    const base = parseVersion(requireOption(values.base, 'base'), 'base');
     const id = requireOption(values.id, 'id');
     const client = await createClient(values);
     const operations = await readOperations(positionals[0] ?? '');
@@ -44,12 +45,6 @@
       describeMistakes(patch.error, input).forEach(printError);
       return ExitCode.failed;
     }
-    const accepted = await client.submit(patch.data);
-    if (accepted.err) {
-      printError(accepted.val);
-      return ExitCode.failed;
-    }
-    print(`accepted as version ${accepted.val}`);
-    return ExitCode.ok;
+    return submitPatch(client, patch.data, values.wait === true);
   }
 }
--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -1,6 +1,8 @@
+import ApplyCommand from './ApplyCommand';
 import CheckCommand from './CheckCommand';
 import type Command from './Command';
 import InitCommand from './InitCommand';
+import OutcomeCommand from './OutcomeCommand';
 import PatchCommand from './PatchCommand';
 import ReportCommand from './ReportCommand';
 import RunCommand from './RunCommand';
@@ -14,6 +16,8 @@
   new InitCommand(),
   new CheckCommand(),
   new PatchCommand(),
+  new ApplyCommand(),
+  new OutcomeCommand(),
   new ShowCommand(),
   new StatusCommand(),
   new ReportCommand(),
--- a/packages/cli/src/commands/optionTable.ts
+++ b/packages/cli/src/commands/optionTable.ts
@@ -8,6 +8,7 @@
   json: 'print JSON for programs',
   watch: 'print again every 2 s until interrupted',
   page: 'write one HTML page, with a plot, that needs no other file',
+  'dry-run': 'print the changes and submit nothing',
   wait: 'return only when the change is in force on every entry',
 };
 
--- a/test/control.test.ts
+++ b/test/control.test.ts
@@ -1,11 +1,14 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
+import { writeFileSync } from 'node:fs';
 import { connect } from 'node:net';
+import { join } from 'node:path';
 import { performance } from 'node:perf_hooks';
 import { after, before, test } from 'node:test';
 
 import ControlGroup from './support/ControlGroup';
 import eventually from './support/eventually';
+import runBinary from './support/runBinary';
 
 const RACE_ROUNDS = 100;
 const PATCHES_BEFORE_RESTART = 500;
@@ -146,3 +149,25 @@
   await group.vm(second).start();
   await group.waitForVersion(second, expected.version);
 });
+
+test('a declaration is shown, applied, in force and known by its outcome', async () => {
+  const { folder } = group.vm(0);
+  const file = join(folder, 'declaration.toml');
+  writeFileSync(file, '[dataCentres.munster-1]\nregion = "munster"\nstate = "out"\n');
+  const options = ['--url', `http://${group.vm(0).address('operator')}`, '--token-file', join(folder, 'token')];
+  const change = `changes to version ${expected.version}:\n~ /dataCentres/munster-1/state: "in" -> "out"\n`;
+  const shown = await runBinary('apply', file, '--dry-run', ...options);
+  assert.deepEqual([shown.exitCode, shown.stdout], [0, change]);
+  const base = expected.version;
+  expected.version += 1;
+  const applied = await runBinary('apply', file, '--wait', ...options);
+  const took = `accepted as version ${expected.version}\nversion ${expected.version} is in force everywhere\n`;
+  assert.deepEqual([applied.exitCode, applied.stdout], [0, `${change}${took}`]);
+  const again = await runBinary('apply', file, ...options);
+  assert.equal(again.stdout, `no changes: version ${expected.version} is as declared\n`);
+  const outcomes = await Promise.all([base, expected.version].map(async (from) => (
+    (await runBinary('outcome', 'another', '--base', String(from), ...options)).stdout
+  )));
+  assert.match(outcomes[0] ?? '', /^never will be accepted/);
+  assert.match(outcomes[1] ?? '', /^not yet decided/);
+});
