--- a/packages/vm/src/messages/VmMessage.ts
+++ b/packages/vm/src/messages/VmMessage.ts
@@ -2,6 +2,7 @@
 
 import consensusMessages from './consensusMessages';
 import directoryMessages from './directoryMessages';
+import idempotencyMessages from './idempotencyMessages';
 import leaseMessages from './leaseMessages';
 import loadMessages from './loadMessages';
 import reportMessages from './reportMessages';
@@ -11,6 +12,7 @@
 const VmMessage = z.discriminatedUnion('kind', [
   ...consensusMessages,
   ...directoryMessages,
+  ...idempotencyMessages,
   ...leaseMessages,
   ...loadMessages,
   ...sessionMessages,
