--- a/test/controlLease.test.ts
+++ b/test/controlLease.test.ts
@@ -7,6 +7,7 @@
 import announce from '@guavayard/emulator/announce';
 import EmulatedTarget from '@guavayard/emulator/EmulatedTarget';
 
+import assertNoBreach from './support/assertNoBreach';
 import ControlGroup from './support/ControlGroup';
 import eventually from './support/eventually';
 import LinkRelay from './support/LinkRelay';
@@ -108,4 +109,9 @@
   await waitForStatus(entry.address('platform'), '/ready', 200);
   assert.equal((await get(caller, '/lots/1')).outcome, 'not-run');
   assert.equal(target.runs, runs);
+  await eventually('a session with the entry', async () => {
+    const { vms } = (await client.vms()).unwrap();
+    return vms.find((vm) => vm.entry !== undefined);
+  });
+  await assertNoBreach(client, 1);
 });
--- a/test/targets.test.ts
+++ b/test/targets.test.ts
@@ -2,12 +2,17 @@
 import { performance } from 'node:perf_hooks';
 import { after, before, test } from 'node:test';
 
+import OperatorClient from '@guavayard/operator/OperatorClient';
+
+import assertNoBreach from './support/assertNoBreach';
 import SmallSystem from './support/SmallSystem';
 
 const TIME_TO_LIVE_MS = 2000;
 const HEARTBEAT_MS = 500;
 /** "A few seconds" of the promises, beyond the time to live where a target is silent. */
 const FEW_SECONDS_MS = 4000;
+/** Entries that no test has killed. */
+const LIVING_ENTRIES = 3;
 const TIMEOUT = { timeout: 30_000 };
 
 const system = new SmallSystem();
@@ -126,3 +131,8 @@
   assert.equal(await system.get(2, '/six'), 200);
   assert.equal(heartbeating.target.runs, 1);
 });
+
+test('no entry has broken an invariant', TIMEOUT, async () => {
+  const url = `http://${system.control.address('operator')}`;
+  await assertNoBreach(new OperatorClient(url, system.control.token), LIVING_ENTRIES);
+});
