--- a/packages/emulator/src/EmulatedTarget.ts
+++ b/packages/emulator/src/EmulatedTarget.ts
@@ -42,6 +42,9 @@
   /** How it behaves now; `change` sets it. */
   behaviour: TargetBehaviour;
 
+  /** Called when a request begins to run. */
+  onRun: ((req: IncomingMessage) => void) | undefined;
+
   /** Called when a poisonous request has crashed the target. */
   onCrash: (() => void) | undefined;
 
@@ -166,6 +169,7 @@
   private run(req: IncomingMessage): void {
     const { statistics } = this;
     statistics.runs += 1;
+    this.onRun?.(req);
     const key = req.headers[KEY_HEADER];
     if (typeof key !== 'string') return;
     statistics.runsByKey.set(key, (statistics.runsByKey.get(key) ?? 0) + 1);
--- /dev/null
+++ b/scripts/soak/SoakCaller.ts
@@ -0,0 +1,114 @@
+import { performance } from 'node:perf_hooks';
+
+import { Agent, request } from 'undici';
+
+import type SentRequest from './SentRequest';
+
+const GOOD_STATUS = 200;
+const ANSWER_TIMEOUT_MS = 15_000;
+const RESEND_DELAY_MS = 200;
+const MAX_SENDS = 40;
+const THINK_TIME_MS = 10;
+
+interface SoakCallerOptions {
+  readonly name: string;
+  /** Finds the address of an entry that takes requests now, as the platform's balancer does. */
+  readonly entryAddress: () => string | undefined;
+  readonly onSent: (sent: SentRequest) => void;
+}
+
+async function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+/** A caller that reads, writes with a key and resends until answered, and writes once. */
+export default class SoakCaller {
+  private readonly agent = new Agent({
+    headersTimeout: ANSWER_TIMEOUT_MS, bodyTimeout: ANSWER_TIMEOUT_MS, pipelining: 1,
+  });
+
+  private isStopped = false;
+
+  private count = 0;
+
+  constructor(private readonly options: SoakCallerOptions) {}
+
+  /** Sends requests one after the other until `stop`. */
+  async run(): Promise<void> {
+    /* eslint-disable no-await-in-loop -- a caller has one request at a time */
+    while (!this.isStopped) {
+      await this.sendNext();
+      await sleep(THINK_TIME_MS);
+    }
+    /* eslint-enable no-await-in-loop */
+    await this.agent.close();
+  }
+
+  /** Ends the loop after the request under way. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private async sendNext(): Promise<void> {
+    this.count += 1;
+    const id = `${this.options.name}-${this.count}`;
+    const kind = (['read', 'read', 'keyed', 'plain'] as const)[this.count % 4] ?? 'read';
+    if (kind === 'keyed') await this.sendUntilAnswered(id);
+    else await this.send(kind, id, undefined);
+  }
+
+  private async sendUntilAnswered(key: string): Promise<void> {
+    for (let sends = 0; sends < MAX_SENDS; sends += 1) {
+      // eslint-disable-next-line no-await-in-loop -- a resend follows a failure
+      const sent = await this.send('keyed', `${key}.${sends}`, key);
+      if (sent?.status === GOOD_STATUS) return;
+      // eslint-disable-next-line no-await-in-loop
+      await sleep(RESEND_DELAY_MS);
+    }
+  }
+
+  private async send(
+    kind: SentRequest['kind'],
+    requestId: string,
+    key: string | undefined,
+  ): Promise<SentRequest | undefined> {
+    const address = this.options.entryAddress();
+    if (address === undefined) return undefined;
+    const startedAtMs = performance.now();
+    const body = `body of ${key ?? requestId}`;
+    const result = await this.exchange(`http://${address}/ledger/${requestId}`, {
+      'guavayard-request-id': requestId,
+      ...(key === undefined ? {} : { 'idempotency-key': key }),
+    }, kind === 'read' ? undefined : body);
+    const expected = kind === 'read' ? `GET /ledger/${requestId} ` : body;
+    const sent: SentRequest = {
+      kind,
+      requestId,
+      key,
+      status: result?.status,
+      outcome: result?.outcome,
+      isOwnAnswer: result?.status !== GOOD_STATUS || result.text.startsWith(expected),
+      latencyMs: performance.now() - startedAtMs,
+    };
+    this.options.onSent(sent);
+    return sent;
+  }
+
+  private async exchange(
+    url: string,
+    headers: Record<string, string>,
+    body: string | undefined,
+  ): Promise<{ status: number; outcome: string | undefined; text: string } | undefined> {
+    try {
+      const answer = await request(url, {
+        dispatcher: this.agent, method: body === undefined ? 'GET' : 'POST', headers, body,
+      });
+      const outcome = answer.headers['guavayard-outcome'] as string | undefined;
+      return { status: answer.statusCode, outcome, text: await answer.body.text() };
+    } catch {
+      return undefined;
+    }
+  }
+}
--- a/test/support/VmProcess.ts
+++ b/test/support/VmProcess.ts
@@ -35,6 +35,11 @@
     return this.child?.pid ?? 0;
   }
 
+  /** Whether the process has been started and has not exited. */
+  get isRunning(): boolean {
+    return this.child?.exitCode === null && this.child.signalCode === null;
+  }
+
   /**
    * Starts `guavayard run` and waits until it is started.
    */
@@ -74,6 +79,14 @@
     return line.address;
   }
 
+  /**
+   * @param listener - name of a section with a `listen` key
+   * @returns whether the process runs and listens there
+   */
+  isListening(listener: string): boolean {
+    return this.isRunning && this.lines.some((line) => line.listener === listener);
+  }
+
   /**
    * Waits for a line of the log.
    *
@@ -83,7 +96,7 @@
   async waitForLine(matches: (line: LogLine) => boolean): Promise<LogLine> {
     const found = this.lines.find(matches);
     if (found !== undefined) return found;
-    if (this.child?.exitCode !== null) throw new Error('the process has exited');
+    if (!this.isRunning) throw new Error('the process has exited');
     await new Promise<void>((wake) => {
       this.waiters.push(wake);
       this.child?.once('exit', () => wake());
@@ -99,7 +112,7 @@
    */
   async stop(signal: NodeJS.Signals = 'SIGTERM'): Promise<number | null> {
     const { child } = this;
-    if (child?.exitCode !== null || child.signalCode !== null) return null;
+    if (child === undefined || !this.isRunning) return null;
     const exited = new Promise<number | null>((done) => {
       child.once('exit', done);
     });
