--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -6,36 +6,40 @@
 import RequestHandler from '@guavayard/caller/RequestHandler';
 import PlatformListener from '@guavayard/platform/PlatformListener';
 import AnnouncementListener from '@guavayard/target/AnnouncementListener';
-import TargetDirectory from '@guavayard/target/TargetDirectory';
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
 import ControlSubscription from '@guavayard/vm/entry/ControlSubscription';
 import EntryLeaseRelay from '@guavayard/vm/entry/EntryLeaseRelay';
-import RegionMesh from '@guavayard/vm/entry/RegionMesh';
 
 import closeServer from './closeServer';
 import createObservation from './createObservation';
 import countTargets from './countTargets';
 import createScheduler from './createScheduler';
+import createTargetTasks from './createTargetTasks';
 import listen from './listen';
 import type RunContext from './RunContext';
 import type Runnable from './Runnable';
+import type TargetTasks from './TargetTasks';
 
-const EXPIRY_INTERVAL_MS = 100;
 const SCHEDULER_INTERVAL_MS = 5;
 
 function clock(): number {
   return performance.now();
 }
 
-function createSubscription(context: RunContext): ControlSubscription {
-  const mesh = new RegionMesh(context.hub, context.identity);
+function createSubscription(
+  context: RunContext,
+  targets: TargetTasks,
+): ControlSubscription {
   return new ControlSubscription({
     hub: context.hub,
     identity: context.identity,
     clock,
     listener: {
-      onConfiguration: ({ version }) => context.log.info({ version }, 'configuration in force'),
-      onMembership: (entries) => mesh.update(entries),
+      onConfiguration: ({ version, configuration }) => {
+        context.log.info({ version }, 'configuration in force');
+        targets.ownership.takeConfiguration(configuration);
+      },
+      onMembership: (entries) => targets.updateMembership(entries),
     },
   });
 }
@@ -53,9 +57,10 @@
   if (settings.caller === undefined || settings.target === undefined) {
     return Err('role "entry" needs the sections [caller] and [target]');
   }
-  const directory = new TargetDirectory(clock);
   const sender = new UndiciTargetSender();
-  const subscription = createSubscription(context);
+  const targets = createTargetTasks(context, clock);
+  const { directory } = targets;
+  const subscription = createSubscription(context, targets);
   const observation = createObservation(context, clock, () => subscription.latest);
   const scheduler = createScheduler(context, subscription, directory, {
     onWarm: ({ id }) => log.info({ target: id }, 'target is warm'),
@@ -91,15 +96,15 @@
     }),
   });
   settings.vm.control.forEach((address) => hub.connect(address));
-  const expiry = setInterval(() => directory.expire(), EXPIRY_INTERVAL_MS);
   const ticking = setInterval(() => scheduler.tick(), SCHEDULER_INTERVAL_MS);
   return Ok({
     stop: async () => {
       isStopping = true;
-      clearInterval(expiry);
+      targets.releaseOwnership();
       await Promise.all([closeServer(caller.server), closeServer(target.server)]);
       clearInterval(ticking);
       await sender.close();
+      targets.stop();
       subscription.release();
       await closeServer(platform.server);
     },
