--- a/packages/cli/src/run/runVm.ts
+++ b/packages/cli/src/run/runVm.ts
@@ -44,6 +44,8 @@
   const log = createLogger({
     name: 'guavayard', vm: name, dataCentre, level: settings.log.level,
   });
+  // Whoever reads the log may go away; that must not end the VM.
+  process.stdout.on('error', () => undefined);
   const hub = new VmHub(key.val, identity);
   const bound = await listen(hub.netServer, settings.vm.listen, 'vm', log);
   if (bound.err) return bound;
--- a/packages/cli/src/run/startControl.ts
+++ b/packages/cli/src/run/startControl.ts
@@ -61,7 +61,10 @@
   const opened = await openFolder(settings.disk.folder, identity.name);
   if (opened.err) return opened;
   const task = createTask(context, opened.val);
-  context.reports.provide({ version: () => task.latest.version });
+  context.reports.provide({
+    version: () => task.latest.version,
+    control: () => task.describe(),
+  });
   const reports = createReportService(context, () => task.latest);
   const operatorListener = new OperatorListener(task, () => task.status(), token.val, reports);
   const operatorBound = await listen(operatorListener.server, settings.operator.listen, 'operator', log);
--- a/packages/vm/src/control/ControlTask.ts
+++ b/packages/vm/src/control/ControlTask.ts
@@ -10,6 +10,7 @@
 import type Failure from '@guavayard/core/errors/Failure';
 import type ConfigurationPatch from '@guavayard/core/types/ConfigurationPatch';
 import type VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
+import type VmStatus from '@guavayard/core/types/VmStatus';
 
 import CallRouter from './CallRouter';
 import ConsensusTask from './ConsensusTask';
@@ -75,6 +76,17 @@
     return { vm: this.options.vmName, version: this.latest.version, entries };
   }
 
+  /** @returns the place of this VM in the group */
+  describe(): NonNullable<VmStatus['control']> {
+    const { isLeader, term } = this.consensus;
+    return {
+      state: isLeader ? 'leader' : 'follower',
+      term,
+      leader: this.leaderName,
+      voters: this.voterNames,
+    };
+  }
+
   /** Starts to take part in the group. */
   start(): void {
     [this.consensus, this.leases, this.router]
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -90,7 +90,7 @@
 async function soak(cluster: SoakCluster, seconds: number, seed: number): Promise<string[]> {
   const ledger = new SoakLedger();
   const targets = createTargets(cluster, ledger);
-  const faults = new SoakFaults(cluster, targets, ledger, createRandom(seed));
+  const faults = new SoakFaults(cluster, targets, ledger, createRandom(seed), print);
   await cluster.waitForVoters();
   await faults.patch('/services/ledger', { timeoutMs: 10_000 });
   for (let index = 0; index < PLACES.length; index += 1) {
@@ -107,7 +107,6 @@
   await sleep(SETTLE_MS);
   callers.forEach((caller) => caller.stop());
   await Promise.all(running);
-  print(`caused: ${faults.log.join(', ')}`);
   report(ledger);
   const breaches = [...ledger.findBreaches(), ...await findInvariantBreaches(cluster)];
   targets.forEach((target) => target.crash());
--- a/scripts/soak/SoakCluster.ts
+++ b/scripts/soak/SoakCluster.ts
@@ -46,8 +46,10 @@
   async waitForVoters(): Promise<void> {
     for (let tries = 0; tries < TRIES; tries += 1) {
       /* eslint-disable no-await-in-loop -- asks again until it is so */
-      const status = await this.client().status();
-      if (status.ok && status.val.voters.length === CONTROL_VMS) return;
+      const overview = await this.client().vms();
+      const voters = overview.ok
+        ? overview.val.vms.flatMap((vm) => vm.control?.voters.length ?? 0) : [];
+      if (voters.includes(CONTROL_VMS)) return;
       await new Promise((resolve) => {
         setTimeout(resolve, RETRY_MS);
       });
--- a/scripts/soak/SoakFaults.ts
+++ b/scripts/soak/SoakFaults.ts
@@ -24,9 +24,6 @@
 
 /** Causes failures of VMs, targets and operators at random. */
 export default class SoakFaults {
-  /** What was caused, in order. */
-  readonly log: string[] = [];
-
   private readonly busy = new Set<unknown>();
 
   private patches = 0;
@@ -36,6 +33,7 @@
     private readonly targets: readonly SoakTarget[],
     private readonly ledger: SoakLedger,
     private readonly random: Random,
+    private readonly note: (line: string) => void,
   ) {}
 
   /** Causes one failure and mends it. */
@@ -94,7 +92,7 @@
 
   private async kill(vms: readonly VmProcess[]): Promise<void> {
     await this.withFree(vms, async (vm, name) => {
-      this.log.push(`kill ${name}`);
+      this.note(`kill ${name}`);
       await vm.stop('SIGKILL');
       await sleep(RESTART_DELAY_MS);
       await vm.start();
@@ -103,16 +101,17 @@
 
   private async restart(vms: readonly VmProcess[]): Promise<void> {
     await this.withFree(vms, async (vm, name) => {
-      this.log.push(`restart ${name}`);
+      this.note(`restart ${name}`);
       await vm.stop('SIGTERM');
       await vm.start();
+      this.note(`restarted ${name}`);
     });
   }
 
   private async freeze(vms: readonly VmProcess[]): Promise<void> {
     await this.withFree(vms, async (vm, name) => {
       const ms = MIN_FREEZE_MS + this.random() * (MAX_FREEZE_MS - MIN_FREEZE_MS);
-      this.log.push(`freeze ${name} for ${ms.toFixed(0)} ms`);
+      this.note(`freeze ${name} for ${ms.toFixed(0)} ms`);
       process.kill(vm.pid, 'SIGSTOP');
       await sleep(ms);
       process.kill(vm.pid, 'SIGCONT');
@@ -121,7 +120,7 @@
 
   private async crashTarget(): Promise<void> {
     await this.withFree(this.targets, async (target, name) => {
-      this.log.push(`crash target ${name}`);
+      this.note(`crash target ${name}`);
       target.crash();
       await sleep(TARGET_RESTART_DELAY_MS);
       await target.start();
@@ -133,11 +132,11 @@
       await this.patch(`/dataCentres/${dataCentre}`, { region, state: 'out' });
       const outage = { dataCentre, acceptedAtMs: performance.now(), endedAtMs: Infinity };
       this.ledger.outages.push(outage);
-      this.log.push(`${dataCentre} out`);
+      this.note(`${dataCentre} out`);
       await sleep(OUTAGE_MS);
       outage.endedAtMs = performance.now();
       await this.patch(`/dataCentres/${dataCentre}`, { region, state: 'in' });
-      this.log.push(`${dataCentre} in`);
+      this.note(`${dataCentre} in`);
     });
   }
 
--- a/test/support/VmProcess.ts
+++ b/test/support/VmProcess.ts
@@ -120,6 +120,11 @@
     return exited;
   }
 
+  /** Stops reading the log, as when the reader has died. */
+  closeLog(): void {
+    this.child?.stdout?.destroy();
+  }
+
   /** Ends the process and removes its folder. */
   async remove(): Promise<void> {
     await this.stop('SIGKILL');
