--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -9,10 +9,13 @@
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
 import ControlSubscription from '@guavayard/vm/entry/ControlSubscription';
 import EntryLeaseRelay from '@guavayard/vm/entry/EntryLeaseRelay';
+import type SubscriptionListener from '@guavayard/vm/entry/SubscriptionListener';
+import LoadReportExchange from '@guavayard/vm/load/LoadReportExchange';
 
 import closeServer from './closeServer';
 import createObservation from './createObservation';
 import countTargets from './countTargets';
+import createKeyTask from './createKeyTask';
 import createScheduler from './createScheduler';
 import createTargetTasks from './createTargetTasks';
 import listen from './listen';
@@ -29,6 +32,7 @@
 function createSubscription(
   context: RunContext,
   targets: TargetTasks,
+  onMembership: SubscriptionListener['onMembership'],
 ): ControlSubscription {
   return new ControlSubscription({
     hub: context.hub,
@@ -39,7 +43,10 @@
         context.log.info({ version }, 'configuration in force');
         targets.ownership.takeConfiguration(configuration);
       },
-      onMembership: (entries) => targets.updateMembership(entries),
+      onMembership: (entries, change) => {
+        targets.updateMembership(entries);
+        onMembership(entries, change);
+      },
     },
   });
 }
@@ -60,16 +67,24 @@
   const sender = new UndiciTargetSender();
   const targets = createTargetTasks(context, clock);
   const { directory } = targets;
-  const subscription = createSubscription(context, targets);
+  const keys = createKeyTask(context, clock);
+  const subscription = createSubscription(context, targets, keys.update);
+  keys.attach(() => subscription.latest);
   const observation = createObservation(context, clock, () => subscription.latest);
   const scheduler = createScheduler(context, subscription, directory, {
-    onWarm: ({ id }) => log.info({ target: id }, 'target is warm'),
+    onWarm: (warm) => {
+      log.info({ target: warm.id }, 'target is warm');
+      directory.declareWarm(warm);
+    },
   }, clock);
+  const loadReports = new LoadReportExchange(identity.region, targets.sessions, scheduler, clock);
+  targets.sessions.addListener(loadReports);
   const handler = new RequestHandler({
     ...observation,
     clock,
     scheduler,
     sender,
+    keys: keys.task,
     configuration: () => subscription.latest,
   });
   let isStopping = false;
@@ -96,7 +111,10 @@
     }),
   });
   settings.vm.control.forEach((address) => hub.connect(address));
-  const ticking = setInterval(() => scheduler.tick(), SCHEDULER_INTERVAL_MS);
+  const ticking = setInterval(() => {
+    scheduler.tick();
+    loadReports.tick();
+  }, SCHEDULER_INTERVAL_MS);
   return Ok({
     stop: async () => {
       isStopping = true;
@@ -104,6 +122,7 @@
       await Promise.all([closeServer(caller.server), closeServer(target.server)]);
       clearInterval(ticking);
       await sender.close();
+      keys.task.close();
       targets.stop();
       subscription.release();
       await closeServer(platform.server);
--- a/packages/vm/src/messages/VmMessage.ts
+++ b/packages/vm/src/messages/VmMessage.ts
@@ -2,7 +2,9 @@
 
 import consensusMessages from './consensusMessages';
 import directoryMessages from './directoryMessages';
+import idempotencyMessages from './idempotencyMessages';
 import leaseMessages from './leaseMessages';
+import loadMessages from './loadMessages';
 import reportMessages from './reportMessages';
 import sessionMessages from './sessionMessages';
 
@@ -10,7 +12,9 @@
 const VmMessage = z.discriminatedUnion('kind', [
   ...consensusMessages,
   ...directoryMessages,
+  ...idempotencyMessages,
   ...leaseMessages,
+  ...loadMessages,
   ...sessionMessages,
   ...reportMessages,
 ]);
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -29,7 +29,7 @@
 }
 
 function findEntry(cluster: SoakCluster): SoakCluster['entries'][number] | undefined {
-  const ready = cluster.entries.filter((entry) => entry.isListening('caller'));
+  const ready = cluster.entries.filter((entry) => entry.isRunning && entry.hasLine((line) => line.listener === 'caller'));
   return ready[Math.floor(Math.random() * ready.length)];
 }
 
--- a/test/support/VmProcess.ts
+++ b/test/support/VmProcess.ts
@@ -81,11 +81,11 @@
   }
 
   /**
-   * @param listener - name of a section with a `listen` key
-   * @returns whether the process runs and listens there
+   * @param matches - tells the line that is looked for
+   * @returns whether the log has such a line
    */
-  isListening(listener: string): boolean {
-    return this.isRunning && this.lines.some((line) => line.listener === listener);
+  hasLine(matches: (line: LogLine) => boolean): boolean {
+    return this.lines.some(matches);
   }
 
   /**
