--- a/packages/cli/src/run/startControl.ts
+++ b/packages/cli/src/run/startControl.ts
@@ -62,8 +62,7 @@
   if (opened.err) return opened;
   const task = createTask(context, opened.val);
   context.reports.provide({
-    version: () => task.latest.version,
-    control: () => task.describe(),
+    version: () => task.latest.version, control: () => task.replicaStatus(),
   });
   const reports = createReportService(context, () => task.latest);
   const operatorListener = new OperatorListener(task, () => task.status(), token.val, reports);
--- a/packages/vm/src/control/ControlTask.ts
+++ b/packages/vm/src/control/ControlTask.ts
@@ -9,8 +9,8 @@
 import type ReplicaId from '@guavayard/core/consensus/ReplicaId';
 import type Failure from '@guavayard/core/errors/Failure';
 import type ConfigurationPatch from '@guavayard/core/types/ConfigurationPatch';
-import type VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
 import type VmStatus from '@guavayard/core/types/VmStatus';
+import type VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
 
 import CallRouter from './CallRouter';
 import ConsensusTask from './ConsensusTask';
@@ -76,17 +76,6 @@
     return { vm: this.options.vmName, version: this.latest.version, entries };
   }
 
-  /** @returns the place of this VM in the group */
-  describe(): NonNullable<VmStatus['control']> {
-    const { isLeader, term } = this.consensus;
-    return {
-      state: isLeader ? 'leader' : 'follower',
-      term,
-      leader: this.leaderName,
-      voters: this.voterNames,
-    };
-  }
-
   /** Starts to take part in the group. */
   start(): void {
     [this.consensus, this.leases, this.router]
@@ -101,6 +90,16 @@
     this.leases.close();
   }
 
+  /** @returns the part of this replica in the group, for operators */
+  replicaStatus(): VmStatus['control'] {
+    const {
+      isLeader, term, leaderName, voterNames,
+    } = this.consensus;
+    return {
+      state: isLeader ? 'leader' : 'follower', term, leader: leaderName, voters: voterNames,
+    };
+  }
+
   /** Submits a patch; see `ConfigurationService`. */
   async submit(patch: ConfigurationPatch): Promise<Result<number, Failure>> {
     const answer = await this.call<'accepted'>({ kind: 'submit', patch });
