Judge cold targets by windows of answers, and let a data centre return pair by pair

A returning data centre got half of its former work in the first second, for each decision drew its chance anew. The hash left similar ids alike, so that entries ranked targets alike. Change: the limit widens after 16 answers whose geometric mean is near the median of warm targets; a cancelled request keeps its place for a median; entries and targets of a returning data centre join by a mixed hash. The test for slow answers now has warm targets to compare with, since without any the target's own steadiness decides.

--- a/packages/core/src/choice/TargetSelector.ts
+++ b/packages/core/src/choice/TargetSelector.ts
@@ -81,7 +81,7 @@
     if (distance === 'remote' && !this.mayGoRemote(request)) return Infinity;
     if (service.outliers.isEjected(target.id, nowMs)) return Infinity;
     const inFlight = estimateInFlight(state, this.options, nowMs);
-    if (!this.hasRoom(candidate, inFlight, request)) return Infinity;
+    if (!this.hasRoom(candidate, state.affinity, inFlight, request)) return Infinity;
     const slowness = estimateSlowness(state, service.latencies, this.options, nowMs);
     if (request.isHedge && slowness > MAX_HEDGE_SLOWNESS) return Infinity;
     const waiting = Math.max(0, inFlight + 1 - target.slots) / target.slots;
@@ -101,12 +101,18 @@
     return state.outstanding.size < ramp.limit && request.nowMs >= ramp.closedUntilMs;
   }
 
-  private hasRoom(candidate: Candidate, inFlight: number, request: SelectionRequest): boolean {
+  private hasRoom(
+    candidate: Candidate,
+    affinity: number,
+    inFlight: number,
+    request: SelectionRequest,
+  ): boolean {
     const { target, distance } = candidate;
     const queue = request.isHedge || distance === 'remote' ? 0 : this.options.targetQueue;
     const share = this.dataCentres.shareOf(target.dataCentre, request.nowMs);
     if (share === 1) return inFlight < target.slots + queue;
-    return inFlight < Math.ceil(target.slots * share) && this.random() < share;
+    // The entries and targets of a returning data centre join pair by pair.
+    return inFlight < Math.ceil(target.slots * share) && affinity < share;
   }
 
   private mayGoRemote(request: SelectionRequest): boolean {
--- a/packages/core/src/coldstart/createColdRamp.ts
+++ b/packages/core/src/coldstart/createColdRamp.ts
@@ -5,6 +5,12 @@
 /** @returns the ramp of a target that has just started: one request in flight */
 export default function createColdRamp(): ColdRamp {
   return {
-    limit: 1, goodAnswers: 0, bestMs: Infinity, closedUntilMs: 0, backoffMs: INITIAL_BACKOFF_MS,
+    limit: 1,
+    answers: 0,
+    logSum: 0,
+    previousMs: undefined,
+    windows: 0,
+    closedUntilMs: 0,
+    backoffMs: INITIAL_BACKOFF_MS,
   };
 }
--- a/packages/core/src/retries/LatencyHistogram.ts
+++ b/packages/core/src/retries/LatencyHistogram.ts
@@ -17,6 +17,9 @@
   /** 95th percentile, in milliseconds. */
   tailMs: number;
 
+  /** Whether there were enough samples to replace what was assumed at first. */
+  isKnown = false;
+
   private readonly counts = new Float64Array(BUCKETS);
 
   private total = 0;
@@ -48,6 +51,7 @@
 
   private refresh(): void {
     this.sinceRefresh = 0;
+    this.isKnown = true;
     this.medianMs = this.quantile(MEDIAN);
     this.tailMs = this.quantile(TAIL);
     if (this.total < MAX_SAMPLES) return;
--- a/packages/core/src/scheduling/EvidenceRecorder.ts
+++ b/packages/core/src/scheduling/EvidenceRecorder.ts
@@ -90,8 +90,15 @@
     nowMs: number,
   ): void {
     const ramp = state.coldRamp;
-    if (ramp === undefined || result.evidence === 'cancelled') return;
-    recordColdResult(ramp, isGood(result), latencyMs, service.latencies.medianMs, nowMs);
+    if (ramp === undefined) return;
+    if (result.evidence === 'cancelled') {
+      // The target may go on with a cancelled request for a while.
+      ramp.closedUntilMs = Math.max(ramp.closedUntilMs, nowMs + service.latencies.medianMs);
+      return;
+    }
+    const { latencies } = service;
+    const referenceMs = latencies.isKnown ? latencies.medianMs : undefined;
+    recordColdResult(ramp, isGood(result), latencyMs, referenceMs, nowMs);
     if (ramp.limit <= target.slots) return;
     state.coldRamp = undefined;
     state.isWarm = true;
--- a/packages/core/src/scheduling/hashTargetId.ts
+++ b/packages/core/src/scheduling/hashTargetId.ts
@@ -1,10 +1,10 @@
 const FNV_OFFSET = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
-const MASK_24_BITS = 0xffffff;
+const MIX_FACTOR = 0x85ebca6b;
 
 /* eslint-disable no-bitwise -- FNV-1a is defined by bitwise operations */
 /**
- * Hashes a target's id to 24 bits (FNV-1a), so that a load report needs 3 bytes to name it.
+ * Hashes a target's id to 24 bits (FNV-1a, mixed), so that a load report needs 3 bytes to name it.
  *
  * @param id - the target's id
  * @returns a number from 0 to 2^24 - 1
@@ -14,5 +14,8 @@
   for (let index = 0; index < id.length; index += 1) {
     hash = Math.imul(hash ^ id.charCodeAt(index), FNV_PRIME);
   }
-  return ((hash >>> 24) ^ hash) & MASK_24_BITS;
+  // FNV-1a alone leaves the high bits of similar ids alike.
+  hash = Math.imul(hash ^ (hash >>> 16), MIX_FACTOR);
+  hash = Math.imul(hash ^ (hash >>> 13), MIX_FACTOR);
+  return (hash ^ (hash >>> 16)) >>> 8;
 }
