--- a/packages/caller/src/CallerRequest.ts
+++ b/packages/caller/src/CallerRequest.ts
@@ -13,6 +13,8 @@
   /** Moment on the monotonic clock, in milliseconds. */
   readonly deadlineMs: number;
   readonly isIdempotent: boolean;
+  /** Why another entry handed the request on, undefined if it came from the caller. */
+  readonly relayReason: 'home' | 'owner' | undefined;
 }
 
 export default CallerRequest;
--- a/packages/caller/src/EntryView.ts
+++ b/packages/caller/src/EntryView.ts
@@ -6,6 +6,8 @@
 import type Clock from '@guavayard/core/types/Clock';
 import type VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
 
+import type EntryRelay from './EntryRelay';
+
 /** What the request path reads and uses of the rest of the entry. */
 interface EntryView {
   readonly clock: Clock;
@@ -14,6 +16,7 @@
   readonly recorder: RequestRecorder;
   readonly dispatchCheck: DispatchCheck;
   readonly keys: KeyKeeper;
+  readonly relay: EntryRelay;
   /** @returns the configuration in force, or undefined while requests may not be dispatched */
   configuration: () => VersionedConfiguration | undefined;
 }
--- a/packages/caller/src/Exchange.ts
+++ b/packages/caller/src/Exchange.ts
@@ -19,6 +19,8 @@
 import type AttemptResult from '@guavayard/core/scheduling/AttemptResult';
 import type ScheduledAttempt from '@guavayard/core/scheduling/ScheduledAttempt';
 
+import type SendAddress from '@guavayard/core/types/SendAddress';
+
 import AnswerWriter from './AnswerWriter';
 import type CallerRequest from './CallerRequest';
 import checkDispatch from './checkDispatch';
@@ -28,6 +30,9 @@
 import sendFailure from './sendFailure';
 
 const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
+const UNKNOWN_ADDRESS = '127.0.0.1:0';
+/** Most connections to one entry. */
+const RELAY_CONNECTION_LIMIT = 64;
 const ATTEMPT_HEADER = 'guavayard-attempt';
 const OUTCOME_HEADER = 'guavayard-outcome';
 const LOAD_HEADER = 'guavayard-load';
@@ -147,7 +152,7 @@
       return;
     }
     this.triedTargetIds.push(assignment.target.id);
-    this.beginCheck(assignment);
+    if (assignment.relayTo === undefined) this.beginCheck(assignment);
     this.step({ kind: 'assigned' });
   }
 
@@ -166,21 +171,36 @@
 
   private send(): void {
     if (this.assignment === undefined) return;
-    const { req, method, path } = this.request;
-    const remainingMs = this.request.deadlineMs - this.entry.clock();
+    const { method, path } = this.request;
     const { attempts } = this.state;
     this.loadHeader = undefined;
     this.dispatch = undefined;
-    const dispatch = this.entry.sender.send(this.assignment.target, {
+    const dispatch = this.entry.sender.send(this.findAddress(this.assignment), {
       method,
       path,
-      headers: createTargetHeaders(req.rawHeaders, remainingMs, this.state.attempts),
+      headers: this.createHeaders(this.assignment),
       body: this.body.open(),
     }, this);
     // The dispatch may have failed at once and have led to the next attempt already.
     if (attempts === this.state.attempts) this.dispatch = dispatch;
   }
 
+  private findAddress({ target, relayTo }: Assignment): SendAddress {
+    if (relayTo === undefined) return target;
+    // An owner that is not known is an address that nothing listens on: the attempt did not run.
+    const address = this.entry.relay.addressOf(relayTo) ?? UNKNOWN_ADDRESS;
+    return { address, connectionLimit: RELAY_CONNECTION_LIMIT };
+  }
+
+  private createHeaders({ relayTo }: Assignment): string[] {
+    const { rawHeaders } = this.request.req;
+    const remainingMs = this.request.deadlineMs - this.entry.clock();
+    const headers = createTargetHeaders(rawHeaders, remainingMs, this.state.attempts);
+    if (relayTo === undefined) return headers;
+    const { requestId } = recordOf(this.res);
+    return [...headers, 'guavayard-relay', this.entry.relay.sign('owner', requestId)];
+  }
+
   private cancel(failure: Failure): void {
     this.attempt?.cancel();
     this.dispatch?.abort(failure);
--- a/packages/caller/src/RequestHandler.ts
+++ b/packages/caller/src/RequestHandler.ts
@@ -17,6 +17,7 @@
 import sendFailure from './sendFailure';
 import serveRequest from './serveRequest';
 
+const RELAY_HEADER = 'guavayard-relay';
 const DEADLINE_HEADER = 'guavayard-deadline-ms';
 /** Longest body of a request, in bytes. */
 const MAX_BODY_BYTES = 1024 * 1024 * 1024;
@@ -38,7 +39,7 @@
     res.once('close', () => {
       this.entry.recorder.record(record, res.statusCode, res.writableFinished);
     });
-    const request = this.accept(req);
+    const request = this.accept(req, record.requestId);
     if (request.ok) {
       record.serviceName = request.val.match.serviceName;
       record.homeRegions = request.val.match.homeRegions;
@@ -49,7 +50,7 @@
     new ReplayableBody(req, false).discard();
   }
 
-  private accept(req: IncomingMessage): Result<CallerRequest, Failure> {
+  private accept(req: IncomingMessage, requestId: string): Result<CallerRequest, Failure> {
     const framing = checkFraming(req, MAX_BODY_BYTES);
     if (framing.err) return framing;
     const current = this.entry.configuration();
@@ -69,6 +70,7 @@
       version: current.version,
       deadlineMs: deadlineMs.val,
       isIdempotent: isIdempotentMethod(method),
+      relayReason: this.entry.relay.verify(req.headers[RELAY_HEADER]?.toString(), requestId),
     });
   }
 }
--- a/packages/cli/src/run/RunContext.ts
+++ b/packages/cli/src/run/RunContext.ts
@@ -11,6 +11,8 @@
 interface RunContext {
   readonly settings: Settings;
   readonly identity: VmIdentity;
+  /** Key shared by all VMs. */
+  readonly key: string;
   /** Sessions with other VMs, shared by the roles. */
   readonly hub: VmHub;
   readonly log: Logger;
--- a/packages/cli/src/run/runVm.ts
+++ b/packages/cli/src/run/runVm.ts
@@ -53,7 +53,7 @@
   hub.addHandler(new ReportResponder(reports));
   const metrics = createMetrics(settings.metrics?.statsd, identity, reports, log);
   return Ok({
-    settings, identity, hub, log, reports, metrics,
+    settings, identity, key: key.val, hub, log, reports, metrics,
   });
 }
 
--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -15,6 +15,7 @@
 import closeServer from './closeServer';
 import createObservation from './createObservation';
 import countTargets from './countTargets';
+import createRelay from './createRelay';
 import createKeyTask from './createKeyTask';
 import createScheduler from './createScheduler';
 import createTargetTasks from './createTargetTasks';
@@ -85,6 +86,7 @@
     scheduler,
     sender,
     keys: keys.task,
+    relay: createRelay(identity, context.key, () => subscription.entries),
     configuration: () => subscription.latest,
   });
   let isStopping = false;
--- a/packages/core/src/dispatch/TargetSender.ts
+++ b/packages/core/src/dispatch/TargetSender.ts
@@ -1,4 +1,4 @@
-import type TargetAnnouncement from '../types/TargetAnnouncement';
+import type SendAddress from '../types/SendAddress';
 import type AnswerHandler from './AnswerHandler';
 import type Dispatch from './Dispatch';
 import type TargetRequest from './TargetRequest';
@@ -13,7 +13,7 @@
    * @param handler - receiver of the answer
    * @returns the exchange, to resume or abort it
    */
-  send: (target: TargetAnnouncement, req: TargetRequest, handler: AnswerHandler) => Dispatch;
+  send: (target: SendAddress, req: TargetRequest, handler: AnswerHandler) => Dispatch;
 }
 
 export default TargetSender;
--- a/packages/core/src/errors/errorTable.ts
+++ b/packages/core/src/errors/errorTable.ts
@@ -155,6 +155,13 @@
     retryable: false,
     text: 'the request with this idempotency key ran and its answer was too large to be stored',
   },
+  noHomeEntry: {
+    code: 29,
+    status: 503,
+    outcome: 'not-run',
+    retryable: true,
+    text: 'no entry in the home regions of the request can be reached',
+  },
 } as const satisfies Readonly<Record<string, ErrorAnswer>>;
 
 export default errorTable;
--- a/packages/core/src/http/createTargetHeaders.ts
+++ b/packages/core/src/http/createTargetHeaders.ts
@@ -1,7 +1,7 @@
-import forwardHeaders from './forwardHeaders';
+import selectForwardedHeaders from './selectForwardedHeaders';
 
 /** Headers that each entry writes anew. */
-const OWN_HEADERS = new Set(['guavayard-deadline-ms', 'guavayard-attempt']);
+const OWN_HEADERS = new Set(['guavayard-deadline-ms', 'guavayard-attempt', 'guavayard-relay']);
 
 /**
  * Makes the headers of a request as they are sent to a target.
@@ -16,13 +16,12 @@
   remainingMs: number,
   attempt: number,
 ): string[] {
-  const forwarded = forwardHeaders(rawHeaders);
-  const headers: string[] = [];
-  for (let index = 0; index + 1 < forwarded.length; index += 2) {
-    const name = forwarded[index] ?? '';
-    if (!OWN_HEADERS.has(name.toLowerCase())) headers.push(name, forwarded[index + 1] ?? '');
-  }
   const deadline = String(Math.max(1, Math.floor(remainingMs)));
-  headers.push('guavayard-deadline-ms', deadline, 'guavayard-attempt', String(attempt));
-  return headers;
+  return [
+    ...selectForwardedHeaders(rawHeaders, OWN_HEADERS),
+    'guavayard-deadline-ms',
+    deadline,
+    'guavayard-attempt',
+    String(attempt),
+  ];
 }
--- a/packages/target/src/UndiciTargetSender.ts
+++ b/packages/target/src/UndiciTargetSender.ts
@@ -4,7 +4,7 @@
 import type Dispatch from '@guavayard/core/dispatch/Dispatch';
 import type TargetRequest from '@guavayard/core/dispatch/TargetRequest';
 import type TargetSender from '@guavayard/core/dispatch/TargetSender';
-import type TargetAnnouncement from '@guavayard/core/types/TargetAnnouncement';
+import type SendAddress from '@guavayard/core/types/SendAddress';
 
 import UndiciDispatch from './UndiciDispatch';
 
@@ -17,7 +17,7 @@
 export default class UndiciTargetSender implements TargetSender {
   private readonly pools = new Map<string, Pool>();
 
-  send(target: TargetAnnouncement, req: TargetRequest, handler: AnswerHandler): Dispatch {
+  send(target: SendAddress, req: TargetRequest, handler: AnswerHandler): Dispatch {
     const dispatch = new UndiciDispatch(handler);
     this.poolOf(target).dispatch({
       method: req.method,
@@ -33,7 +33,7 @@
     await Promise.all([...this.pools.values()].map(async (pool) => pool.close()));
   }
 
-  private poolOf(target: TargetAnnouncement): Pool {
+  private poolOf(target: SendAddress): Pool {
     const existing = this.pools.get(target.address);
     if (existing !== undefined) return existing;
     const pool = new Pool(`http://${target.address}`, {
