--- a/packages/core/src/choice/TargetSelector.ts
+++ b/packages/core/src/choice/TargetSelector.ts
@@ -36,13 +36,16 @@
     let best: Selection | undefined;
     let bestMs = Infinity;
     const { candidates } = request;
+    const mayGoRemote = this.mayGoRemote(request);
     for (let index = 0; index < candidates.length; index += 1) {
       const candidate = candidates[index] as Candidate;
-      const state = this.targets.stateOf(candidate.target);
-      const costMs = this.estimateCostMs(candidate, state, request);
-      if (costMs < bestMs) {
-        best = { candidate, state };
-        bestMs = costMs;
+      if (mayGoRemote || candidate.distance !== 'remote') {
+        const state = this.targets.stateOf(candidate.target);
+        const costMs = this.estimateCostMs(candidate, state, request);
+        if (costMs < bestMs) {
+          best = { candidate, state };
+          bestMs = costMs;
+        }
       }
     }
     return best;
@@ -78,7 +81,6 @@
     if (target.state === 'cold' && !state.isWarm) {
       return this.hasColdRoom(target, state, request) ? roundTripMs + medianMs : Infinity;
     }
-    if (distance === 'remote' && !this.mayGoRemote(request)) return Infinity;
     if (service.outliers.isEjected(target.id, nowMs)) return Infinity;
     const inFlight = estimateInFlight(state, this.options, nowMs);
     if (!this.hasRoom(candidate, state.affinity, inFlight, request)) return Infinity;
--- a/packages/core/src/choice/estimateInFlight.ts
+++ b/packages/core/src/choice/estimateInFlight.ts
@@ -1,6 +1,9 @@
 import type SchedulingOptions from '../scheduling/SchedulingOptions';
 import type TargetState from '../scheduling/TargetState';
 
+/** After this many decay times a report has no weight left. */
+const MAX_AGE_DECAYS = 6;
+
 /**
  * Estimates the requests that a target has in flight from all entries.
  *
@@ -20,7 +23,9 @@
   const own = state.outstanding.size;
   const told = own + state.peersInFlight;
   const { report } = state;
-  if (report === undefined) return told;
+  if (report === undefined || nowMs - report.atMs > MAX_AGE_DECAYS * options.reportDecayMs) {
+    return told;
+  }
   const weight = Math.exp((report.atMs - nowMs) / options.reportDecayMs);
   const reported = report.inFlight + own - report.ownInFlight;
   return Math.max(own, told + weight * (reported - told));
--- a/packages/core/src/choice/estimateSlowness.ts
+++ b/packages/core/src/choice/estimateSlowness.ts
@@ -4,6 +4,11 @@
 
 const MAX_SLOWNESS = 10;
 
+function fadeSlowness(state: TargetState, options: SchedulingOptions, nowMs: number): number {
+  const weight = Math.exp((state.slownessAtMs - nowMs) / options.slownessDecayMs);
+  return 1 + (state.slowness - 1) * weight;
+}
+
 /**
  * Estimates how many times slower than its peers a target is now, from its latest answers and
  * from the age of the oldest attempt in flight. The age tells first.
@@ -20,8 +25,7 @@
   options: SchedulingOptions,
   nowMs: number,
 ): number {
-  const weight = Math.exp((state.slownessAtMs - nowMs) / options.slownessDecayMs);
-  const fromAnswers = 1 + (state.slowness - 1) * weight;
+  const fromAnswers = state.slowness === 1 ? 1 : fadeSlowness(state, options, nowMs);
   const oldest = state.outstanding.values().next().value;
   if (oldest === undefined) return fromAnswers;
   const ageMs = nowMs - oldest.startedAtMs;
