--- a/test/support/VmProcess.ts
+++ b/test/support/VmProcess.ts
@@ -35,6 +35,11 @@
     return this.child?.pid ?? 0;
   }
 
+  /** Whether the process has been started and has not exited. */
+  get isRunning(): boolean {
+    return this.child?.exitCode === null && this.child.signalCode === null;
+  }
+
   /**
    * Starts `guavayard run` and waits until it is started.
    */
@@ -92,7 +97,7 @@
   async waitForLine(matches: (line: LogLine) => boolean): Promise<LogLine> {
     const found = this.lines.find(matches);
     if (found !== undefined) return found;
-    if (this.child?.exitCode !== null) throw new Error('the process has exited');
+    if (!this.isRunning) throw new Error('the process has exited');
     await new Promise<void>((wake) => {
       this.waiters.push(wake);
     });
@@ -107,7 +112,7 @@
    */
   async stop(signal: NodeJS.Signals = 'SIGTERM'): Promise<number | null> {
     const { child } = this;
-    if (child?.exitCode !== null || child.signalCode !== null) return null;
+    if (child === undefined || !this.isRunning) return null;
     const exited = new Promise<number | null>((done) => {
       child.once('exit', done);
     });
@@ -115,6 +120,11 @@
     return exited;
   }
 
+  /** Stops reading the log, as when the reader has died. */
+  closeLog(): void {
+    this.child?.stdout?.destroy();
+  }
+
   /** Ends the process and removes its folder. */
   async remove(): Promise<void> {
     await this.stop('SIGKILL');
