Judge cold targets by 32 answers before they get more

Change: windows of 32 answers, 1.2 times; without warm targets to compare with, two steady windows in place of one.

--- a/packages/core/src/coldstart/recordColdResult.ts
+++ b/packages/core/src/coldstart/recordColdResult.ts
@@ -3,13 +3,15 @@
 const MAX_BACKOFF_MS = 5000;
 const BACKOFF_GROWTH = 2;
 /** Good answers whose latencies are judged together, for single ones vary too much. */
-const WINDOW_ANSWERS = 16;
+const WINDOW_ANSWERS = 32;
 /** A window is as quick as warm targets up to this multiple of their median. */
-const WARM_RATIO = 1.3;
+const WARM_RATIO = 1.2;
 /** A window is steady if it is not quicker than this multiple of the window before. */
 const STEADY_RATIO = 0.9;
+/** Without warm targets to compare with, a steady target is widened after this many windows. */
+const STEADY_WINDOWS = 2;
 /** A target that stays slower than its peers is widened after this many windows. */
-const PATIENCE_WINDOWS = 20;
+const PATIENCE_WINDOWS = 10;
 
 function startWindow(state: ColdRamp): void {
   state.answers = 0;
@@ -28,7 +30,8 @@
 function mayWiden(state: ColdRamp, meanMs: number, referenceMs: number | undefined): boolean {
   if (referenceMs !== undefined && meanMs <= referenceMs * WARM_RATIO) return true;
   const isSteady = state.previousMs !== undefined && meanMs >= state.previousMs * STEADY_RATIO;
-  return isSteady && (referenceMs === undefined || state.windows >= PATIENCE_WINDOWS);
+  const windows = referenceMs === undefined ? STEADY_WINDOWS : PATIENCE_WINDOWS;
+  return isSteady && state.windows >= windows;
 }
 
 /**
