Probe silent targets within a budget, and let data centres return gradually

Cause: a target that answers nobody tells no load; the scheduler saw a data centre leave only when a request came while it was out, and took its return for nothing. Change: the owner probes targets that announce a probePath and have been silent for 300 ms; the budget saves 1% of the slot time and a probe begins only when its largest cost is saved. The scheduler observes the configuration every 5 ms. Subsets of connections as a pure module. Failed try: an interval of cost / 1% after each probe; with an owner a minute it came to 1.11% and 1.55% of the slot time, as a new owner forgot the debt. Shown failing: with the budget off 6%, 29% and 59% of the slot time; with the configuration not observed the test of the returning data centre fails.

--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -9,9 +9,9 @@
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
 import ControlSubscription from '@guavayard/vm/entry/ControlSubscription';
 import EntryLeaseRelay from '@guavayard/vm/entry/EntryLeaseRelay';
-import LoadReportExchange from '@guavayard/vm/load/LoadReportExchange';
 
 import closeServer from './closeServer';
+import createMeasuring from './createMeasuring';
 import createObservation from './createObservation';
 import countTargets from './countTargets';
 import createScheduler from './createScheduler';
@@ -21,8 +21,6 @@
 import type Runnable from './Runnable';
 import type TargetTasks from './TargetTasks';
 
-const SCHEDULER_INTERVAL_MS = 5;
-
 function clock(): number {
   return performance.now();
 }
@@ -69,8 +67,7 @@
       directory.declareWarm(warm);
     },
   }, clock);
-  const loadReports = new LoadReportExchange(identity.region, targets.sessions, scheduler, clock);
-  targets.sessions.addListener(loadReports);
+  const measuring = createMeasuring(context, targets, subscription, scheduler, clock);
   const handler = new RequestHandler({
     ...observation,
     clock,
@@ -99,19 +96,16 @@
       isReady: subscription.latest !== undefined && !isStopping,
       ...countTargets(directory.all(), identity.name),
       invariants: observation.dispatchCheck.counts,
+      measuring: measuring.cost(),
     }),
   });
   settings.vm.control.forEach((address) => hub.connect(address));
-  const ticking = setInterval(() => {
-    scheduler.tick();
-    loadReports.tick();
-  }, SCHEDULER_INTERVAL_MS);
   return Ok({
     stop: async () => {
       isStopping = true;
       targets.releaseOwnership();
       await Promise.all([closeServer(caller.server), closeServer(target.server)]);
-      clearInterval(ticking);
+      await measuring.stop();
       await sender.close();
       targets.stop();
       subscription.release();
--- a/packages/core/src/scheduling/EvidenceRecorder.ts
+++ b/packages/core/src/scheduling/EvidenceRecorder.ts
@@ -42,7 +42,7 @@
     latencyMs: number,
     nowMs: number,
   ): void {
-    this.recordReport(state, result, nowMs);
+    this.recordReport(state, result.loadHeader, nowMs);
     this.recordCold(service, state, target, result, latencyMs, nowMs);
     if (isGood(result)) {
       if (state.coldRamp === undefined) service.latencies.record(latencyMs);
@@ -65,9 +65,16 @@
     );
   }
 
-  private recordReport(state: TargetState, result: AttemptResult, nowMs: number): void {
-    if (result.loadHeader === undefined) return;
-    const load = this.parser.parse(result.loadHeader);
+  /**
+   * Takes the load that a target told, in an answer or asked by a probe.
+   *
+   * @param state - state of the target
+   * @param header - value of its `guavayard-load` header, if there was one
+   * @param nowMs - monotonic clock, in milliseconds
+   */
+  recordReport(state: TargetState, header: string | undefined, nowMs: number): void {
+    if (header === undefined) return;
+    const load = this.parser.parse(header);
     if (load === undefined) return;
     state.report = {
       inFlight: load.inFlight, ownInFlight: state.outstanding.size, atMs: nowMs,
--- a/packages/core/src/scheduling/LoadAwareScheduler.ts
+++ b/packages/core/src/scheduling/LoadAwareScheduler.ts
@@ -118,6 +118,24 @@
     this.exchange.forgetEntry(entryName);
   }
 
+  /**
+   * @param target - a target
+   * @returns when it last told its load, in milliseconds of the monotonic clock
+   */
+  heardAtMs(target: KnownTarget): number {
+    return this.targets.stateOf(target).report?.atMs ?? -Infinity;
+  }
+
+  /**
+   * Takes the load that a target told when it was probed.
+   *
+   * @param target - the target
+   * @param loadHeader - value of its `guavayard-load` header
+   */
+  takeProbe(target: KnownTarget, loadHeader: string): void {
+    this.recorder.recordReport(this.targets.stateOf(target), loadHeader, this.context.clock());
+  }
+
   private serviceOf(name: string): ServiceState {
     const known = this.services.get(name);
     if (known !== undefined) return known;
--- /dev/null
+++ b/packages/core/src/subsetting/assignSubsets.ts
@@ -0,0 +1,53 @@
+import rankMember from '../ownership/rankMember';
+import type SubsetTarget from './SubsetTarget';
+
+/** Fewest connections that are worth having to a target. */
+const MIN_CONNECTIONS = 2;
+/** Fewest targets of a service that each entry may choose from, where there are as many. */
+const MIN_TARGETS = 2;
+
+function chooseUsers(target: SubsetTarget, entryNames: readonly string[]): Set<string> {
+  const perEntry = Math.max(MIN_CONNECTIONS, target.slots);
+  const count = Math.max(1, Math.floor(target.connectionLimit / perEntry));
+  if (entryNames.length <= count) return new Set(entryNames);
+  const ranked = entryNames
+    .map((name) => ({ name, rank: rankMember(target.id, name) }))
+    .sort((left, right) => right.rank - left.rank || (left.name < right.name ? -1 : 1));
+  return new Set(ranked.slice(0, count).map(({ name }) => name));
+}
+
+function addFloor(
+  entryName: string,
+  targets: readonly SubsetTarget[],
+  users: ReadonlyMap<string, Set<string>>,
+): void {
+  const isUser = (target: SubsetTarget): boolean => users.get(target.id)?.has(entryName) ?? false;
+  const missing = Math.min(MIN_TARGETS, targets.length) - targets.filter(isUser).length;
+  if (missing <= 0) return;
+  const hasRoom = ({ id, connectionLimit }: SubsetTarget): boolean => (
+    (users.get(id)?.size ?? 0) < connectionLimit
+  );
+  targets
+    .filter((target) => !isUser(target) && hasRoom(target))
+    .sort((left, right) => rankMember(right.id, entryName) - rankMember(left.id, entryName))
+    .slice(0, missing)
+    .forEach((target) => users.get(target.id)?.add(entryName));
+}
+
+/**
+ * Assigns to each target of a service the entries that keep connections to it: all of them while
+ * its limit gives each enough, else those of highest rank. Every entry computes the same, and when
+ * an entry or a target comes or goes, little else moves.
+ *
+ * @param targets - the targets of one service
+ * @param entryNames - all entries
+ * @returns the names of the entries that use each target, by the target's id
+ */
+export default function assignSubsets(
+  targets: readonly SubsetTarget[],
+  entryNames: readonly string[],
+): Map<string, Set<string>> {
+  const users = new Map(targets.map((target) => [target.id, chooseUsers(target, entryNames)]));
+  [...entryNames].sort().forEach((entryName) => addFloor(entryName, targets, users));
+  return users;
+}
--- a/packages/core/src/types/TargetAnnouncement.ts
+++ b/packages/core/src/types/TargetAnnouncement.ts
@@ -5,6 +5,7 @@
 
 const MAX_SLOTS = 10_000;
 const MAX_CONNECTIONS = 100_000;
+const MAX_PATH_LENGTH = 256;
 const MIN_TIME_TO_LIVE_MS = 100;
 const MAX_TIME_TO_LIVE_MS = 3_600_000;
 
@@ -24,6 +25,11 @@
    * that was overtaken on its way cannot be told from a new one.
    */
   sequence: z.int().min(0).optional(),
+  /**
+   * Path that answers GET with the header `guavayard-load` and without running anything. The owner
+   * probes only targets that have one.
+   */
+  probePath: z.string().startsWith('/').max(MAX_PATH_LENGTH).optional(),
   timeToLiveMs: z.int().min(MIN_TIME_TO_LIVE_MS).max(MAX_TIME_TO_LIVE_MS),
 });
 type TargetAnnouncement = z.infer<typeof TargetAnnouncement>;
--- a/packages/emulator/src/EmulatedTarget.ts
+++ b/packages/emulator/src/EmulatedTarget.ts
@@ -97,10 +97,13 @@
   }
 
   private receive(req: IncomingMessage, res: ServerResponse): void {
-    this.lastHeaders = req.headers;
     res.setHeader('emulated-target', this.id);
-    if (req.url === PROBE_PATH) this.answerProbe(res);
-    else if (this.isRefusing()) this.shed(res);
+    if (req.url === PROBE_PATH) {
+      this.answerProbe(res);
+      return;
+    }
+    this.lastHeaders = req.headers;
+    if (this.isRefusing()) this.shed(res);
     else if (this.behaviour.isFailingFast) this.failFast(res);
     else this.enqueue(req, res);
   }
--- a/packages/emulator/src/main.ts
+++ b/packages/emulator/src/main.ts
@@ -38,6 +38,7 @@
     connectionLimit: 260,
     startId: randomUUID(),
     state: 'ready' as const,
+    probePath: '/guavayard/probe',
     timeToLiveMs: TIME_TO_LIVE_MS,
   };
   const heartbeat = (): void => {
--- a/test/targets.test.ts
+++ b/test/targets.test.ts
@@ -8,6 +8,9 @@
 const HEARTBEAT_MS = 500;
 /** "A few seconds" of the promises, beyond the time to live where a target is silent. */
 const FEW_SECONDS_MS = 4000;
+/** What a probe costs a target, and the share of its slot time that probes may take. */
+const PROBE_COST_MS = 6;
+const PROBE_SHARE = 0.01;
 const TIMEOUT = { timeout: 30_000 };
 
 const system = new SmallSystem();
@@ -110,6 +113,40 @@
   assert.equal(await system.get(2, '/cold'), 200);
 });
 
+test('a data centre that returns gets its share gradually', TIMEOUT, async () => {
+  await system.addService('ramp');
+  const near = await system.startTarget('ramp-1');
+  const far = await system.startTarget('ramp-2');
+  await system.announce(0, { ...near.announcement, dataCentre: 'munster-2', slots: 40 });
+  await system.announce(0, { ...far.announcement, dataCentre: 'munster-1', slots: 40 });
+  await system.waitForTarget(1, 'ramp-2', (known) => known !== undefined);
+  const state = '/dataCentres/munster-2/state';
+  await system.patch([{ op: 'replace', path: state, value: 'out' }]);
+  await system.patch([{ op: 'replace', path: state, value: 'in' }]);
+  const headers = { 'emulated-service-time-ms': '1000' };
+  const answers = await Promise.all(Array.from({ length: 30 }, async () => system.get(1, '/ramp', headers)));
+  assert.ok(answers.every((status) => status === 200));
+  // Half of its slots stand open after 5 s, which is far more than this takes.
+  assert.ok(near.target.statistics.mostInFlight < 20, `${near.target.statistics.mostInFlight}`);
+  assert.equal(near.target.runs + far.target.runs, 30);
+});
+
+test('a silent target is probed by its owner within 1% of its slot time', TIMEOUT, async () => {
+  await system.addService('probed');
+  const { target, announcement } = await system.startTarget('probed-1');
+  const announcedAtMs = performance.now();
+  await system.announce(2, { ...announcement, dataCentre: 'munster-2', probePath: '/guavayard/probe' });
+  const waitForProbes = async (count: number): Promise<void> => {
+    if (target.statistics.probes >= count) return;
+    await system.waitForTarget(1, 'probed-1', (known) => known?.owner === 'entry-2');
+    await waitForProbes(count);
+  };
+  await waitForProbes(4);
+  const slotTimeMs = (performance.now() - announcedAtMs) * announcement.slots;
+  assert.ok(target.statistics.probes * PROBE_COST_MS <= PROBE_SHARE * slotTimeMs);
+  assert.equal(target.runs, 0);
+});
+
 test('a target outlives the entry that took its announcements', TIMEOUT, async (t) => {
   await system.addService('six');
   const heartbeating = await system.startTarget('six-1', TIME_TO_LIVE_MS);
