Answer a key group member that missed that another is settled

Cause: an entry at rest in a system of 6 sent 99 keySettled messages (12 KB) in 5 s, without end. A member told the others that it has every copy only until it was whole itself; a member that had missed that word repeated its own question for ever, and kept old member sets, so that a later loss was taken for a loss of all copies. Change: the message says whether its sender is whole, and a whole member answers one that is not.

--- a/packages/vm/src/idempotency/KeyTask.ts
+++ b/packages/vm/src/idempotency/KeyTask.ts
@@ -50,6 +50,11 @@
     return this.group?.isSettled ?? false;
   }
 
+  /** Whether every member is known to have every copy. */
+  get isWhole(): boolean {
+    return this.group?.isWhole ?? false;
+  }
+
   /** Stops. */
   close(): void {
     clearInterval(this.timer);
@@ -133,9 +138,7 @@
     if (message.kind === 'keyBackedUp') this.takeBackedUp(from, message);
     if (message.kind === 'keyCopyRequest') this.giveCopy(from, message.view);
     if (message.kind === 'keyCopy') this.takeCopy(message);
-    if (message.kind === 'keySettled' && this.isInView(message.view)) {
-      this.group?.noteSettled(message.startId);
-    }
+    if (message.kind === 'keySettled') this.takeSettled(from, message);
   }
 
   /** A member without a lease may have been replaced: it grants and acknowledges nothing. */
@@ -207,6 +210,22 @@
     this.tick();
   }
 
+  private takeSettled(from: KeyMember, message: MessageOf<'keySettled'>): void {
+    const { group } = this;
+    if (!group?.accepts(message.view)) return;
+    group.noteSettled(message.startId);
+    // A whole member sends nothing by itself any more, and the sender may have missed its word.
+    if (!message.isWhole && group.isWhole) this.tellSettled(group, from);
+  }
+
+  private tellSettled(group: KeyGroup, to: KeyMember): void {
+    const { view, isWhole } = group;
+    const { startId } = this.options.identity;
+    this.deliver(to, {
+      kind: 'keySettled', view, startId, isWhole,
+    });
+  }
+
   private merge(record: KeyRecord): void {
     const known = this.table.find(record.key);
     if (known === undefined || known.state === 'pending') this.table.store(record);
@@ -221,7 +240,7 @@
     if (!group.isSettled || group.isWhole) return;
     const { startId } = this.options.identity;
     group.members.filter((member) => member.startId !== startId)
-      .forEach((member) => this.deliver(member, { kind: 'keySettled', view, startId }));
+      .forEach((member) => this.tellSettled(group, member));
   }
 
   private createGroup(): KeyGroup {
--- a/packages/vm/src/messages/idempotencyMessages.ts
+++ b/packages/vm/src/messages/idempotencyMessages.ts
@@ -35,7 +35,13 @@
     isInformed: z.boolean(),
   }),
   /** A member has every copy of a view. */
-  z.strictObject({ kind: z.literal('keySettled'), view: KeyView, startId: Id }),
+  z.strictObject({
+    kind: z.literal('keySettled'),
+    view: KeyView,
+    startId: Id,
+    /** Whether the sender knows the same of every member; else it asks for the word of this one. */
+    isWhole: z.boolean(),
+  }),
 ] as const;
 
 export default idempotencyMessages;
--- a/test/support/KeyCluster.ts
+++ b/test/support/KeyCluster.ts
@@ -19,6 +19,9 @@
 
   nodes: KeyNode[] = [];
 
+  /** Tells the messages that the network loses. */
+  loses: ((from: KeyNode, to: KeyNode, message: VmMessage) => boolean) | undefined;
+
   private readonly cuts = new Set<string>();
 
   private starts = 0;
@@ -113,7 +116,7 @@
     setImmediate(() => {
       const to = this.nodes.find((node) => node.identity.startId === startId);
       if (to === undefined || !from.isAlive || this.cuts.has(linkOf(from, to))) return;
-      to.receive(from, copy);
+      if (this.loses?.(from, to, copy) !== true) to.receive(from, copy);
     });
   }
 
