--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -11,9 +11,9 @@
 import ControlSubscription from '@guavayard/vm/entry/ControlSubscription';
 import EntryLeaseRelay from '@guavayard/vm/entry/EntryLeaseRelay';
 import type SubscriptionListener from '@guavayard/vm/entry/SubscriptionListener';
-import LoadReportExchange from '@guavayard/vm/load/LoadReportExchange';
 
 import closeServer from './closeServer';
+import createMeasuring from './createMeasuring';
 import createObservation from './createObservation';
 import countTargets from './countTargets';
 import createRelay from './createRelay';
@@ -25,8 +25,6 @@
 import type Runnable from './Runnable';
 import type TargetTasks from './TargetTasks';
 
-const SCHEDULER_INTERVAL_MS = 5;
-
 function clock(): number {
   return performance.now();
 }
@@ -79,8 +77,7 @@
       directory.declareWarm(warm);
     },
   }, clock);
-  const loadReports = new LoadReportExchange(identity.region, targets.sessions, scheduler, clock);
-  targets.sessions.addListener(loadReports);
+  const measuring = createMeasuring(context, targets, subscription, scheduler, clock);
   const handler = new RequestHandler({
     ...observation,
     clock,
@@ -111,13 +108,10 @@
       isReady: subscription.latest !== undefined && !isStopping,
       ...countTargets(directory.all(), identity.name),
       invariants: observation.dispatchCheck.counts,
+      measuring: measuring.cost(),
     }),
   });
   settings.vm.control.forEach((address) => hub.connect(address));
-  const ticking = setInterval(() => {
-    scheduler.tick();
-    loadReports.tick();
-  }, SCHEDULER_INTERVAL_MS);
   return Ok({
     stop: async () => {
       isStopping = true;
@@ -126,7 +120,7 @@
       await sleep(settings.platform?.noticeMs ?? 0);
       targets.releaseOwnership();
       await Promise.all([caller.stop(), closeServer(target.server)]);
-      clearInterval(ticking);
+      await measuring.stop();
       await sender.close();
       keys.task.close();
       targets.stop();
