Resend keyed requests of the soak to the path of the first send

Cause: 77 resends of the soak got keyConflict: each named another path, which is another request. Change: the path holds the key.

--- a/scripts/soak/SoakCaller.ts
+++ b/scripts/soak/SoakCaller.ts
@@ -78,7 +78,7 @@
     if (address === undefined) return undefined;
     const startedAtMs = performance.now();
     const body = `body of ${key ?? requestId}`;
-    const result = await this.exchange(`http://${address}/ledger/${requestId}`, {
+    const result = await this.exchange(`http://${address}/ledger/${key ?? requestId}`, {
       'guavayard-request-id': requestId,
       ...(key === undefined ? {} : { 'idempotency-key': key }),
     }, kind === 'read' ? undefined : body);
