End the process when a start fails

Cause: a check by hand hung for ten minutes: a failed start printed its message, but the session listener, and whatever role had started, kept the process alive, and SIGTERM was already taken by the handler that waits for a running VM. The table of messages had no test on processes.

--- a/packages/cli/src/commands/RunCommand.ts
+++ b/packages/cli/src/commands/RunCommand.ts
@@ -30,7 +30,9 @@
     const vm = await runVm(settings);
     if (vm.err) {
       printError(vm.val);
-      return ExitCode.failed;
+      // Listeners and timers of what had started would keep the process alive. Nothing was
+      // accepted, and what control wrote is synced before it matters.
+      process.exit(ExitCode.failed);
     }
     await stopped;
     await vm.val.stop();
--- a/test/support/runBinary.ts
+++ b/test/support/runBinary.ts
@@ -2,6 +2,8 @@
 import { resolve } from 'node:path';
 
 const BINARY = resolve('dist/guavayard');
+/** A command that has not ended by then is killed, and has no exit code. */
+const LIMIT_MS = 15_000;
 
 /** What one run of the binary gave. */
 interface BinaryRun {
@@ -17,7 +19,9 @@
  * @returns its exit code and what it printed
  */
 export default async function runBinary(...args: string[]): Promise<BinaryRun> {
-  const child = spawn(BINARY, args, { stdio: ['ignore', 'pipe', 'pipe'] });
+  const child = spawn(BINARY, args, {
+    stdio: ['ignore', 'pipe', 'pipe'], timeout: LIMIT_MS, killSignal: 'SIGKILL',
+  });
   let stdout = '';
   let stderr = '';
   child.stdout.on('data', (chunk: Buffer) => {
