Join probes under way and count a stale speed as unknown

Cause: a choice ignored probes that another choice had under way, and took a reading of up to a second as the target's speed now; 131 of 903 listings began on slowed targets. Connections are kept for 30 s, heartbeats go to a control VM of their region, the roster goes out on change.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -19,8 +19,11 @@
 import type GatewayRole from './GatewayRole';
 
 const MS_PER_SECOND = 1000;
-/** Idle connections to targets that name no time are closed before most targets close them. */
-const KEEP_ALIVE_TIMEOUT_MS = 4000;
+/**
+ * Idle connections to targets that name no time. A probe shows right before each request whether
+ * the connection still works.
+ */
+const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 /** Idle connections of callers live this much longer than declared, in milliseconds. */
 const IDLE_MARGIN_MS = 1000;
 /** Time before the end of the grace time at which the process ends, in milliseconds. */
--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -62,7 +62,7 @@
     },
   });
   task.start();
-  const api = new ControlApi(task);
+  const api = new ControlApi(task, settings.regions, splitHostPort(address).port);
   const bound = await listen(api.server, address, 'control', log);
   if (bound.err) return bound;
   return Ok({
--- a/packages/core/src/placement/PlacedTarget.ts
+++ b/packages/core/src/placement/PlacedTarget.ts
@@ -19,7 +19,8 @@
   failureShare: number;
   /** Whether the target says of itself that it cannot serve. */
   isUnwell: boolean;
-  isProbing: boolean;
+  /** Called when the probe under way has ended; undefined without one. */
+  probeWaiters: (() => void)[] | undefined;
 }
 
 export default PlacedTarget;
--- a/packages/core/src/placement/createPlacedTarget.ts
+++ b/packages/core/src/placement/createPlacedTarget.ts
@@ -21,6 +21,6 @@
     ejections: 0,
     failureShare: 0,
     isUnwell: false,
-    isProbing: false,
+    probeWaiters: undefined,
   };
 }
--- a/packages/core/src/placement/estimateCost.ts
+++ b/packages/core/src/placement/estimateCost.ts
@@ -22,8 +22,8 @@
   const crowding = used > placementLimits.kneeShare ? placementLimits.kneeFactor : 1;
   const queueing = Math.max(0, load + 1 - slots) / slots;
   const { reading } = target;
-  const isFresh = reading !== undefined && nowMs - reading.atMs < placementLimits.readingMaxAgeMs;
-  const slowness = isFresh ? reading.slowness : 1;
+  const isFresh = reading !== undefined && nowMs - reading.atMs <= placementLimits.speedMaxAgeMs;
+  const slowness = isFresh ? reading.slowness : placementLimits.unknownSlowness;
   const failing = 1 + 4 * target.failureShare;
   const unwell = target.isUnwell ? UNWELL_COST : 0;
   return (slowness * crowding + queueing + 0.2 * used) * failing + unwell;
--- a/packages/core/src/placement/placementLimits.ts
+++ b/packages/core/src/placement/placementLimits.ts
@@ -5,6 +5,10 @@
 const placementLimits = {
   /** A reading older than this says nothing of the load any more, in milliseconds. */
   readingMaxAgeMs: 1000,
+  /** A reading older than this does not tell how fast the target works now, in milliseconds. */
+  speedMaxAgeMs: 30,
+  /** Expected slowness of a target whose speed is not known: slowed 5 times a quarter of the time. */
+  unknownSlowness: 2,
   /** A reading younger than this is not asked for again, in milliseconds. */
   freshReadingMs: 10,
   /** Most targets probed for one choice. */
--- a/packages/core/src/registry/RegistryService.ts
+++ b/packages/core/src/registry/RegistryService.ts
@@ -10,6 +10,12 @@
   readDeclaration: () => Promise<Result<string | undefined, Failure>>;
   evacuate: (dataCentre: string, isOut: boolean) => Promise<Result<undefined, Failure>>;
   announce: (target: RegisteredTarget) => Promise<Result<undefined, Failure>>;
+  /**
+   * @param dataCentre - where a target stands
+   * @param region - the region of that data centre
+   * @returns IP number of the control VM that its announcements cross the fewest links to
+   */
+  findNearControl: (dataCentre: string, region: string) => string | undefined;
   withdraw: (targetId: string) => Promise<Result<undefined, Failure>>;
 }
 
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -30,6 +30,7 @@
   readonly target: PlacedTarget;
   readonly startedAtMs: number;
   readonly load: number | undefined;
+  readonly slowness: number | undefined;
   readonly loadAgeMs: number | undefined;
   readonly release: () => void;
   status: number | undefined;
@@ -111,6 +112,7 @@
       target,
       startedAtMs: nowMs,
       load: target.reading === undefined ? undefined : estimateLoad(target, nowMs) - 1,
+      slowness: target.reading?.slowness,
       loadAgeMs: target.reading === undefined ? undefined : nowMs - target.reading.atMs,
       release,
       status: undefined,
@@ -201,6 +203,7 @@
     this.lines.push({
       target: state.target.record.id,
       load: state.load,
+      slowness: state.slowness,
       loadAgeMs: state.loadAgeMs === undefined ? undefined : Math.round(state.loadAgeMs),
       outcome: failure === undefined ? `${verdict} ${state.status}` : `${verdict} ${failure.detail || failure.kind}`,
       ms: Math.round(nowMs - state.startedAtMs),
--- a/packages/gateway/src/RequestLog.ts
+++ b/packages/gateway/src/RequestLog.ts
@@ -13,7 +13,9 @@
   readonly target: string;
   /** Requests that the target told it held, at the choice. */
   readonly load: number | undefined;
-  /** Age of that figure, in milliseconds. */
+  /** How slowly it worked then, relative to usual. */
+  readonly slowness: number | undefined;
+  /** Age of these figures, in milliseconds. */
   readonly loadAgeMs: number | undefined;
   readonly outcome: string;
   readonly ms: number;
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -47,14 +47,13 @@
     const nowMs = this.options.clock();
     this.refill(nowMs);
     const due = targets.filter((target) => (
-      !target.isProbing && nowMs - (target.reading?.atMs ?? -Infinity) > placementLimits.freshReadingMs
+      nowMs - (target.reading?.atMs ?? -Infinity) > placementLimits.freshReadingMs
     ));
     let awaited = 0;
     due.forEach((target) => {
-      const path = this.options.board.healthPathOf(target.record.service);
-      if (path === undefined || !this.bucket.tryTake(1, nowMs)) return;
+      if (!this.ensureProbe(target, nowMs)) return;
       awaited += 1;
-      this.send(target, path, () => {
+      target.probeWaiters?.push(() => {
         awaited -= 1;
         onNews(awaited);
       });
@@ -62,26 +61,36 @@
     return awaited;
   }
 
+  /** Starts a probe unless one is under way, whose answer serves this choice as well. */
+  private ensureProbe(target: PlacedTarget, nowMs: number): boolean {
+    if (target.probeWaiters !== undefined) return true;
+    const path = this.options.board.healthPathOf(target.record.service);
+    if (path === undefined || !this.bucket.tryTake(1, nowMs)) return false;
+    this.send(target, path);
+    return target.probeWaiters !== undefined;
+  }
+
   private refill(nowMs: number): void {
     const { board, probesPerSecond } = this.options;
     const rate = (probesPerSecond * board.targetCount * BUDGET_SHARE) / board.entryCount;
     this.bucket.setRate(rate, rate, nowMs);
   }
 
-  private send(target: PlacedTarget, path: string, onDone: () => void): void {
+  private send(target: PlacedTarget, path: string): void {
     const { clock, sender } = this.options;
     const state = target;
     const sentAtMs = clock();
     this.count += 1;
-    state.isProbing = true;
+    state.probeWaiters = [];
     let isDone = false;
     let timer: NodeJS.Timeout | undefined;
     const finish = (): void => {
       if (isDone) return;
       isDone = true;
       clearTimeout(timer);
-      state.isProbing = false;
-      onDone();
+      const waiters = state.probeWaiters ?? [];
+      state.probeWaiters = undefined;
+      waiters.forEach((wake) => wake());
     };
     const handler: AnswerHandler = {
       onConnected: () => undefined,
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -31,6 +31,8 @@
 const CURRENT_MS = 900;
 const PULSE_MS = 400;
 const PRESENCE_MS = 1000;
+/** Reports of presence after which an unchanged roster is sent once more. */
+const ROSTER_REPEATS = 10;
 /** Longest time for one call: callers give up after a second and try another VM. */
 const CALL_TIMEOUT_MS = 900;
 /** Longest wait for one leader's answer, so that a call can reach the next leader. */
@@ -60,6 +62,10 @@
 
   private timers: NodeJS.Timeout[] = [];
 
+  private lastRoster = '';
+
+  private rosterRepeats = 0;
+
   constructor(private readonly options: RegistryTaskOptions) {
     const { clock, durable, hub } = options;
     const { snapshot } = durable;
@@ -203,11 +209,6 @@
     return accepted;
   }
 
-  /**
-   * @param dataCentre - where a target stands
-   * @param region - the region of that data centre
-   * @returns the control VM that its announcements cross the fewest links to
-   */
   findNearControl(dataCentre: string, region: string): string | undefined {
     const voters = new Set(this.consensus.voterNames);
     const places = [...this.controlPlaces.values()].filter(({ name }) => voters.has(name));
@@ -295,6 +296,12 @@
       .sort((a, b) => (a.name < b.name ? -1 : 1));
     const roster = { controls, entries: this.presence.entries };
     this.publisher.setRoster(roster);
+    // Between regions bytes are dear, so that what is known goes out again only now and then.
+    const text = JSON.stringify(roster);
+    this.rosterRepeats += 1;
+    if (text === this.lastRoster && this.rosterRepeats < ROSTER_REPEATS) return;
+    this.lastRoster = text;
+    this.rosterRepeats = 0;
     this.options.hub.sendToControl({ kind: 'roster', ...roster });
   }
 
