Wait for targets at their usual speed before a slow one is taken

Cause: work that starts on a target slowed 5 times takes 5 times as long and holds its slot; under load every free slot was taken at once.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -97,7 +97,7 @@
     },
   });
   const handler = new GatewayHandler({
-    clock, dialect, sender, board, placement, log: new RequestLog(log, clock),
+    clock, dialect, sender, board, placement, prober, log: new RequestLog(log, clock),
   }, () => subscription.declaration);
   const caller = new CallerListener(handler);
   let isStopping = false;
--- a/packages/core/src/placement/AdmissionControl.ts
+++ b/packages/core/src/placement/AdmissionControl.ts
@@ -12,7 +12,7 @@
 }
 
 /** Part of the target latency that a request may wait for a free slot. */
-const WAIT_SHARE = 0.45;
+const WAIT_SHARE = 0.35;
 /** Shortest time within which a refused caller may come back, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 150;
 const MAX_RETRY_AFTER_MS = 1500;
--- a/packages/core/src/placement/PlacedTarget.ts
+++ b/packages/core/src/placement/PlacedTarget.ts
@@ -19,6 +19,8 @@
   failureShare: number;
   /** Whether the target says of itself that it cannot serve. */
   isUnwell: boolean;
+  /** Probes in a row that had no answer. */
+  silentProbes: number;
   /** Called when the probe under way has ended; undefined without one. */
   probeWaiters: (() => void)[] | undefined;
 }
--- a/packages/core/src/placement/createPlacedTarget.ts
+++ b/packages/core/src/placement/createPlacedTarget.ts
@@ -21,6 +21,7 @@
     ejections: 0,
     failureShare: 0,
     isUnwell: false,
+    silentProbes: 0,
     probeWaiters: undefined,
   };
 }
--- a/packages/core/src/placement/placementLimits.ts
+++ b/packages/core/src/placement/placementLimits.ts
@@ -17,8 +17,12 @@
   remoteProbesPerChoice: 4,
   /** Share of used slots above which work on a target slows down. */
   kneeShare: 0.8,
-  /** How much longer work takes above the knee. */
-  kneeFactor: 1.7,
+  /** How much longer work takes above the knee, until it is known of the service. */
+  kneeFactor: 1.3,
+  /** Slowness up to which a target works at its usual speed. */
+  usualSlowness: 1.3,
+  /** Most cost of a target that a request is sent to while it can still wait for a better one. */
+  patientCost: 2.3,
   /** Share of failures at which a target is ejected. */
   ejectShare: 0.5,
   /** Weight of the newest answer in the share of failures. */
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -23,16 +23,25 @@
 /** When a caller comes back whose request met no target that would take it, in milliseconds. */
 const RETRY_AFTER_MS = 250;
 const CONNECTION_LIMIT = 16;
+/** Body length from which a request does not leave its region while a target there is alive. */
+const BULKY_BYTES = 16 * 1024;
 /** Statuses of answers that have no body whatever their headers say. */
 const BODILESS = new Set([204, 304]);
 
+/** Pause between looks after an attempt that takes long, in milliseconds. */
+const WATCH_MS = 300;
+/** Unanswered probes in a row after which a target is taken to be gone. */
+const LOST_PROBES = 2;
+/** Target latencies after which an attempt that may be repeated is tried elsewhere. */
+const STUCK_FACTOR = 2.2;
+
 interface Attempt {
   readonly target: PlacedTarget;
   readonly startedAtMs: number;
   readonly load: number | undefined;
   readonly slowness: number | undefined;
   readonly loadAgeMs: number | undefined;
-  readonly release: () => void;
+  readonly release: (durationMs?: number) => void;
   status: number | undefined;
   headers: AnswerHeaders;
   verdict: ReturnType<typeof judgeAnswer> | undefined;
@@ -60,6 +69,8 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  private watchdog: NodeJS.Timeout | undefined;
+
   private isEnded = false;
 
   /** Whether an attempt may have run, so that nobody may be told that none has. */
@@ -93,13 +104,20 @@
       triedIds: this.triedIds,
       priority: route.priority,
       targetLatencyMs: route.targetLatencyMs,
+      isBulky: this.isBulky,
       deadlineMs: request.deadlineMs,
       onPlaced: (target, release) => this.send(target, release),
       onRefused: (failure, retryAfterMs) => this.fail(failure, retryAfterMs),
     };
   }
 
-  private send(target: PlacedTarget, release: () => void): void {
+  private get isBulky(): boolean {
+    const { headers } = this.request.req;
+    const isChunked = headers['transfer-encoding'] !== undefined;
+    return isChunked || Number(headers['content-length'] ?? 0) > BULKY_BYTES;
+  }
+
+  private send(target: PlacedTarget, release: Attempt['release']): void {
     const { clock, dialect, sender } = this.view;
     const { request } = this;
     this.leaveQueue = undefined;
@@ -138,7 +156,28 @@
       },
       this.createHandler(attempt),
     );
-    if (this.attempt === attempt && !attempt.isOver) this.dispatch = dispatch;
+    if (this.attempt !== attempt || attempt.isOver) return;
+    this.dispatch = dispatch;
+    this.watch(attempt, request.route.targetLatencyMs);
+  }
+
+  /** Looks after an attempt that takes long: its target may be gone without a word. */
+  private watch(attempt: Attempt, delayMs: number): void {
+    clearTimeout(this.watchdog);
+    this.watchdog = setTimeout(() => {
+      if (attempt.isOver || this.isEnded) return;
+      const ageMs = this.view.clock() - attempt.startedAtMs;
+      const { route, deadlineMs } = this.request;
+      const isStuck = route.isIdempotent && ageMs > STUCK_FACTOR * route.targetLatencyMs
+        && deadlineMs - this.view.clock() > route.targetLatencyMs;
+      if (attempt.target.silentProbes >= LOST_PROBES || isStuck) {
+        const detail = isStuck ? 'no answer for too long' : 'the target is silent';
+        this.dispatch?.abort({ kind: 'targetFailed', detail });
+        return;
+      }
+      this.view.prober.probe([attempt.target], () => undefined);
+      this.watch(attempt, WATCH_MS);
+    }, delayMs);
   }
 
   private createHandler(attempt: Attempt): AnswerHandler {
@@ -212,7 +251,7 @@
     this.dispatch = undefined;
     if (verdict === 'answered') this.deliver(state, failure);
     else this.retryOr(state, verdict);
-    state.release();
+    state.release(verdict === 'answered' ? nowMs - state.startedAtMs : undefined);
   }
 
   private static settleVerdict(
@@ -294,6 +333,7 @@
     const { request } = this;
     this.isEnded = true;
     clearTimeout(this.timer);
+    clearTimeout(this.watchdog);
     this.leaveQueue?.();
     this.leaveQueue = undefined;
     this.body.discard();
--- a/packages/gateway/src/GatewayView.ts
+++ b/packages/gateway/src/GatewayView.ts
@@ -4,6 +4,7 @@
 import type Dialect from './Dialect';
 import type Placement from './Placement';
 import type RequestLog from './RequestLog';
+import type TargetProber from './TargetProber';
 import type TargetBoard from './TargetBoard';
 
 /** What an exchange uses of the rest of the entry. */
@@ -13,6 +14,7 @@
   readonly sender: TargetSender;
   readonly board: TargetBoard;
   readonly placement: Placement;
+  readonly prober: TargetProber;
   readonly log: RequestLog;
 }
 
--- a/packages/gateway/src/PlacementLane.ts
+++ b/packages/gateway/src/PlacementLane.ts
@@ -1,7 +1,9 @@
 import AdmissionControl from '@guavayard/core/placement/AdmissionControl';
 import estimateCost from '@guavayard/core/placement/estimateCost';
+import estimateLoad from '@guavayard/core/placement/estimateLoad';
 import hasFreeSlot from '@guavayard/core/placement/hasFreeSlot';
 import placementLimits from '@guavayard/core/placement/placementLimits';
+import ServiceSpeed from '@guavayard/core/placement/ServiceSpeed';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import type Clock from '@guavayard/core/types/Clock';
 import type Random from '@guavayard/core/types/Random';
@@ -13,8 +15,14 @@
 
 /** Waiting requests that look for a target at the same time. */
 const MAX_SEARCHES = 4;
-/** Pause before a waiting request looks again, in milliseconds. */
-const SEARCH_PAUSE_MS = 25;
+/** Pause before waiting requests look again, in milliseconds; doubles while nothing is free. */
+const SEARCH_PAUSE_MS = 20;
+const MAX_SEARCH_PAUSE_MS = 80;
+/** Pause before targets of other regions are asked again that had no room, in milliseconds. */
+const FAR_PAUSE_MS = 100;
+const MAX_FAR_PAUSE_MS = 1600;
+/** Share of the target latency for which a request waits for a target at its usual speed. */
+const PATIENCE_SHARE = 0.3;
 /** Longest wait for probes of targets in the same region, in milliseconds. */
 const NEAR_PROBE_WAIT_MS = 15;
 /** Longest wait for probes of targets in other regions, in milliseconds. */
@@ -43,8 +51,16 @@
 
   private readonly admission = new AdmissionControl();
 
+  private readonly speed = new ServiceSpeed();
+
   private pause: NodeJS.Timeout | undefined;
 
+  private pauseMs = SEARCH_PAUSE_MS;
+
+  private farPauseMs = FAR_PAUSE_MS;
+
+  private farDueMs = 0;
+
   constructor(private readonly options: PlacementLaneOptions) {}
 
   /** Number of requests that wait. */
@@ -105,8 +121,10 @@
 
   private pump(): void {
     const searching = this.queue.filter(({ isSearching }) => isSearching).length;
+    // While nothing is free one search is enough to see it change.
+    const most = this.pauseMs > SEARCH_PAUSE_MS ? 1 : MAX_SEARCHES;
     this.queue.filter(({ isSearching }) => !isSearching)
-      .slice(0, MAX_SEARCHES - searching)
+      .slice(0, Math.max(0, most - searching))
       .forEach((waiting) => this.search(waiting));
   }
 
@@ -122,12 +140,29 @@
     state.isSearching = true;
     const near = eligible.filter((target) => this.options.board.isNear(target));
     this.ask(waiting, near, placementLimits.probesPerChoice, NEAR_PROBE_WAIT_MS, () => {
-      const far = eligible.filter((target) => !this.options.board.isNear(target));
-      const { remoteProbesPerChoice } = placementLimits;
-      this.ask(waiting, far, remoteProbesPerChoice, FAR_PROBE_WAIT_MS, () => {
-        state.isSearching = false;
-        this.pauseSearch();
-      });
+      this.searchFar(waiting, near.length > 0, eligible);
+    });
+  }
+
+  /** Looks in other regions, whose links are slow and paid by volume. */
+  private searchFar(
+    waiting: Waiting,
+    hasNear: boolean,
+    eligible: readonly PlacedTarget[],
+  ): void {
+    const state = waiting;
+    const nowMs = this.options.clock();
+    const isAllowed = !hasNear || (!waiting.request.isBulky && nowMs >= this.farDueMs);
+    const far = isAllowed
+      ? eligible.filter((target) => !this.options.board.isNear(target))
+      : [];
+    this.ask(waiting, far, placementLimits.remoteProbesPerChoice, FAR_PROBE_WAIT_MS, () => {
+      state.isSearching = false;
+      if (far.length > 0) {
+        this.farDueMs = this.options.clock() + this.farPauseMs;
+        this.farPauseMs = Math.min(MAX_FAR_PAUSE_MS, this.farPauseMs * 2);
+      }
+      this.pauseSearch();
     });
   }
 
@@ -150,7 +185,7 @@
       if (isDecided) return;
       isDecided = true;
       clearTimeout(timer);
-      if (!waiting.isDone && !this.take(waiting, asked, Infinity)) onNone();
+      if (!waiting.isDone && !this.take(waiting, asked, this.costLimit(waiting))) onNone();
     };
     const awaited = this.options.prober.probe(asked, (left) => {
       if (isDecided) return;
@@ -164,11 +199,23 @@
     else timer = setTimeout(decide, waitMs);
   }
 
+  /**
+   * A request that starts on a slowed target takes as long as several on others. It waits for one
+   * at its usual speed, and takes a slow one only when its patience is over and nobody else waits.
+   */
+  private costLimit({ arrivedAtMs, request }: Waiting): number {
+    const patientUntilMs = arrivedAtMs + request.targetLatencyMs * PATIENCE_SHARE;
+    const isPatient = this.options.clock() < patientUntilMs || this.queue.length > 1;
+    return isPatient ? placementLimits.patientCost : Infinity;
+  }
+
   private choose(targets: readonly PlacedTarget[], count: number): PlacedTarget[] {
     const { clock, random } = this.options;
     const nowMs = clock();
     return targets
-      .map((target) => ({ target, rank: estimateCost(target, nowMs) + random() }))
+      .map((target) => ({
+        target, rank: estimateCost(target, this.speed.crowding, nowMs) + random(),
+      }))
       .sort((a, b) => a.rank - b.rank)
       .slice(0, count)
       .map(({ target }) => target);
@@ -183,8 +230,9 @@
     let best: PlacedTarget | undefined;
     let bestCost = maxCost;
     targets.forEach((target) => {
-      if (!eligible.has(target) || !hasFreeSlot(target, nowMs)) return;
-      const cost = estimateCost(target, nowMs);
+      const limit = this.speed.bestConcurrency(target.record.slots);
+      if (!eligible.has(target) || !hasFreeSlot(target, limit, nowMs)) return;
+      const cost = estimateCost(target, this.speed.crowding, nowMs);
       if (cost >= bestCost) return;
       best = target;
       bestCost = cost;
@@ -197,12 +245,18 @@
   private assign(waiting: Waiting, target: PlacedTarget): void {
     const { board, clock } = this.options;
     const attempt = { sentAtMs: clock() };
+    const { slots } = target.record;
+    const used = (estimateLoad(target, attempt.sentAtMs) + 1) / slots;
+    const slowness = target.reading?.slowness ?? placementLimits.unknownSlowness;
+    if (!board.isNear(target)) this.farPauseMs = FAR_PAUSE_MS;
+    this.pauseMs = SEARCH_PAUSE_MS;
     this.remove(waiting);
     this.admission.recordDispatch(attempt.sentAtMs);
     target.inFlight.add(attempt);
     board.noteSend(target);
-    waiting.request.onPlaced(target, () => {
+    waiting.request.onPlaced(target, (durationMs) => {
       if (!target.inFlight.delete(attempt)) return;
+      if (durationMs !== undefined) this.speed.record(durationMs, slowness, used);
       this.offer(target);
     });
     this.pump();
@@ -210,7 +264,9 @@
 
   /** A slot may be free: the first waiting request that may have it takes it without a probe. */
   private offer(target: PlacedTarget): void {
-    const first = this.queue.find((waiting) => this.take(waiting, [target], Infinity));
+    const first = this.queue.find((waiting) => (
+      this.take(waiting, [target], this.costLimit(waiting))
+    ));
     if (first === undefined) this.pump();
   }
 
@@ -218,6 +274,7 @@
     this.pause ??= setTimeout(() => {
       this.pause = undefined;
       this.pump();
-    }, SEARCH_PAUSE_MS);
+    }, this.pauseMs);
+    this.pauseMs = Math.min(MAX_SEARCH_PAUSE_MS, this.pauseMs * 2);
   }
 }
--- a/packages/gateway/src/PlacementRequest.ts
+++ b/packages/gateway/src/PlacementRequest.ts
@@ -12,10 +12,15 @@
   readonly priority: number;
   /** Time within which an answer has its full worth, in milliseconds. */
   readonly targetLatencyMs: number;
+  /** Whether its body is too large to be sent over a link between regions without need. */
+  readonly isBulky: boolean;
   /** When its time is over, in milliseconds of the monotonic clock. */
   readonly deadlineMs: number;
-  /** A slot on a target is held for the request until `release`. */
-  readonly onPlaced: (target: PlacedTarget, release: () => void) => void;
+  /**
+   * A slot on a target is held for the request until `release`, which is given the duration if
+   * the request was answered.
+   */
+  readonly onPlaced: (target: PlacedTarget, release: (durationMs?: number) => void) => void;
   readonly onRefused: (failure: Failure, retryAfterMs: number) => void;
 }
 
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -99,6 +99,7 @@
       onEnd: finish,
       onFailure: (failure) => {
         state.reading = undefined;
+        state.silentProbes += 1;
         if (failure.kind === 'targetUnreachable') state.ejectedUntilMs = clock() + UNREACHABLE_MS;
         finish();
       },
@@ -123,6 +124,7 @@
   ): void {
     const { board, clock, dialect } = this.options;
     const state = target;
+    state.silentProbes = 0;
     const { targetId, load, coldLeftMs } = dialect.readProbe(headers);
     if (targetId !== undefined && targetId !== target.record.id) {
       // Another target has the address; control will tell.
