--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -34,7 +34,7 @@
   logLevel: 'error',
 });
 writeFileSync(`${folder}/sea.json`, JSON.stringify({
-  main: `${folder}/guavayard.js`, output: `${folder}/sea.blob`, disableExperimentalSEAWarning: true,
+  main: `${folder}/guavayard.js`, output: `${folder}/sea.blob`, disableExperimentalSEAWarning: true, useCodeCache: true,
 }));
 execFileSync(process.execPath, ['--experimental-sea-config', `${folder}/sea.json`], { stdio: 'pipe' });
 copyFileSync(process.execPath, `${folder}/guavayard`);
