Test the registry, the placement and the exchange without the bench

Found by them: a lone request was refused before its last look for a slow target; readings of 10 ms age were taken for fresh under noise.

--- a/packages/core/src/placement/placementLimits.ts
+++ b/packages/core/src/placement/placementLimits.ts
@@ -6,11 +6,11 @@
   /** A reading older than this says nothing of the load any more, in milliseconds. */
   readingMaxAgeMs: 1000,
   /** A reading older than this does not tell how fast the target works now, in milliseconds. */
-  speedMaxAgeMs: 30,
+  speedMaxAgeMs: 20,
   /** Expected slowness of a target that is slowed 5 times for a quarter of the time. */
   unknownSlowness: 2,
   /** A reading younger than this is not asked for again, in milliseconds. */
-  freshReadingMs: 10,
+  freshReadingMs: 5,
   /** Most targets probed for one choice. */
   probesPerChoice: 8,
   /** Most targets probed for one choice in a region reached over a slow link. */
--- /dev/null
+++ b/packages/core/test/membership.test.ts
@@ -0,0 +1,71 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import createConsensusState from '../src/consensus/createConsensusState';
+import createDurableState from '../src/consensus/createDurableState';
+import type ConsensusState from '../src/consensus/ConsensusState';
+import maintainMembers from '../src/consensus/maintainMembers';
+import step from '../src/consensus/step';
+import timing from '../src/consensus/timing';
+
+const VOTERS = ['a#0', 'b#0', 'c#0', 'd#0', 'e#0'];
+
+/** A leader of five voters of which one has been silent, and a learner that has caught up. */
+function createLeader(silentMs: number, learners: string[]): ConsensusState {
+  const durable = createDurableState(VOTERS);
+  durable.snapshot = {
+    ...durable.snapshot, members: { voters: [...VOTERS], learners },
+  };
+  const state = createConsensusState('a#0', durable, 0, () => 0.5);
+  state.role = 'leader';
+  state.leader = 'a#0';
+  state.nowMs = 100_000;
+  [...VOTERS.slice(1), ...learners].forEach((replica) => state.progress.set(replica, {
+    matchIndex: 0,
+    nextIndex: 1,
+    round: 0,
+    heardAtMs: replica === 'e#0' ? state.nowMs - silentMs : state.nowMs,
+    snapshotSentAtMs: -Infinity,
+  }));
+  return state;
+}
+
+function settle(state: ConsensusState): void {
+  while (maintainMembers(state)) {
+    const { index } = state.log[state.log.length - 1] as { index: number };
+    Object.assign(state, { commitIndex: index, membersIndex: index });
+    state.progress.forEach((progress, replica) => {
+      if (replica !== 'e#0') Object.assign(progress, { matchIndex: index });
+    });
+  }
+}
+
+test('a voter that is gone for good is replaced by one that joined', () => {
+  const state = createLeader(timing.lostVoterMs, ['f#1']);
+  settle(state);
+  assert.deepEqual([...state.members.voters].sort(), ['a#0', 'b#0', 'c#0', 'd#0', 'f#1']);
+});
+
+test('a voter that is silent for a moment stays', () => {
+  const state = createLeader(timing.lostVoterMs - 1000, ['f#1']);
+  settle(state);
+  assert.equal(state.members.voters.includes('e#0'), true);
+});
+
+test('without a replacement a silent voter stays', () => {
+  const state = createLeader(timing.lostVoterMs * 10, []);
+  settle(state);
+  assert.deepEqual(state.members.voters, VOTERS);
+});
+
+test('a voter that was removed while it was cut off is taken in again', () => {
+  const state = createLeader(0, []);
+  step(state, {
+    kind: 'message',
+    from: 'z#0',
+    message: {
+      kind: 'preVoteRequest', term: 1, lastIndex: 0, lastTerm: 0,
+    },
+  });
+  assert.equal(state.joining === 'z#0' || state.members.learners.includes('z#0'), true);
+});
--- /dev/null
+++ b/packages/core/test/placement.test.ts
@@ -0,0 +1,178 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import AdmissionControl from '../src/placement/AdmissionControl';
+import estimateCost from '../src/placement/estimateCost';
+import estimateLoad from '../src/placement/estimateLoad';
+import hasFreeSlot from '../src/placement/hasFreeSlot';
+import matchDeclaredRoute from '../src/placement/matchDeclaredRoute';
+import mayTakeCold from '../src/placement/mayTakeCold';
+import placementLimits from '../src/placement/placementLimits';
+import recordOutcome from '../src/placement/recordOutcome';
+import RetryBudget from '../src/placement/RetryBudget';
+import ServiceSpeed from '../src/placement/ServiceSpeed';
+import WeightedSplit from '../src/placement/WeightedSplit';
+import type Declaration from '../src/registry/Declaration';
+import createTarget from './support/createTarget';
+
+test('a reading counts together with what was sent after it', () => {
+  const target = createTarget('a', { running: 1, sentAtMs: 10, atMs: 12 });
+  target.inFlight.add({ sentAtMs: 5 });
+  target.inFlight.add({ sentAtMs: 20 });
+  assert.equal(estimateLoad(target, 25), 2);
+});
+
+test('an old reading gives way to what this entry has in flight', () => {
+  const target = createTarget('a', { running: 2 });
+  target.inFlight.add({ sentAtMs: 5 });
+  assert.equal(estimateLoad(target, placementLimits.readingMaxAgeMs + 1), 1);
+});
+
+test('an idle target at its usual speed costs least', () => {
+  const best = estimateCost(createTarget('a', {}), 1.5, 5);
+  const others = [
+    createTarget('slowed', { slowness: 5 }),
+    createTarget('crowded', { running: 1 }),
+    createTarget('unknown'),
+    { ...createTarget('unwell', {}), isUnwell: true },
+    { ...createTarget('failing', {}), failureShare: 0.4 },
+  ];
+  others.forEach((target) => {
+    assert.ok(best < estimateCost(target, 1.5, 5), target.record.id);
+  });
+});
+
+test('a speed told longer ago than a slow phase lasts is not believed', () => {
+  const target = createTarget('a', {});
+  const later = placementLimits.speedMaxAgeMs + 1;
+  assert.ok(estimateCost(target, 1, later) > estimateCost(target, 1, 0) + 0.9);
+});
+
+test('a target holds no more than is best', () => {
+  assert.equal(hasFreeSlot(createTarget('a', { running: 1 }), 2, 1), true);
+  assert.equal(hasFreeSlot(createTarget('a', { running: 1, waiting: 1 }), 2, 1), false);
+});
+
+test('the last slots are used only where they add work', () => {
+  const slow = new ServiceSpeed();
+  const flat = new ServiceSpeed();
+  for (let count = 0; count < 20; count += 1) {
+    slow.record(100, 1, 0.5);
+    slow.record(170, 1, 1);
+    flat.record(100, 1, 0.5);
+    flat.record(100, 1, 1);
+  }
+  assert.equal(slow.bestConcurrency(4), 3);
+  assert.equal(slow.bestConcurrency(2), 2);
+  assert.equal(flat.bestConcurrency(4), 4);
+});
+
+test('work on a slowed target says nothing of its service', () => {
+  const speed = new ServiceSpeed();
+  for (let count = 0; count < 20; count += 1) speed.record(1000, 5, 0.5);
+  assert.equal(speed.usualMs, undefined);
+});
+
+test('all entries together keep the bound on a cold target', () => {
+  [1, 6, 19, 40].forEach((entries) => {
+    [8.75, 18.8, 40].forEach((requestsPerSecond) => {
+      const entryNames = Array.from({ length: entries }, (_, index) => `entry-${index}`);
+      let sent = 0;
+      entryNames.forEach((name) => {
+        const target = createTarget('cold');
+        target.coldUntilMs = 1000;
+        for (let tries = 0; tries < 50; tries += 1) {
+          if (mayTakeCold(target, { requestsPerSecond, entryNames }, name, 500)) {
+            target.coldSends.push(500);
+            sent += 1;
+          }
+        }
+      });
+      assert.ok(sent <= requestsPerSecond, `${sent} of ${requestsPerSecond} by ${entries}`);
+      assert.ok(sent > 0);
+    });
+  });
+});
+
+test('a cold target takes more requests a second later', () => {
+  const target = createTarget('cold');
+  target.coldUntilMs = 5000;
+  const bound = { requestsPerSecond: 4, entryNames: ['a'] };
+  target.coldSends = [100, 100, 100];
+  assert.equal(mayTakeCold(target, bound, 'a', 500), false);
+  assert.equal(mayTakeCold(target, bound, 'a', 1200), true);
+});
+
+test('a target that fails half of its requests is ejected, a little longer each time', () => {
+  const target = createTarget('a');
+  let ejectedAt = -1;
+  for (let count = 0; count < 10 && ejectedAt < 0; count += 1) {
+    if (recordOutcome(target, true, 1000)) ejectedAt = count;
+  }
+  assert.ok(ejectedAt >= 1, 'one failure does not eject');
+  const first = target.ejectedUntilMs - 1000;
+  while (!recordOutcome(target, true, 1000));
+  assert.ok(target.ejectedUntilMs - 1000 > first);
+});
+
+test('all entries together keep the budget of further attempts', () => {
+  const entries = 19;
+  let repeats = 0;
+  for (let entry = 0; entry < entries; entry += 1) {
+    const budget = new RetryBudget({ ratio: 0.2, slack: 64, windowMs: 10_000 });
+    for (let count = 0; count < 50; count += 1) {
+      budget.recordFirst(count);
+      if (budget.take(count, entries)) repeats += 1;
+    }
+  }
+  assert.ok(repeats <= 0.2 * 50 * entries + 64);
+  assert.ok(repeats > 100);
+});
+
+test('a route is split by weight, evenly at any length', () => {
+  const split = new WeightedSplit();
+  const parts = [{ service: 'old', weight: 90 }, { service: 'new', weight: 10 }];
+  const chosen = Array.from({ length: 200 }, () => split.next('r', parts));
+  assert.equal(chosen.filter((service) => service === 'new').length, 20);
+  assert.equal(chosen.slice(0, 50).filter((service) => service === 'new').length, 5);
+});
+
+test('a part without weight gets nothing', () => {
+  const split = new WeightedSplit();
+  const parts = [{ service: 'off', weight: 0 }, { service: 'on', weight: 3 }];
+  const chosen = Array.from({ length: 20 }, () => split.next('r', parts));
+  assert.deepEqual(new Set(chosen), new Set(['on']));
+});
+
+test('the longest prefix of the host wins', () => {
+  const route = (host: string, pathPrefix: string): unknown => ({ host, pathPrefix });
+  const declaration = {
+    routes: {
+      root: route('a', '/'), deep: route('a', '/x/y/'), flat: route('a', '/x/'), other: route('b', '/x/'),
+    },
+  } as unknown as Declaration;
+  const cases: [string, string, string | undefined][] = [
+    ['a', '/x/y/1', 'deep'], ['a', '/x/1', 'flat'], ['a', '/z', 'root'], ['b', '/z', undefined],
+    ['c', '/x/1', undefined], ['b', '/x/1?q', 'other'],
+  ];
+  cases.forEach(([host, path, name]) => {
+    assert.equal(matchDeclaredRoute(declaration, host, path)?.[0], name);
+  });
+});
+
+test('requests that cannot get a slot in time are refused when they arrive', () => {
+  const admission = new AdmissionControl();
+  // One slot every 50 ms: five ahead are answered too late for a target latency of 600 ms.
+  for (let atMs = 0; atMs <= 1000; atMs += 50) admission.recordDispatch(atMs);
+  const bounds = { targetLatencyMs: 600, remainingMs: 4000 };
+  assert.equal(admission.mayWait({ ...bounds, ahead: 2 }, 1000), true);
+  assert.equal(admission.mayWait({ ...bounds, ahead: 6 }, 1000), false);
+});
+
+test('refused callers are spread over the time that the queue takes', () => {
+  const admission = new AdmissionControl();
+  for (let atMs = 0; atMs <= 1000; atMs += 50) admission.recordDispatch(atMs);
+  const first = admission.retryAfterMs(6, 0, 1000);
+  const last = admission.retryAfterMs(6, 1, 1000);
+  assert.ok(first >= 250 && last >= 1.9 * first);
+});
--- /dev/null
+++ b/packages/core/test/registry.test.ts
@@ -0,0 +1,171 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import applyRegistryChange from '../src/registry/applyRegistryChange';
+import createRegistryState from '../src/registry/createRegistryState';
+import type Declaration from '../src/registry/Declaration';
+import type DeclaredRoute from '../src/registry/DeclaredRoute';
+import findDeclarationMistakes from '../src/registry/findDeclarationMistakes';
+import isKnownAnnouncement from '../src/registry/isKnownAnnouncement';
+import type RegisteredTarget from '../src/registry/RegisteredTarget';
+import type RegistryState from '../src/registry/RegistryState';
+
+const ROUTE: DeclaredRoute = {
+  host: 'shop.example',
+  pathPrefix: '/lots/',
+  isIdempotent: true,
+  timeoutMs: 2000,
+  targetLatencyMs: 600,
+  priority: 1,
+  maxAttempts: 2,
+  backends: [{ service: 'lots', weight: 1 }],
+};
+
+const SERVICE = {
+  healthPath: '/health', connectionLimit: 100, coldMs: 3000, coldRequestsPerSecond: 2,
+};
+
+function declare(version: number, routes: Declaration['routes'] = { lots: ROUTE }): Declaration {
+  return {
+    version,
+    routes,
+    services: { lots: SERVICE },
+    limits: {
+      maxHeaderBytes: 16384, maxBodyBytes: 1e6, headerTimeoutMs: 3000, idleTimeoutMs: 15000,
+    },
+    source: `version ${version}`,
+  };
+}
+
+function target(change: Partial<RegisteredTarget> = {}): RegisteredTarget {
+  return {
+    id: 't-1',
+    service: 'lots',
+    address: '10.0.0.1:80',
+    dataCentre: 'cork',
+    slots: 2,
+    state: 'ready',
+    bornAtMs: 1000,
+    sequence: 1,
+    coldLeftMs: 0,
+    ...change,
+  };
+}
+
+function announce(state: RegistryState, change: Partial<RegisteredTarget> = {}): void {
+  applyRegistryChange(state, { kind: 'announce', target: target(change) });
+}
+
+test('the highest version of a declaration is in force in whatever order they come', () => {
+  [[1, 2, 3], [3, 2, 1], [2, 3, 1, 3]].forEach((versions) => {
+    const state = createRegistryState();
+    versions.forEach((version) => applyRegistryChange(state, { kind: 'declare', declaration: declare(version) }));
+    assert.equal(state.declaration?.version, 3);
+  });
+});
+
+test('other content under the version in force changes nothing', () => {
+  const state = createRegistryState();
+  applyRegistryChange(state, { kind: 'declare', declaration: declare(3) });
+  applyRegistryChange(state, { kind: 'declare', declaration: { ...declare(3), source: 'other' } });
+  assert.equal(state.declaration?.source, 'version 3');
+});
+
+test('an evacuation holds until it is withdrawn', () => {
+  const state = createRegistryState();
+  ['evacuate', 'evacuate', 'restore'].forEach((kind) => {
+    applyRegistryChange(state, { kind: kind as 'evacuate' | 'restore', dataCentre: 'cork' });
+  });
+  assert.deepEqual(state.evacuated, []);
+});
+
+test('a late announcement changes nothing', () => {
+  const cases: [string, (state: RegistryState) => void][] = [
+    ['of a withdrawn life', (state) => {
+      announce(state);
+      applyRegistryChange(state, { kind: 'withdraw', targetId: 't-1' });
+      announce(state, { sequence: 9 });
+      assert.deepEqual(Object.keys(state.targets), []);
+    }],
+    ['sent before the target began to drain', (state) => {
+      announce(state, { state: 'draining', sequence: 5 });
+      announce(state, { sequence: 4 });
+      assert.equal(state.targets['t-1']?.state, 'draining');
+    }],
+    ['of an earlier life of the same id', (state) => {
+      announce(state, { bornAtMs: 2000 });
+      announce(state, { bornAtMs: 1000, sequence: 99, state: 'draining' });
+      assert.equal(state.targets['t-1']?.bornAtMs, 2000);
+    }],
+    ['of a target whose address a later one has', (state) => {
+      announce(state, { id: 't-2', bornAtMs: 2000 });
+      announce(state, { bornAtMs: 1000 });
+      assert.deepEqual(Object.keys(state.targets), ['t-2']);
+    }],
+  ];
+  cases.forEach(([, run]) => run(createRegistryState()));
+});
+
+test('a later life at an address ends the one before', () => {
+  const state = createRegistryState();
+  announce(state);
+  announce(state, { id: 't-2', service: 'ledger', bornAtMs: 2000 });
+  assert.deepEqual(Object.keys(state.targets), ['t-2']);
+  announce(state, { sequence: 2 });
+  assert.deepEqual(Object.keys(state.targets), ['t-2']);
+});
+
+test('a target that came back in the meantime does not expire', () => {
+  const state = createRegistryState();
+  announce(state, { sequence: 7 });
+  applyRegistryChange(state, {
+    kind: 'expire', targetId: 't-1', bornAtMs: 1000, sequence: 6,
+  });
+  assert.deepEqual(Object.keys(state.targets), ['t-1']);
+});
+
+test('an expired target comes back with its next announcement', () => {
+  const state = createRegistryState();
+  announce(state);
+  applyRegistryChange(state, {
+    kind: 'expire', targetId: 't-1', bornAtMs: 1000, sequence: 1,
+  });
+  assert.deepEqual(Object.keys(state.targets), []);
+  announce(state, { sequence: 2 });
+  assert.deepEqual(Object.keys(state.targets), ['t-1']);
+});
+
+test('only news of a target needs an entry in the log', () => {
+  const state = createRegistryState();
+  announce(state);
+  assert.equal(isKnownAnnouncement(state, target({ sequence: 2 }), 0), true);
+  const news: Partial<RegisteredTarget>[] = [
+    { state: 'draining' }, { coldLeftMs: 2500 }, { bornAtMs: 5000 }, { slots: 3 }, { id: 't-9' },
+  ];
+  news.forEach((change) => {
+    assert.equal(isKnownAnnouncement(state, target(change), 0), false, JSON.stringify(change));
+  });
+});
+
+test('mistakes of a declaration are found', () => {
+  const cases: [RegExp, Partial<DeclaredRoute>][] = [
+    [/no service/, { backends: [{ service: 'none', weight: 1 }] }],
+    [/weights/, { backends: [{ service: 'lots', weight: 0 }] }],
+    [/weights/, { backends: [] }],
+    [/timeout/, { timeoutMs: 600_001 }],
+    [/timeout/, { timeoutMs: 0 }],
+    [/attempt/, { maxAttempts: 0 }],
+    [/prefix/, { pathPrefix: 'lots/' }],
+    [/host/, { host: '' }],
+  ];
+  assert.deepEqual(findDeclarationMistakes(declare(1)), []);
+  cases.forEach(([pattern, change]) => {
+    const [mistake = ''] = findDeclarationMistakes(declare(1, { lots: { ...ROUTE, ...change } }));
+    assert.match(mistake, pattern);
+  });
+});
+
+test('two routes with the same host and prefix are a mistake', () => {
+  const mistakes = findDeclarationMistakes(declare(1, { a: ROUTE, b: ROUTE }));
+  assert.match(mistakes.join(), /same host/);
+});
--- a/packages/gateway/src/PlacementLane.ts
+++ b/packages/gateway/src/PlacementLane.ts
@@ -36,6 +36,7 @@
   isSearching: boolean;
   isDone: boolean;
   timer: NodeJS.Timeout | undefined;
+  patienceTimer: NodeJS.Timeout | undefined;
 }
 
 interface PlacementLaneOptions {
@@ -78,7 +79,12 @@
     const { clock } = this.options;
     const nowMs = clock();
     const waiting: Waiting = {
-      request, arrivedAtMs: nowMs, isSearching: false, isDone: false, timer: undefined,
+      request,
+      arrivedAtMs: nowMs,
+      isSearching: false,
+      isDone: false,
+      timer: undefined,
+      patienceTimer: undefined,
     };
     const { priority, targetLatencyMs } = request;
     const ahead = this.queue.filter((other) => other.request.priority <= priority).length;
@@ -91,6 +97,10 @@
     waiting.timer = setTimeout(() => {
       this.refuse(waiting, { kind: 'overloaded', detail: 'no slot was free in time' });
     }, longestWaitMs);
+    // The last look may take what was too slow before.
+    waiting.patienceTimer = setTimeout(() => {
+      if (!waiting.isDone && !waiting.isSearching) this.search(waiting);
+    }, Math.min(targetLatencyMs * PATIENCE_SHARE, longestWaitMs));
     this.enqueue(waiting);
     this.pump();
     return () => this.remove(waiting);
@@ -107,6 +117,7 @@
     const state = waiting;
     state.isDone = true;
     clearTimeout(state.timer);
+    clearTimeout(state.patienceTimer);
     const index = this.queue.indexOf(waiting);
     if (index >= 0) this.queue.splice(index, 1);
   }
--- /dev/null
+++ b/packages/gateway/test/exchange.test.ts
@@ -0,0 +1,137 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import type FakeTarget from './support/FakeTarget';
+import GatewayRig from './support/GatewayRig';
+
+test('the answer of the target reaches the caller whole', (t) => {
+  const rig = new GatewayRig(t);
+  rig.addTarget('a');
+  const res = rig.request();
+  rig.run(300);
+  assert.deepEqual([res.status, res.body, res.headers['content-length']], [200, 'a', '1']);
+});
+
+test('the target is told which one is meant and how much time is left', (t) => {
+  const rig = new GatewayRig(t);
+  rig.addTarget('a');
+  rig.request({ remainingMs: 1500 });
+  rig.run(300);
+  const headers = rig.sender.sent[0]?.headers ?? [];
+  assert.equal(headers[headers.indexOf('expected') + 1], 'a');
+  const left = Number(headers[headers.indexOf('left') + 1]);
+  assert.ok(left > 1400 && left <= 1500);
+});
+
+test('what a caller that may not repeat is told after each failure', (t) => {
+  const cases: [FakeTarget['mode'], number][] = [
+    ['resets', 502], ['foreign', 502], ['unsigned', 502], ['busy', 502], ['not-run', 503],
+    ['fails', 500],
+  ];
+  const rig = new GatewayRig(t, { isIdempotent: false });
+  const target = rig.addTarget('a');
+  cases.forEach(([mode, status]) => {
+    target.mode = mode;
+    const before = rig.sender.sent.length;
+    const res = rig.request();
+    rig.run(3000);
+    assert.equal(res.status, status, mode);
+    assert.equal(rig.sender.sent.length, before + 1, mode);
+    rig.run(10_000);
+  });
+});
+
+test('a request that may be repeated is answered by another target', (t) => {
+  const modes: FakeTarget['mode'][] = ['resets', 'foreign', 'unsigned', 'busy', 'not-run', 'fails'];
+  modes.forEach((mode) => {
+    const rig = new GatewayRig(t);
+    rig.addTarget('bad', { mode });
+    rig.addTarget('good', { running: 1 });
+    const res = rig.request();
+    rig.run(1000);
+    assert.deepEqual([res.status, res.body], [200, 'good'], mode);
+    t.mock.timers.reset();
+  });
+});
+
+test('a request that a target proves not to have run is sent to another one', (t) => {
+  const rig = new GatewayRig(t, { isIdempotent: false });
+  rig.addTarget('full', { mode: 'not-run' });
+  rig.addTarget('good', { running: 1 });
+  const res = rig.request();
+  rig.run(1000);
+  assert.deepEqual([res.status, res.body], [200, 'good']);
+});
+
+test('no request goes to more targets than its route allows', (t) => {
+  const rig = new GatewayRig(t, { maxAttempts: 3 });
+  ['a', 'b', 'c', 'd', 'e'].forEach((id) => rig.addTarget(id, { mode: 'resets' }));
+  const res = rig.request();
+  rig.run(3000);
+  assert.deepEqual([rig.sender.sent.length, res.status], [3, 502]);
+});
+
+test('a request is answered when the time of its route is over', (t) => {
+  const rig = new GatewayRig(t, { timeoutMs: 700, isIdempotent: false });
+  rig.addTarget('a', { workMs: 5000 });
+  const res = rig.request();
+  rig.run(900);
+  assert.deepEqual([res.status, rig.sender.aborts], [504, 1]);
+  assert.ok((res.endedAtMs ?? Infinity) <= 701);
+});
+
+test('an attempt on a target that fell silent ends, and is made elsewhere', (t) => {
+  const rig = new GatewayRig(t, { timeoutMs: 4000 });
+  const target = rig.addTarget('lost');
+  const res = rig.request();
+  rig.run(10);
+  target.mode = 'silent';
+  target.workMs = 1e6;
+  rig.sender.sent.length = 0;
+  const second = rig.request();
+  rig.run(30);
+  rig.addTarget('good');
+  rig.run(3500);
+  assert.equal(res.status, 200);
+  assert.equal(second.body, 'good');
+});
+
+test('a target stops work when the caller has left', async (t) => {
+  const rig = new GatewayRig(t);
+  rig.addTarget('a', { workMs: 1000 });
+  const res = rig.request();
+  rig.run(100);
+  res.destroy();
+  await Promise.resolve();
+  assert.equal(rig.sender.aborts, 1);
+});
+
+test('a caller that left while it waited is not sent anywhere', async (t) => {
+  const rig = new GatewayRig(t);
+  const target = rig.addTarget('a', { running: 2 });
+  const res = rig.request();
+  rig.run(50);
+  res.destroy();
+  await Promise.resolve();
+  target.running = 0;
+  rig.run(500);
+  assert.deepEqual(rig.sender.sent, []);
+});
+
+test('a request without a route or an id is refused', (t) => {
+  const rig = new GatewayRig(t, { pathPrefix: '/lots/' });
+  rig.addTarget('a');
+  assert.equal(rig.request({ path: '/other/1' }).status, 404);
+  assert.equal(rig.request({ headers: { host: 'other.example' } }).status, 404);
+});
+
+test('further attempts stop when the budget is used up', (t) => {
+  const rig = new GatewayRig(t);
+  ['a', 'b', 'c', 'd'].forEach((id) => rig.addTarget(id, { mode: 'resets', workMs: 1, slots: 50 }));
+  for (let count = 0; count < 400; count += 1) {
+    rig.request();
+    rig.run(10);
+  }
+  const repeats = rig.sender.sent.length - 400;
+  assert.ok(repeats <= 0.2 * 400 + 60, String(repeats));
+});
--- /dev/null
+++ b/packages/gateway/test/placement.test.ts
@@ -0,0 +1,134 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import GatewayRig from './support/GatewayRig';
+
+const NOISE_PERIOD_MS = 150;
+
+test('a request goes to the target that is idle and at its usual speed', (t) => {
+  const rig = new GatewayRig(t);
+  rig.addTarget('slowed', { slowness: 5 });
+  rig.addTarget('busy', { running: 2 });
+  rig.addTarget('good');
+  rig.run(50);
+  const res = rig.request();
+  rig.run(300);
+  assert.equal(res.body, 'good');
+});
+
+test('a request waits for a slowed target to recover', (t) => {
+  const rig = new GatewayRig(t);
+  const target = rig.addTarget('a', { slowness: 5 });
+  rig.request();
+  rig.request();
+  rig.run(100);
+  assert.equal(rig.sender.sent.length, 0);
+  target.slowness = 1;
+  rig.run(100);
+  assert.deepEqual(rig.sender.sent.map(({ slowness }) => slowness), [1, 1]);
+});
+
+test('a lone request takes a slowed target when its patience is over', (t) => {
+  const rig = new GatewayRig(t);
+  rig.addTarget('a', { slowness: 5 });
+  const res = rig.request();
+  rig.run(1500);
+  assert.equal(res.status, 200);
+});
+
+test('under noise no request starts on a slowed target while others are at their usual speed', (t) => {
+  const rig = new GatewayRig(t);
+  const targets = Array.from({ length: 8 }, (_, index) => rig.addTarget(`t${index}`));
+  const responses = [];
+  for (let step = 0; step < 300; step += 1) {
+    // Each target is slowed 5 times for a quarter of the time, in phases of its own.
+    targets.forEach((target, index) => {
+      const phase = (step * 10 + index * 40) % (4 * NOISE_PERIOD_MS);
+      Object.assign(target, { slowness: phase < NOISE_PERIOD_MS ? 5 : 1 });
+    });
+    if (step % 3 === 0) responses.push(rig.request());
+    rig.run(10);
+  }
+  rig.run(2500);
+  const slow = rig.sender.sent.filter(({ slowness }) => slowness > 1).length;
+  assert.ok(slow <= 0.02 * rig.sender.sent.length, `${slow} of ${rig.sender.sent.length}`);
+  assert.ok(responses.every(({ status }) => status === 200));
+});
+
+test('more requests than slots: what is admitted waits a part of its target latency', (t) => {
+  const rig = new GatewayRig(t);
+  rig.addTarget('a');
+  const responses = Array.from({ length: 40 }, () => rig.request());
+  rig.run(2000);
+  const refused = responses.filter(({ status }) => status === 503);
+  const served = responses.filter(({ status }) => status === 200);
+  assert.equal(refused.length + served.length, 40);
+  assert.ok(served.length >= 2);
+  refused.forEach((res) => {
+    assert.ok((res.endedAtMs ?? Infinity) <= 0.35 * rig.route.targetLatencyMs);
+    assert.ok(Number(res.headers['retry-after']) > 0);
+  });
+});
+
+test('no target holds more requests than it has slots', (t) => {
+  const rig = new GatewayRig(t);
+  const targets = ['a', 'b', 'c'].map((id) => rig.addTarget(id));
+  for (let step = 0; step < 100; step += 1) {
+    rig.request();
+    rig.run(10);
+    targets.forEach(({ running, slots }) => assert.ok(running <= slots));
+  }
+});
+
+test('a request leaves its region only when nothing near is free', (t) => {
+  const rig = new GatewayRig(t);
+  rig.addTarget('near', { running: 2 });
+  rig.addTarget('far', { region: 'far' });
+  const res = rig.request();
+  rig.run(300);
+  assert.equal(res.body, 'far');
+});
+
+test('a large body stays in its region while a target there is alive', (t) => {
+  const rig = new GatewayRig(t);
+  rig.addTarget('near', { running: 2 });
+  rig.addTarget('far', { region: 'far' });
+  rig.request({ headers: { 'content-length': '60000' } });
+  rig.run(300);
+  assert.deepEqual(rig.sender.sent, []);
+});
+
+test('a request with home regions goes nowhere else', (t) => {
+  const rig = new GatewayRig(t, { homeRegions: ['far'] });
+  rig.addTarget('near');
+  rig.addTarget('far', { region: 'far' });
+  const res = rig.request();
+  rig.run(300);
+  assert.equal(res.body, 'far');
+});
+
+test('a target that drains, or whose data centre is out, gets nothing new', (t) => {
+  const rig = new GatewayRig(t);
+  rig.addTarget('a');
+  rig.addTarget('b', { region: 'far' });
+  rig.records.a = { state: 'draining' };
+  rig.evacuated.add('far');
+  rig.update();
+  const res = rig.request();
+  rig.run(50);
+  assert.deepEqual([res.status, rig.sender.sent.length], [503, 0]);
+});
+
+test('a target that turned cold without a word is seen by a probe', (t) => {
+  const rig = new GatewayRig(t);
+  const target = rig.addTarget('a', { slots: 50, workMs: 5 });
+  rig.request();
+  rig.run(50);
+  target.coldLeftMs = 5000;
+  for (let count = 0; count < 60; count += 1) {
+    rig.request();
+    rig.run(15);
+  }
+  // Two a second, one and a half times, and a slack of five; one more may go before the probe.
+  assert.ok(rig.sender.sent.length <= 1 + 2 * 1.5 + 5 + 1, String(rig.sender.sent.length));
+});
--- /dev/null
+++ b/packages/gateway/test/support/FakeResponse.ts
@@ -0,0 +1,42 @@
+import { EventEmitter } from 'node:events';
+
+/** The response to a caller of tests. */
+export default class FakeResponse extends EventEmitter {
+  status: number | undefined;
+
+  headers: Readonly<Record<string, unknown>> = {};
+
+  body = '';
+
+  endedAtMs: number | undefined;
+
+  headersSent = false;
+
+  destroyed = false;
+
+  constructor(private readonly clock: () => number) {
+    super();
+  }
+
+  writeHead(status: number, headers: Readonly<Record<string, unknown>>): void {
+    this.status = status;
+    this.headers = headers;
+    this.headersSent = true;
+  }
+
+  write(chunk: Buffer): boolean {
+    this.body += chunk.toString();
+    return true;
+  }
+
+  end(chunk?: Buffer | string): void {
+    this.body += chunk?.toString() ?? '';
+    this.endedAtMs = this.clock();
+    queueMicrotask(() => this.emit('close'));
+  }
+
+  destroy(): void {
+    this.destroyed = true;
+    queueMicrotask(() => this.emit('close'));
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -0,0 +1,115 @@
+import type AnswerHandler from '@guavayard/core/dispatch/AnswerHandler';
+import type Dispatch from '@guavayard/core/dispatch/Dispatch';
+import type TargetRequest from '@guavayard/core/dispatch/TargetRequest';
+import type TargetSender from '@guavayard/core/dispatch/TargetSender';
+import type Failure from '@guavayard/core/errors/Failure';
+import type SendAddress from '@guavayard/core/types/SendAddress';
+
+import type FakeTarget from './FakeTarget';
+
+const PROBE_MS = 2;
+const HEALTH_PATH = '/health';
+const FAILURES: Partial<Record<FakeTarget['mode'], Failure>> = {
+  resets: { kind: 'targetFailed', detail: 'reset' },
+  silent: { kind: 'targetFailed', detail: 'silent' },
+};
+const STATUSES: Partial<Record<FakeTarget['mode'], number>> = {
+  'not-run': 503, busy: 503, fails: 500,
+};
+
+const FOREIGN_HEADERS = { id: 'another request', signed: 'yes' };
+
+interface SentRequest {
+  readonly target: FakeTarget;
+  readonly slowness: number;
+  readonly headers: readonly string[];
+}
+
+/** Sends to fake targets in place of sockets. */
+export default class FakeSender implements TargetSender {
+  /** Requests that were sent, without probes. */
+  readonly sent: SentRequest[] = [];
+
+  probes = 0;
+
+  aborts = 0;
+
+  constructor(private readonly targets: readonly FakeTarget[]) {}
+
+  send(address: SendAddress, req: TargetRequest, handler: AnswerHandler): Dispatch {
+    const target = this.targets.find((candidate) => candidate.address === address.address);
+    if (target === undefined) throw new Error(`no target at ${address.address}`);
+    let isOver = false;
+    const end = (run: () => void): void => {
+      if (isOver) return;
+      isOver = true;
+      run();
+    };
+    const dispatch: Dispatch = {
+      resume: () => undefined,
+      abort: (failure) => {
+        if (req.path !== HEALTH_PATH) this.aborts += 1;
+        end(() => handler.onFailure(failure));
+      },
+    };
+    if (req.path === HEALTH_PATH) this.probe(target, handler, end);
+    else this.run(target, req, handler, end, () => isOver);
+    return dispatch;
+  }
+
+  private probe(target: FakeTarget, handler: AnswerHandler, end: (run: () => void) => void): void {
+    this.probes += 1;
+    if (target.mode === 'silent') return;
+    setTimeout(() => end(() => {
+      handler.onHeaders(200, {
+        target: target.id, load: FakeSender.describeLoad(target), cold: String(target.coldLeftMs),
+      });
+      handler.onEnd();
+    }), PROBE_MS);
+  }
+
+  private run(
+    target: FakeTarget,
+    req: TargetRequest,
+    handler: AnswerHandler,
+    end: (run: () => void) => void,
+    isOver: () => boolean,
+  ): void {
+    const state = target;
+    const { slowness } = target;
+    this.sent.push({ target, slowness, headers: req.headers });
+    state.running += 1;
+    handler.onConnected();
+    if (target.mode === 'silent') return;
+    setTimeout(() => {
+      state.running -= 1;
+      // The answer to another request does not end this one.
+      if (target.mode === 'foreign' && !isOver()) handler.onHeaders(200, FOREIGN_HEADERS);
+      else end(() => FakeSender.answer(target, req, handler));
+    }, target.workMs * slowness);
+  }
+
+  private static answer(target: FakeTarget, req: TargetRequest, handler: AnswerHandler): void {
+    const failure = FAILURES[target.mode];
+    if (failure !== undefined) {
+      handler.onFailure(failure);
+      return;
+    }
+    const id = req.headers[req.headers.indexOf('id') + 1];
+    const headers: Record<string, string> = {
+      id: id ?? '',
+      load: FakeSender.describeLoad(target),
+    };
+    if (target.mode !== 'unsigned') headers.signed = 'yes';
+    if (target.mode === 'not-run') headers['not-run'] = '1';
+    handler.onHeaders(STATUSES[target.mode] ?? 200, headers);
+    handler.onData(Buffer.from(target.id));
+    handler.onEnd();
+  }
+
+  private static describeLoad({ running, slots, slowness }: FakeTarget): string {
+    return JSON.stringify({
+      running, waiting: 0, slots, slowness,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -0,0 +1,167 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { PassThrough } from 'node:stream';
+import type { TestContext } from 'node:test';
+
+import { createLogger } from 'bunyan';
+
+import type Declaration from '@guavayard/core/registry/Declaration';
+import type DeclaredRoute from '@guavayard/core/registry/DeclaredRoute';
+import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
+
+import GatewayHandler from '../../src/GatewayHandler';
+import Placement from '../../src/Placement';
+import RequestLog from '../../src/RequestLog';
+import TargetBoard from '../../src/TargetBoard';
+import TargetProber from '../../src/TargetProber';
+import FakeSender from './FakeSender';
+import type FakeTarget from './FakeTarget';
+import FakeResponse from './FakeResponse';
+import PlainDialect from './PlainDialect';
+
+const HOST = 'shop.example';
+
+interface SendOptions {
+  readonly path?: string;
+  readonly remainingMs?: number;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** An entry of tests on a virtual clock, in front of fake targets in the region `near`. */
+export default class GatewayRig {
+  readonly targets: FakeTarget[] = [];
+
+  readonly sender = new FakeSender(this.targets);
+
+  readonly route: DeclaredRoute = {
+    host: HOST,
+    pathPrefix: '/',
+    isIdempotent: true,
+    timeoutMs: 2000,
+    targetLatencyMs: 600,
+    priority: 1,
+    maxAttempts: 2,
+    backends: [{ service: 'lots', weight: 1 }],
+  };
+
+  evacuated = new Set<string>();
+
+  /** Changes of the records that control registered, by target. */
+  readonly records: Record<string, Partial<RegisteredTarget>> = {};
+
+  readonly board: TargetBoard;
+
+  private readonly handler: GatewayHandler;
+
+  private nowMs = 0;
+
+  private requests = 0;
+
+  constructor(private readonly t: TestContext, route: Partial<DeclaredRoute> = {}) {
+    t.mock.timers.enable({ apis: ['setTimeout'] });
+    Object.assign(this.route, route);
+    const clock = (): number => this.nowMs;
+    const log = createLogger({ name: 'test', streams: [] });
+    const dialect = new PlainDialect();
+    this.board = new TargetBoard({
+      clock,
+      log,
+      place: { name: 'entry-1', region: 'near' },
+      regionOf: (dataCentre) => dataCentre,
+      coldBurstFactor: 1.5,
+      coldSlack: 5,
+      onGone: () => undefined,
+    });
+    const { board, sender } = this;
+    const prober = new TargetProber({
+      clock, sender, dialect, board, probesPerSecond: 1000,
+    });
+    const placement = new Placement({
+      clock,
+      random: () => 0.5,
+      board,
+      prober,
+      retryRatio: 0.2,
+      retrySlack: 60,
+      retryWindowMs: 10_000,
+    });
+    this.handler = new GatewayHandler({
+      clock, dialect, sender, board, placement, prober, log: new RequestLog(log, clock),
+    }, () => this.declaration);
+  }
+
+  private get declaration(): Declaration {
+    return {
+      version: 1,
+      routes: { lots: this.route },
+      services: {
+        lots: {
+          healthPath: '/health', connectionLimit: 100, coldMs: 3000, coldRequestsPerSecond: 2,
+        },
+      },
+      limits: {
+        maxHeaderBytes: 16384, maxBodyBytes: 1e6, headerTimeoutMs: 3000, idleTimeoutMs: 15000,
+      },
+      source: '',
+    };
+  }
+
+  /** Adds a target, idle and at its usual speed unless told otherwise. */
+  addTarget(id: string, change: Partial<FakeTarget> = {}): FakeTarget {
+    const target: FakeTarget = {
+      id,
+      address: `10.0.0.${this.targets.length + 1}:80`,
+      region: 'near',
+      running: 0,
+      slots: 2,
+      slowness: 1,
+      workMs: 200,
+      coldLeftMs: 0,
+      mode: 'answers',
+      ...change,
+    };
+    this.targets.push(target);
+    this.update();
+    return target;
+  }
+
+  /** Tells the entry what control has registered. */
+  update(): void {
+    const records = new Map(this.targets.map(({
+      id, address, region, slots,
+    }) => [id, {
+      id,
+      service: 'lots',
+      address,
+      dataCentre: region,
+      slots,
+      state: 'ready' as const,
+      bornAtMs: 1,
+      sequence: 1,
+      coldLeftMs: 0,
+      ...this.records[id],
+    }]));
+    this.board.update(this.declaration, this.evacuated, records);
+  }
+
+  /** Sends a request of a caller. */
+  request({ path = '/lots/1', remainingMs = 4000, headers = {} }: SendOptions = {}): FakeResponse {
+    this.requests += 1;
+    const all = {
+      host: HOST, id: `r-${this.requests}`, remaining: String(remainingMs), ...headers,
+    };
+    const req = Object.assign(new PassThrough(), {
+      headers: all, rawHeaders: Object.entries(all).flat(), method: 'GET', url: path, complete: true,
+    });
+    const res = new FakeResponse(() => this.nowMs);
+    this.handler.handle(req as unknown as IncomingMessage, res as unknown as ServerResponse);
+    return res;
+  }
+
+  /** Lets time pass. */
+  run(ms: number): void {
+    for (let passed = 0; passed < ms; passed += 1) {
+      this.nowMs += 1;
+      this.t.mock.timers.tick(1);
+    }
+  }
+}
