--- a/scripts/test.ts
+++ b/scripts/test.ts
@@ -5,7 +5,7 @@
 
 import readKnownFailures from './readKnownFailures';
 
-const FOLDERS = ['packages', 'test', 'scripts'];
+const FOLDERS = ['packages', 'platform', 'test', 'scripts'];
 /** Test files that run at the same time. */
 const CONCURRENCY = 4;
 
