--- a/packages/caller/src/Exchange.ts
+++ b/packages/caller/src/Exchange.ts
@@ -131,6 +131,8 @@
   private schedule(purpose: 'first' | 'retry'): void {
     const { match, deadlineMs, isIdempotent } = this.request;
     this.schedules += 1;
+    // What comes from now on is kept for the next attempt.
+    if (purpose === 'retry') this.body.close();
     const serial = this.schedules;
     const attempt = this.entry.scheduler.schedule({
       match, deadlineMs, isIdempotent, purpose, triedTargetIds: this.triedTargetIds,
--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -83,7 +83,6 @@
     identity,
     seeds,
     clock,
-    random: Math.random,
     listener: {
       onChange: () => {
         const { declaration, evacuated, targets } = subscription;
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -6,6 +6,7 @@
 import type Dispatch from '@guavayard/core/dispatch/Dispatch';
 import errorTable from '@guavayard/core/errors/errorTable';
 import type Failure from '@guavayard/core/errors/Failure';
+import isFramedAnswer from '@guavayard/core/http/isFramedAnswer';
 import selectAnswerHeaders from '@guavayard/core/http/selectAnswerHeaders';
 import estimateLoad from '@guavayard/core/placement/estimateLoad';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
@@ -188,11 +189,14 @@
         state.status = status;
         state.headers = headers;
         const marks = this.view.dialect.readAnswer(headers);
-        state.verdict = judgeAnswer(status, marks, this.request.requestId);
+        const isFramed = isFramedAnswer(this.request.method, status, headers);
+        // Without a length, an answer that was cut short cannot be told from a whole one.
+        const verdict = judgeAnswer(status, marks, this.request.requestId);
+        state.verdict = isFramed || verdict === 'not-run' ? verdict : 'spoiled';
         this.noteLoad(state, marks);
         // What comes on this connection belongs to another request.
         if (state.verdict === 'spoiled') {
-          this.dispatch?.abort({ kind: 'targetFailed', detail: 'answer to another request' });
+          this.dispatch?.abort({ kind: 'targetFailed', detail: isFramed ? 'not its answer' : 'no length' });
         }
       },
       onData: (chunk) => this.takeData(state, chunk),
@@ -260,6 +264,8 @@
   ): NonNullable<Attempt['verdict']> {
     if (failure === undefined) return attempt.verdict ?? 'spoiled';
     if (attempt.isForwarding) return 'answered';
+    // The head of the answer is proof enough.
+    if (attempt.verdict === 'not-run') return 'not-run';
     const isNotRun = attempt.status === undefined && errorTable[failure.kind].outcome === 'not-run';
     return isNotRun ? 'not-run' : 'spoiled';
   }
@@ -270,6 +276,8 @@
     const hasTime = deadlineMs - this.view.clock() > 1;
     const hasAttempts = this.triedIds.length < route.maxAttempts;
     if (mayRepeat && hasTime && hasAttempts && this.body.isReplayable) {
+      // What comes from now on is kept for the next attempt.
+      this.body.close();
       const leaveQueue = this.view.placement.placeAgain(this.createPlacementRequest());
       if (leaveQueue !== undefined) {
         if (this.attempt === attempt) this.leaveQueue = leaveQueue;
--- a/packages/gateway/test/exchange.test.ts
+++ b/packages/gateway/test/exchange.test.ts
@@ -26,7 +26,7 @@
 test('what a caller that may not repeat is told after each failure', (t) => {
   const cases: [FakeTarget['mode'], number][] = [
     ['resets', 502], ['foreign', 502], ['unsigned', 502], ['busy', 502], ['not-run', 503],
-    ['fails', 500],
+    ['fails', 500], ['unframed', 502],
   ];
   const rig = new GatewayRig(t, { isIdempotent: false });
   const target = rig.addTarget('a');
@@ -42,7 +42,7 @@
 });
 
 test('a request that may be repeated is answered by another target', (t) => {
-  const modes: FakeTarget['mode'][] = ['resets', 'foreign', 'unsigned', 'busy', 'not-run', 'fails'];
+  const modes: FakeTarget['mode'][] = ['resets', 'foreign', 'unsigned', 'busy', 'not-run', 'fails', 'unframed'];
   modes.forEach((mode) => {
     const rig = new GatewayRig(t);
     rig.addTarget('bad', { mode });
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -17,7 +17,7 @@
   'not-run': 503, busy: 503, fails: 500,
 };
 
-const FOREIGN_HEADERS = { id: 'another request', signed: 'yes' };
+const FOREIGN_HEADERS = { id: 'another request', signed: 'yes', 'content-length': '1' };
 
 interface SentRequest {
   readonly target: FakeTarget;
@@ -100,6 +100,7 @@
       id: id ?? '',
       load: FakeSender.describeLoad(target),
     };
+    if (target.mode !== 'unframed') headers['content-length'] = String(target.id.length);
     if (target.mode !== 'unsigned') headers.signed = 'yes';
     if (target.mode === 'not-run') headers['not-run'] = '1';
     handler.onHeaders(STATUSES[target.mode] ?? 200, headers);
--- a/packages/gateway/test/support/FakeTarget.ts
+++ b/packages/gateway/test/support/FakeTarget.ts
@@ -10,7 +10,8 @@
   workMs: number;
   coldLeftMs: number;
   /** What it does with requests; probes are always answered but for `silent`. */
-  mode: 'answers' | 'resets' | 'not-run' | 'foreign' | 'silent' | 'unsigned' | 'busy' | 'fails';
+  mode: 'answers' | 'resets' | 'not-run' | 'foreign' | 'silent' | 'unsigned' | 'busy' | 'fails'
+  | 'unframed';
 }
 
 export default FakeTarget;
--- a/packages/vm/src/messages/registryMessages.ts
+++ b/packages/vm/src/messages/registryMessages.ts
@@ -8,6 +8,8 @@
 
 /** Messages by which entries learn what control replicates. */
 const registryMessages = [
+  /** An entry asks whether a control VM is current; pulses follow. */
+  z.strictObject({ kind: z.literal('registryAsk') }),
   /** An entry asks for the whole registry and for all changes from then on. */
   z.strictObject({ kind: z.literal('registrySubscribe') }),
   /** The whole registry as it was applied up to an index of the log. */
--- a/packages/vm/src/registry/RegistryPublisher.ts
+++ b/packages/vm/src/registry/RegistryPublisher.ts
@@ -13,6 +13,9 @@
 export default class RegistryPublisher implements SessionHandler {
   private readonly subscribers = new Set<VmSession>();
 
+  /** Sessions that are told whether this replica is current. */
+  private readonly watchers = new Set<VmSession>();
+
   private roster: Roster = { controls: [], entries: [] };
 
   private timer: NodeJS.Timeout | undefined;
@@ -36,6 +39,10 @@
   onOpen(): void {}
 
   onMessage(session: VmSession, message: VmMessage): void {
+    if (message.kind === 'registryAsk') {
+      this.watchers.add(session);
+      session.send({ kind: 'registryPulse', isCurrent: this.isCurrent() });
+    }
     if (message.kind !== 'registrySubscribe') return;
     if (!this.isCurrent()) {
       session.send({ kind: 'registryPulse', isCurrent: false });
@@ -50,6 +57,7 @@
 
   onClose(session: VmSession): void {
     this.subscribers.delete(session);
+    this.watchers.delete(session);
   }
 
   /** Notes that something was applied; it goes out a moment later. */
@@ -57,9 +65,10 @@
     this.timer ??= setTimeout(() => this.flush(), BATCH_MS);
   }
 
-  /** Tells all subscribers whether this replica is current. */
+  /** Tells entries whether this replica is current. */
   pulse(): void {
-    this.broadcast({ kind: 'registryPulse', isCurrent: this.isCurrent() });
+    const isCurrent = this.isCurrent();
+    this.watchers.forEach((session) => session.send({ kind: 'registryPulse', isCurrent }));
   }
 
   /** Takes the VMs of the system and tells them to the subscribers if they have changed. */
--- a/packages/vm/src/registry/RegistrySubscription.ts
+++ b/packages/vm/src/registry/RegistrySubscription.ts
@@ -1,7 +1,6 @@
 import type Declaration from '@guavayard/core/registry/Declaration';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import type Clock from '@guavayard/core/types/Clock';
-import type Random from '@guavayard/core/types/Random';
 
 import type VmMessage from '../messages/VmMessage';
 import type SessionHandler from '../session/SessionHandler';
@@ -14,24 +13,26 @@
 type View = Extract<VmMessage, { kind: 'registryView' }>;
 type Update = Extract<VmMessage, { kind: 'registryUpdate' }>;
 
-/** Silence of a control VM after which another one is asked, in milliseconds. */
-const SILENCE_MS = 1000;
-/** Longest time from connecting to the first view, in milliseconds. */
-const VIEW_TIMEOUT_MS = 700;
+/** Silence of a control VM after which another one is followed, in milliseconds. */
+const SILENCE_MS = 800;
+/** Longest time from asking for the registry to its arrival, in milliseconds. */
+const VIEW_TIMEOUT_MS = 500;
 const CHECK_MS = 100;
+/** Pause before an entry that follows a distant control VM looks for a nearer one. */
+const NEARER_PAUSE_MS = 3000;
 
 interface RegistrySubscriptionOptions {
   readonly hub: VmHub;
   readonly identity: VmIdentity;
   readonly seeds: readonly string[];
   readonly clock: Clock;
-  readonly random: Random;
   readonly listener: RegistryListener;
 }
 
 /**
- * What an entry knows from control. It follows one control VM, the nearest that is current, and
- * keeps what it knows while it follows none. It never goes back to an older state.
+ * What an entry knows from control. It follows one control VM that is current. When that one
+ * fails, it asks all of them and follows the first that answers, which is most often the nearest.
+ * It never goes back to an older state, and keeps what it knows while it follows nobody.
  */
 export default class RegistrySubscription implements SessionHandler {
   declaration: Declaration | undefined;
@@ -44,16 +45,17 @@
 
   private index = -1;
 
+  /** The session that is followed. */
   private source: VmSession | undefined;
 
-  private isFollowing = false;
+  /** The session that was asked for the registry, and when. */
+  private asked: { readonly session: VmSession; readonly atMs: number } | undefined;
 
-  private address: string | undefined;
+  private readonly connected = new Set<string>();
 
   private heardAtMs = 0;
 
-  /** When an address failed last; the ones that failed longest ago are tried first. */
-  private readonly failedAtMs = new Map<string, number>();
+  private nearerDueMs = 0;
 
   private timer: NodeJS.Timeout | undefined;
 
@@ -62,7 +64,7 @@
   /** Starts to follow control. */
   start(): void {
     this.options.hub.addHandler(this);
-    this.connectNext();
+    this.connectAll();
     this.timer = setInterval(() => this.check(), CHECK_MS);
   }
 
@@ -72,36 +74,51 @@
   }
 
   onOpen(session: VmSession, peer: VmIdentity): void {
-    if (peer.address !== this.address) return;
-    this.source = session;
-    session.send({ kind: 'registrySubscribe' });
+    if (peer.roles.includes('control')) session.send({ kind: 'registryAsk' });
   }
 
   onMessage(session: VmSession, message: VmMessage): void {
+    if (session === this.source) this.heardAtMs = this.options.clock();
+    if (message.kind === 'registryPulse') this.takePulse(session, message.isCurrent);
+    if (message.kind === 'registryView' && session === this.asked?.session) {
+      this.takeView(session, message);
+    }
     if (session !== this.source) return;
-    this.heardAtMs = this.options.clock();
-    if (message.kind === 'registryView') this.takeView(message);
     if (message.kind === 'registryUpdate') this.takeUpdate(message);
     if (message.kind === 'roster') this.takeRoster(message);
-    if (message.kind === 'registryPulse' && !message.isCurrent) this.leave('not current');
   }
 
   onClose(session: VmSession, reason: string): void {
+    if (session === this.asked?.session) this.asked = undefined;
     if (session === this.source) this.leave(reason);
   }
 
-  private takeView(view: View): void {
-    if (view.index < this.index) {
-      this.leave('its state is older');
+  private takePulse(session: VmSession, isCurrent: boolean): void {
+    if (session === this.source) {
+      if (!isCurrent) this.leave('not current');
       return;
     }
-    this.isFollowing = true;
+    const isWanted = this.source === undefined
+      || (this.isNear(session) && !this.isNear(this.source));
+    if (!isCurrent || !isWanted || this.asked !== undefined) return;
+    this.asked = { session, atMs: this.options.clock() };
+    session.send({ kind: 'registrySubscribe' });
+  }
+
+  private takeView(session: VmSession, view: View): void {
+    this.asked = undefined;
+    // A control VM that has applied less than this entry knows is asked again with its next pulse.
+    if (view.index < this.index) return;
+    this.source = session;
+    this.heardAtMs = this.options.clock();
+    this.nearerDueMs = this.heardAtMs + NEARER_PAUSE_MS;
     this.declaration = view.declaration;
     this.evacuated = new Set(view.evacuated);
     this.targets.clear();
     view.targets.forEach((target) => this.targets.set(target.id, target));
     this.index = view.index;
-    this.options.listener.onSource(this.source?.peer?.name, 'subscribed');
+    this.disconnectOthers(session.peer?.address);
+    this.options.listener.onSource(session.peer?.name, 'subscribed');
     this.options.listener.onChange();
   }
 
@@ -114,62 +131,64 @@
     this.options.listener.onChange();
   }
 
-  private takeRoster(roster: Roster): void {
-    this.roster = { controls: roster.controls, entries: roster.entries };
+  private takeRoster({ controls, entries }: Roster): void {
+    this.roster = { controls, entries };
     this.options.listener.onRoster(this.roster);
-    const best = this.listAddresses()[0];
-    const isNear = this.source?.peer?.region === this.options.identity.region;
-    const hasNear = roster.controls.some(({ region }) => region === this.options.identity.region);
-    // A follower across a region link pays for every update.
-    if (!isNear && hasNear && best !== undefined && best !== this.address) {
-      this.leave('a nearer control VM is known', false);
-    }
   }
 
   private check(): void {
-    const limitMs = this.isFollowing ? SILENCE_MS : VIEW_TIMEOUT_MS;
-    if (this.options.clock() - this.heardAtMs > limitMs) this.leave('silent');
+    const nowMs = this.options.clock();
+    if (this.asked !== undefined && nowMs - this.asked.atMs > VIEW_TIMEOUT_MS) {
+      this.asked = undefined;
+    }
+    if (this.source === undefined) {
+      this.connectAll();
+      return;
+    }
+    if (nowMs - this.heardAtMs > SILENCE_MS) {
+      this.leave('silent');
+      return;
+    }
+    // A follower across a region link pays for every update.
+    if (this.isNear(this.source) || nowMs < this.nearerDueMs) return;
+    this.nearerDueMs = nowMs + NEARER_PAUSE_MS;
+    this.roster.controls
+      .filter(({ region }) => region === this.options.identity.region)
+      .forEach(({ address }) => this.connect(address));
   }
 
-  private leave(reason: string, hasFailed = true): void {
-    if (this.isFollowing) this.options.listener.onSource(undefined, reason);
-    if (hasFailed && this.address !== undefined) {
-      this.failedAtMs.set(this.address, this.options.clock());
-    }
-    this.isFollowing = false;
+  private leave(reason: string): void {
+    this.options.listener.onSource(undefined, reason);
+    const address = this.source?.peer?.address;
     this.source = undefined;
-    if (this.address !== undefined) this.options.hub.disconnect(this.address);
-    this.address = undefined;
-    this.connectNext();
+    // A session that went silent may stay so; a new one is made.
+    if (address !== undefined) this.disconnect(address);
+    this.connectAll();
   }
 
-  private connectNext(): void {
-    this.heardAtMs = this.options.clock();
-    const [next] = this.listAddresses();
-    if (next === undefined) return;
-    this.address = next;
-    this.options.hub.connect(next);
-  }
-
-  private listAddresses(): string[] {
-    const { seeds, identity, random } = this.options;
-    const known = this.roster.controls.length > 0
-      ? this.roster.controls
-      : seeds.map((address) => ({ address, region: '', dataCentre: '' }));
-    const distance = (place: typeof known[number]): number => {
-      if (place.dataCentre === identity.dataCentre) return 0;
-      return place.region === identity.region ? 1 : 2;
-    };
-    const rank = new Map(known.map((place) => [place.address, distance(place) + random() / 2]));
+  private isNear(session: VmSession): boolean {
+    return session.peer?.region === this.options.identity.region;
+  }
+
+  private connectAll(): void {
     // Seeds stay candidates: all control VMs of the roster may have been replaced.
-    seeds.forEach((address) => {
-      if (!rank.has(address)) rank.set(address, 3 + random());
-    });
-    const failedAt = (address: string): number => this.failedAtMs.get(address) ?? -Infinity;
-    const recent = this.options.clock() - 3 * SILENCE_MS;
-    return [...rank.keys()].sort((a, b) => {
-      const late = Math.max(failedAt(a), recent) - Math.max(failedAt(b), recent);
-      return late !== 0 ? late : (rank.get(a) ?? 0) - (rank.get(b) ?? 0);
-    });
+    this.options.seeds.forEach((address) => this.connect(address));
+    this.roster.controls.forEach(({ address }) => this.connect(address));
+  }
+
+  private connect(address: string): void {
+    if (this.connected.has(address)) return;
+    this.connected.add(address);
+    this.options.hub.connect(address);
+  }
+
+  private disconnect(address: string): void {
+    this.connected.delete(address);
+    this.options.hub.disconnect(address);
+  }
+
+  private disconnectOthers(kept: string | undefined): void {
+    [...this.connected].filter((address) => address !== kept)
+      .forEach((address) => this.disconnect(address));
   }
 }
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -28,8 +28,8 @@
 import type VmPlace from './VmPlace';
 
 /** A replica that has not heard its leader for this long is not current, in milliseconds. */
-const CURRENT_MS = 900;
-const PULSE_MS = 400;
+const CURRENT_MS = 700;
+const PULSE_MS = 250;
 const PRESENCE_MS = 1000;
 /** Reports of presence after which an unchanged roster is sent once more. */
 const ROSTER_REPEATS = 10;
@@ -82,6 +82,7 @@
         onLeader: (leader) => {
           options.log.info({ leader, term: this.consensus.term }, 'leader changed');
           this.presence.reset();
+          this.publisher.pulse();
         },
         createSnapshot: (): ConfigurationSnapshot => ({
           ...createConfigurationSnapshot(), registry: structuredClone(this.store.state),
