--- /dev/null
+++ b/packages/vm/test/registry.test.ts
@@ -0,0 +1,155 @@
+import assert from 'node:assert/strict';
+import { test, type TestContext } from 'node:test';
+
+import type Declaration from '@guavayard/core/registry/Declaration';
+import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
+
+import PresenceTable from '../src/registry/PresenceTable';
+import RegistryStore from '../src/registry/RegistryStore';
+import RegistryGroup from './support/RegistryGroup';
+import retryUntil from './support/retryUntil';
+
+const TARGET: RegisteredTarget = {
+  id: 't-1',
+  service: 'lots',
+  address: '10.0.0.1:80',
+  dataCentre: 'cork',
+  slots: 2,
+  state: 'ready',
+  bornAtMs: 1000,
+  sequence: 1,
+  coldLeftMs: 0,
+};
+
+function declare(version: number): Declaration {
+  return {
+    version,
+    routes: {},
+    services: {},
+    limits: {
+      maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+    },
+    source: `version ${version}`,
+  };
+}
+
+async function startGroup(
+  t: TestContext,
+  size: number,
+  requiredVoters = size,
+): Promise<RegistryGroup> {
+  const group = new RegistryGroup();
+  t.after(() => group.close());
+  await group.start(size, requiredVoters);
+  return group;
+}
+
+test('seeds found a group together and any of them takes a declaration', async (t) => {
+  const group = await startGroup(t, 3);
+  await retryUntil(async () => {
+    assert.equal((await group.controls[1]?.task.declare(declare(5)))?.ok, true);
+  });
+  await retryUntil(async () => {
+    const read = await Promise.all(group.controls.map(async ({ task }) => task.readDeclaration()));
+    read.forEach((source) => assert.equal(source.val, 'version 5'));
+  });
+});
+
+test('a declaration is acknowledged again, and a lower one without effect', async (t) => {
+  const group = await startGroup(t, 3);
+  const [control] = group.controls;
+  await retryUntil(async () => {
+    assert.equal((await control?.task.declare(declare(5)))?.ok, true);
+  });
+  assert.equal((await control?.task.declare(declare(5)))?.ok, true);
+  assert.equal((await control?.task.declare(declare(4)))?.ok, true);
+  assert.equal((await control?.task.readDeclaration())?.val, 'version 5');
+});
+
+test('nothing is accepted before as many voters have joined as losses are borne', async (t) => {
+  const group = await startGroup(t, 3, 4);
+  const [control] = group.controls;
+  await retryUntil(async () => assert.equal(control?.task.isCurrent, true));
+  assert.equal((await control?.task.declare(declare(5)))?.ok, false);
+  await group.join(5);
+  await retryUntil(async () => {
+    assert.equal((await control?.task.declare(declare(5)))?.ok, true);
+  });
+});
+
+test('an entry learns what control is told, and keeps learning after a loss', async (t) => {
+  const group = await startGroup(t, 3);
+  const subscription = await group.startEntry(20);
+  await retryUntil(async () => {
+    assert.equal((await group.controls[0]?.task.declare(declare(1)))?.ok, true);
+    assert.equal((await group.controls[0]?.task.announce(TARGET))?.ok, true);
+  });
+  await retryUntil(async () => {
+    assert.equal(subscription.declaration?.version, 1);
+    assert.equal(subscription.targets.get('t-1')?.state, 'ready');
+  });
+  RegistryGroup.stop(group.controls[0]);
+  await retryUntil(async () => {
+    assert.equal((await group.controls[1]?.task.withdraw('t-1'))?.ok, true);
+    assert.equal((await group.controls[2]?.task.evacuate('cork', true))?.ok, true);
+  });
+  await retryUntil(async () => {
+    assert.equal(subscription.targets.size, 0);
+    assert.equal(subscription.evacuated.has('cork'), true);
+  });
+});
+
+test('a control VM that hears no leader acknowledges nothing', async (t) => {
+  const group = await startGroup(t, 3);
+  const [, second, last] = group.controls;
+  await retryUntil(async () => assert.equal((await last?.task.announce(TARGET))?.ok, true));
+  [group.controls[0], second].forEach((control) => RegistryGroup.stop(control));
+  await retryUntil(async () => {
+    assert.equal((await last?.task.announce({ ...TARGET, sequence: 2 }))?.ok, false);
+  });
+  assert.equal((await last?.task.readDeclaration())?.ok, false);
+});
+
+test('a target stays cold for as long as it said, whenever an entry subscribes', () => {
+  let nowMs = 0;
+  const store = new RegistryStore(() => nowMs, undefined, 0);
+  store.apply(1, { kind: 'announce', target: { ...TARGET, coldLeftMs: 3000 } });
+  nowMs = 1000;
+  assert.equal(store.createView().targets[0]?.coldLeftMs, 2000);
+  nowMs = 4000;
+  assert.equal(store.createView().targets[0]?.coldLeftMs, 0);
+});
+
+test('an update tells each change once, and what is gone', () => {
+  const store = new RegistryStore(() => 0, undefined, 0);
+  store.apply(1, { kind: 'announce', target: TARGET });
+  store.apply(2, { kind: 'announce', target: { ...TARGET, id: 't-2', bornAtMs: 2000 } });
+  const update = store.takeUpdate();
+  assert.deepEqual(update?.targets.map(({ id }) => id), ['t-2']);
+  assert.deepEqual(update?.removedIds, ['t-1']);
+  assert.equal(store.takeUpdate(), undefined);
+});
+
+test('entries are not sent the source of a declaration', () => {
+  const store = new RegistryStore(() => 0, undefined, 0);
+  store.apply(1, { kind: 'declare', declaration: declare(1) });
+  assert.equal(store.takeUpdate()?.declaration?.source, '');
+  assert.equal(store.state.declaration?.source, 'version 1');
+});
+
+test('a new leader counts the silence of targets anew', () => {
+  let nowMs = 0;
+  const presence = new PresenceTable(() => nowMs, 1000);
+  const state = {
+    declaration: undefined, evacuated: [], targets: { 't-1': TARGET }, ended: {},
+  };
+  presence.note(['t-1'], []);
+  nowMs = 1500;
+  assert.deepEqual(presence.findSilent(state), ['t-1']);
+  presence.reset();
+  assert.deepEqual(presence.findSilent(state), []);
+  nowMs = 2400;
+  assert.deepEqual(presence.findSilent(state), []);
+  nowMs = 2600;
+  assert.deepEqual(presence.findSilent(state), ['t-1']);
+});
--- /dev/null
+++ b/packages/vm/test/support/RegistryGroup.ts
@@ -0,0 +1,149 @@
+import { once } from 'node:events';
+import { createServer, type AddressInfo } from 'node:net';
+import { performance } from 'node:perf_hooks';
+
+import { createLogger } from 'bunyan';
+
+import createDurableState from '@guavayard/core/consensus/createDurableState';
+
+import RegistrySubscription from '../../src/registry/RegistrySubscription';
+import RegistryTask from '../../src/registry/RegistryTask';
+import type VmIdentity from '../../src/session/VmIdentity';
+import VmHub from '../../src/session/VmHub';
+
+const KEY = 'a key of the tests';
+
+interface Control {
+  readonly name: string;
+  readonly hub: VmHub;
+  readonly task: RegistryTask;
+}
+
+interface Entry {
+  readonly hub: VmHub;
+  readonly subscription: RegistrySubscription;
+}
+
+function clock(): number {
+  return performance.now();
+}
+
+async function findPort(): Promise<number> {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return port;
+}
+
+/** Control VMs and entries of tests, each with a loopback address of its own. */
+export default class RegistryGroup {
+  readonly controls: Control[] = [];
+
+  private readonly entries: Entry[] = [];
+
+  private port = 0;
+
+  /** Starts control VMs that found a group together. */
+  async start(size: number, requiredVoters = size): Promise<void> {
+    this.port = await findPort();
+    const names = Array.from({ length: size }, (_, index) => `127.0.0.${index + 2}`);
+    const founders = names.map((name) => `${name}#00`);
+    for (let index = 0; index < size; index += 1) {
+      // eslint-disable-next-line no-await-in-loop -- each binds the port at its own address
+      await this.startControl(names[index] ?? '', `${names[index]}#00`, founders, requiredVoters);
+    }
+  }
+
+  /** Starts a control VM with an empty disk, which joins. */
+  async join(last: number): Promise<Control> {
+    return this.startControl(`127.0.0.${last}`, `127.0.0.${last}#01`, [], 1);
+  }
+
+  /** Starts an entry. */
+  async startEntry(last: number): Promise<RegistrySubscription> {
+    const identity = this.createIdentity(`127.0.0.${last}`, 'entry');
+    const hub = await RegistryGroup.listen(identity);
+    const subscription = new RegistrySubscription({
+      hub,
+      identity,
+      clock,
+      seeds: this.seeds,
+      listener: {
+        onChange: () => undefined, onRoster: () => undefined, onSource: () => undefined,
+      },
+    });
+    subscription.start();
+    this.entries.push({ hub, subscription });
+    return subscription;
+  }
+
+  /** Ends a control VM without a word to the others. */
+  static stop(control: Control | undefined): void {
+    control?.task.close();
+    control?.hub.close();
+  }
+
+  /** Ends everything. */
+  close(): void {
+    this.controls.forEach((control) => RegistryGroup.stop(control));
+    this.entries.forEach(({ hub, subscription }) => {
+      subscription.close();
+      hub.close();
+    });
+  }
+
+  private get seeds(): string[] {
+    return [2, 3, 4].map((last) => `127.0.0.${last}:${this.port}`);
+  }
+
+  private createIdentity(name: string, role: 'entry' | 'control'): VmIdentity {
+    return {
+      name,
+      region: 'munster',
+      dataCentre: 'cork',
+      startId: 'start',
+      roles: [role],
+      address: `${name}:${this.port}`,
+    };
+  }
+
+  private static async listen(identity: VmIdentity): Promise<VmHub> {
+    const hub = new VmHub(KEY, identity);
+    const port = Number(identity.address.slice(identity.address.lastIndexOf(':') + 1));
+    hub.netServer.listen(port, identity.name);
+    await once(hub.netServer, 'listening');
+    return hub;
+  }
+
+  private async startControl(
+    name: string,
+    replica: string,
+    founders: readonly string[],
+    requiredVoters: number,
+  ): Promise<Control> {
+    const identity = this.createIdentity(name, 'control');
+    const hub = await RegistryGroup.listen(identity);
+    const task = new RegistryTask({
+      replica,
+      durable: createDurableState(founders),
+      store: { append: async () => undefined, replace: async () => undefined },
+      hub,
+      identity,
+      log: createLogger({ name: 'test', streams: [] }),
+      clock,
+      random: Math.random,
+      seeds: this.seeds,
+      requiredVoters,
+      targetSilenceMs: 60_000,
+      onDiskFailure: (err) => {
+        throw err;
+      },
+    });
+    task.start();
+    const control = { name, hub, task };
+    this.controls.push(control);
+    return control;
+  }
+}
