--- a/packages/cli/src/gateway/runGateway.ts
+++ b/packages/cli/src/gateway/runGateway.ts
@@ -58,6 +58,20 @@
   return roles.length === 0 ? Err('the settings name no role') : Ok(roles);
 }
 
+async function serveMetrics(
+  { settings, log }: GatewayContext,
+  roles: readonly GatewayRole[],
+): Promise<Result<undefined, string>> {
+  const [role] = roles;
+  if (settings.metrics === undefined || role === undefined) return Ok(undefined);
+  // Loaded last: nobody waits for the metrics of a VM that starts.
+  const { default: GatewayMetrics } = await import('@guavayard/metrics/GatewayMetrics');
+  const metrics = new GatewayMetrics(() => role.readings());
+  roles.forEach(({ observe }) => observe?.(metrics));
+  const bound = await listen(metrics.server, settings.metrics.listen, 'metrics', log);
+  return bound.map(() => undefined);
+}
+
 function watchSettings(path: string, { seeds, log }: GatewayContext): void {
   let changedAtMs: number | undefined;
   const reload = async (): Promise<void> => {
@@ -95,7 +109,7 @@
 export default async function runGateway(
   path: string,
   settings: GatewaySettings,
-): Promise<Result<GatewayRole, string>> {
+): Promise<Result<Pick<GatewayRole, 'stop'>, string>> {
   const identity = createIdentity(settings);
   const stream = new BoundedLogStream();
   const log = createLogger({
@@ -110,6 +124,8 @@
   const roles = await startRoles(context);
   if (roles.err) return roles;
   watchSettings(path, context);
+  const served = await serveMetrics(context, roles.val);
+  if (served.err) return served;
   log.info({ roles: identity.roles, firstStart: settings.vm.isFirstStart, uptimeMs: Math.round(performance.now()) }, 'started');
   stream.flush();
   return Ok({
--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -95,8 +95,9 @@
       onSource: (control, reason) => log.info({ control, reason, version: subscription.declaration?.version }, 'following control'),
     },
   });
+  const requestLog = new RequestLog(log, clock);
   const handler = new GatewayHandler({
-    clock, dialect, sender, board, placement, prober, log: new RequestLog(log, clock),
+    clock, dialect, sender, board, placement, prober, log: requestLog,
   }, () => subscription.declaration);
   const caller = new CallerListener(handler);
   let isStopping = false;
@@ -107,6 +108,16 @@
   if (readinessBound.err) return readinessBound;
   subscription.start();
   return Ok({
+    readings: () => ({
+      waiting: placement.waiting,
+      probes: prober.count,
+      targets: board.targetCount,
+      version: subscription.declaration?.version ?? 0,
+      isCurrent: subscription.isFollowing,
+    }),
+    observe: (metrics) => {
+      requestLog.observer = (line) => metrics.observe(line);
+    },
     stop: async () => {
       const endsAtMs = clock() + bounds.graceSeconds * MS_PER_SECOND - GRACE_MARGIN_MS;
       isStopping = true;
--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -66,6 +66,13 @@
   const bound = await listen(api.server, address, 'control', log);
   if (bound.err) return bound;
   return Ok({
+    readings: () => ({
+      waiting: 0,
+      probes: 0,
+      targets: task.targetCount,
+      version: task.version,
+      isCurrent: task.isCurrent,
+    }),
     stop: async () => {
       await closeServer(api.server);
       task.close();
--- a/packages/cli/src/settings/GatewaySettings.ts
+++ b/packages/cli/src/settings/GatewaySettings.ts
@@ -42,6 +42,8 @@
     coldSlack: z.number().min(0),
     probesPerSecond: z.number().min(0),
   }),
+  /** Where the metrics are served; without it none are. */
+  metrics: z.object({ listen: HostPort }).optional(),
   log: z.object({ level: z.enum(['debug', 'info', 'warn', 'error']) }).default({ level: 'info' }),
 });
 type GatewaySettings = z.infer<typeof GatewaySettings>;
--- a/packages/gateway/src/RequestLog.ts
+++ b/packages/gateway/src/RequestLog.ts
@@ -43,6 +43,13 @@
 
   private suppressed = 0;
 
+  /** Told of each request, also of those that are not logged. */
+  observer: ((line: RequestLine) => void) | undefined;
+
+  /**
+   * @param log - log of the VM
+   * @param clock - monotonic clock
+   */
   constructor(private readonly log: Logger, private readonly clock: Clock) {
     this.served = new TokenBucket(SERVED_LINES_PER_SECOND, SERVED_LINES_PER_SECOND);
     this.failed = new TokenBucket(FAILED_LINES_PER_SECOND, FAILED_LINES_PER_SECOND);
@@ -64,6 +71,7 @@
    * @param line - what was decided, and by what
    */
   write(line: RequestLine): void {
+    this.observer?.(line);
     const bucket = line.decision === 'answered' ? this.served : this.failed;
     if (!bucket.tryTake(1, this.clock())) {
       this.suppressed += 1;
--- /dev/null
+++ b/packages/metrics/src/GatewayMetrics.ts
@@ -0,0 +1,103 @@
+import { createServer, type Server } from 'node:http';
+
+import {
+  Counter, Gauge, Histogram, Registry,
+} from 'prom-client';
+
+import gatewayMetricTable from './gatewayMetricTable';
+
+const PREFIX = 'guavayard_';
+/** Upper ends of the latency buckets, in seconds. */
+const BUCKETS = [0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 1.5, 2, 3, 5];
+const MS_PER_SECOND = 1000;
+const PATH = '/metrics';
+const NOT_FOUND_STATUS = 404;
+const UNKNOWN_SERVICE = 'none';
+
+/** What a finished request says to the metrics. */
+interface ObservedRequest {
+  readonly service?: string;
+  readonly decision: string;
+  readonly ms: number;
+  readonly attempts: readonly { readonly outcome: string }[];
+}
+
+/** What all kinds of metrics are made of. */
+interface MetricOptions {
+  readonly name: string;
+  readonly help: string;
+  readonly labelNames: string[];
+  readonly registers: Registry[];
+}
+
+/** Figures that are read when the metrics are asked for. */
+interface MetricReadings {
+  readonly waiting: number;
+  readonly probes: number;
+  readonly targets: number;
+  readonly version: number;
+  readonly isCurrent: boolean;
+}
+
+/** Counts what a VM does and serves it as text. It owns its server socket. */
+export default class GatewayMetrics {
+  readonly server: Server;
+
+  private readonly registry = new Registry();
+
+  private readonly requests: Counter;
+
+  private readonly attempts: Counter;
+
+  private readonly latency: Histogram;
+
+  /**
+   * @param read - reads what is not counted here
+   */
+  constructor(private readonly read: () => MetricReadings) {
+    const options = (name: keyof typeof gatewayMetricTable): MetricOptions => ({
+      name: `${PREFIX}${name}`,
+      help: gatewayMetricTable[name].meaning,
+      labelNames: [...gatewayMetricTable[name].tags],
+      registers: [this.registry],
+    });
+    this.requests = new Counter(options('requests_total'));
+    this.attempts = new Counter(options('attempts_total'));
+    this.latency = new Histogram({ ...options('request_seconds'), buckets: BUCKETS });
+    const readings: [keyof typeof gatewayMetricTable, (now: MetricReadings) => number][] = [
+      ['waiting_requests', ({ waiting }) => waiting],
+      ['probes_total', ({ probes }) => probes],
+      ['targets', ({ targets }) => targets],
+      ['declaration_version', ({ version }) => version],
+      ['is_current', ({ isCurrent }) => Number(isCurrent)],
+    ];
+    const gauges = readings.map(([name, value]) => ({ gauge: new Gauge(options(name)), value }));
+    this.server = createServer((req, res) => {
+      if (req.url !== PATH) {
+        res.writeHead(NOT_FOUND_STATUS).end();
+        return;
+      }
+      const now = this.read();
+      gauges.forEach(({ gauge, value }) => gauge.set(value(now)));
+      this.registry.metrics().then((text) => {
+        res.writeHead(200, { 'content-type': this.registry.contentType });
+        res.end(text);
+      }, (err: Error) => res.destroy(err));
+    });
+  }
+
+  /**
+   * Counts a finished request.
+   *
+   * @param request - what was decided about it
+   */
+  observe(request: ObservedRequest): void {
+    const { service = UNKNOWN_SERVICE, decision } = request;
+    this.requests.inc({ service, decision });
+    request.attempts.forEach(({ outcome }) => {
+      // The detail behind the verdict has no bound on its values.
+      this.attempts.inc({ service, outcome: outcome.split(' ')[0] ?? outcome });
+    });
+    if (decision === 'answered') this.latency.observe({ service }, request.ms / MS_PER_SECOND);
+  }
+}
--- /dev/null
+++ b/packages/metrics/src/gatewayMetricTable.ts
@@ -0,0 +1,29 @@
+/** Metrics that a VM serves on its metrics address, in the text exposition format. */
+const gatewayMetricTable = {
+  requests_total: {
+    type: 'counter', tags: ['service', 'decision'], meaning: 'finished requests by what was decided',
+  },
+  request_seconds: {
+    type: 'histogram', tags: ['service'], meaning: 'time from arrival to the end of the answer, of answered requests',
+  },
+  attempts_total: {
+    type: 'counter', tags: ['service', 'outcome'], meaning: 'attempts on targets by what came of them',
+  },
+  waiting_requests: {
+    type: 'gauge', tags: [], meaning: 'requests that wait for a target',
+  },
+  probes_total: {
+    type: 'counter', tags: [], meaning: 'probes sent to targets',
+  },
+  targets: {
+    type: 'gauge', tags: [], meaning: 'targets known',
+  },
+  declaration_version: {
+    type: 'gauge', tags: [], meaning: 'version of the declaration in force on this VM',
+  },
+  is_current: {
+    type: 'gauge', tags: [], meaning: '1 while the VM follows control, or hears the leader; else 0',
+  },
+} as const;
+
+export default gatewayMetricTable;
--- /dev/null
+++ b/packages/metrics/test/gatewayMetrics.test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import type { AddressInfo } from 'node:net';
+import { test } from 'node:test';
+
+import GatewayMetrics from '../src/GatewayMetrics';
+
+test('counters, latencies and readings are served as text', async (t) => {
+  const metrics = new GatewayMetrics(() => ({
+    waiting: 3, probes: 7, targets: 2, version: 26, isCurrent: true,
+  }));
+  metrics.server.listen(0, '127.0.0.1');
+  await once(metrics.server, 'listening');
+  t.after(() => {
+    metrics.server.close();
+    metrics.server.closeAllConnections();
+  });
+  metrics.observe({
+    service: 'lots', decision: 'answered', ms: 250, attempts: [{ outcome: 'not-run 503' }, { outcome: 'answered 200' }],
+  });
+  metrics.observe({ decision: 'noRoute', ms: 0, attempts: [] });
+  const { port } = metrics.server.address() as AddressInfo;
+  const text = await (await fetch(`http://127.0.0.1:${port}/metrics`)).text();
+  [
+    'guavayard_requests_total{service="lots",decision="answered"} 1',
+    'guavayard_requests_total{service="none",decision="noRoute"} 1',
+    'guavayard_attempts_total{service="lots",outcome="not-run"} 1',
+    'guavayard_request_seconds_bucket{le="0.3",service="lots"} 1',
+    'guavayard_waiting_requests 3',
+    'guavayard_declaration_version 26',
+    'guavayard_is_current 1',
+  ].forEach((line) => assert.ok(text.includes(line), line));
+  assert.equal((await fetch(`http://127.0.0.1:${port}/other`)).status, 404);
+});
--- a/packages/vm/src/registry/RegistrySubscription.ts
+++ b/packages/vm/src/registry/RegistrySubscription.ts
@@ -61,6 +61,11 @@
 
   constructor(private readonly options: RegistrySubscriptionOptions) {}
 
+  /** Whether a control VM that is current is followed now. */
+  get isFollowing(): boolean {
+    return this.source !== undefined;
+  }
+
   /** Starts to follow control. */
   start(): void {
     this.options.hub.addHandler(this);
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -106,6 +106,16 @@
     return this.consensus.isLeader || this.consensus.silenceMs < CURRENT_MS;
   }
 
+  /** Version of the declaration that is applied here, 0 without one. */
+  get version(): number {
+    return this.store.state.declaration?.version ?? 0;
+  }
+
+  /** Number of registered targets. */
+  get targetCount(): number {
+    return Object.keys(this.store.state.targets).length;
+  }
+
   /** Starts to take part in the group. */
   start(): void {
     const { hub } = this.options;
--- a/scripts/docs/createDocTables.ts
+++ b/scripts/docs/createDocTables.ts
@@ -2,6 +2,7 @@
 import errorTable from '@guavayard/core/errors/errorTable';
 import invariantTable from '@guavayard/core/invariants/invariantTable';
 import burnAlertRules from '@guavayard/core/objectives/burnAlertRules';
+import gatewayMetricTable from '@guavayard/metrics/gatewayMetricTable';
 import metricTable from '@guavayard/metrics/metricTable';
 import describeDuration from '@guavayard/report/describeDuration';
 
@@ -17,6 +18,10 @@
   `\`guavayard.${name}\``, row.type, row.tags.join(', '), row.meaning,
 ]);
 
+const gatewayMetrics = Object.entries(gatewayMetricTable).map(([name, row]) => [
+  `\`guavayard_${name}\``, row.type, row.tags.join(', '), row.meaning,
+]);
+
 const invariants = Object.entries(invariantTable).map(([name, meaning]) => [`\`${name}\``, meaning]);
 
 const alerts = burnAlertRules.map((rule) => [
@@ -43,6 +48,7 @@
   return [
     { page: 'docs/API.md', name: 'errors', rows: [['`guavayard-error`', 'code', 'status', '`guavayard-outcome`', 'resend', 'meaning'], ...errors] },
     { page: 'docs/METRICS.md', name: 'metrics', rows: [['name', 'type', 'tags', 'meaning'], ...metrics] },
+    { page: 'docs/METRICS.md', name: 'gateway metrics', rows: [['name', 'type', 'labels', 'meaning'], ...gatewayMetrics] },
     { page: 'docs/METRICS.md', name: 'invariants', rows: [['invariant', 'a breach means'], ...invariants] },
     { page: 'docs/OPERATIONS.md', name: 'alerts', rows: [['severity', 'short window', 'long window', 'burn rate over both'], ...alerts] },
     { page: 'docs/OPERATIONS.md', name: 'operations', rows: [['page', 'about'], ...listPages('operations')] },
