--- a/packages/cli/src/commands/commands.ts
+++ b/packages/cli/src/commands/commands.ts
@@ -1,6 +1,7 @@
 import ApplyCommand from './ApplyCommand';
 import CheckCommand from './CheckCommand';
 import type Command from './Command';
+import ExplainCommand from './ExplainCommand';
 import InitCommand from './InitCommand';
 import OutcomeCommand from './OutcomeCommand';
 import PatchCommand from './PatchCommand';
@@ -23,6 +24,7 @@
   new ShowCommand(),
   new StatusCommand(),
   new ReportCommand(),
+  new ExplainCommand(),
   new VersionCommand(),
 ];
 
--- a/packages/core/src/placement/AdmissionControl.ts
+++ b/packages/core/src/placement/AdmissionControl.ts
@@ -19,6 +19,10 @@
 /** Dispatches that the estimate of the rate remembers. */
 const RATE_SAMPLES = 16;
 const RATE_MAX_AGE_MS = 2000;
+/** Dispatches from one queue before its rate is believed. */
+const MIN_SAMPLES = 3;
+/** Time to find a target for one waiting request while slots are free, in milliseconds. */
+const SEARCH_MS = 15;
 
 /**
  * Decides for one service of one entry how long requests wait for a free slot, and who is refused.
@@ -30,6 +34,11 @@
 export default class AdmissionControl {
   private dispatches: number[] = [];
 
+  /** Notes that nobody waits any more: the rate before says nothing of what could be served. */
+  endQueue(): void {
+    this.dispatches = [];
+  }
+
   /** Notes that a waiting request got a slot. */
   recordDispatch(nowMs: number): void {
     this.dispatches.push(nowMs);
@@ -75,8 +84,8 @@
     const since = nowMs - RATE_MAX_AGE_MS;
     this.dispatches = this.dispatches.filter((atMs) => atMs > since);
     const [oldest] = this.dispatches;
-    // Without a recent dispatch there is nothing to go by; the bound on the wait still holds.
-    if (oldest === undefined || this.dispatches.length < 3) return ahead * 50;
+    // Too little to go by; the bound on the wait still holds.
+    if (oldest === undefined || this.dispatches.length < MIN_SAMPLES) return ahead * SEARCH_MS;
     const intervalMs = Math.max(1, nowMs - oldest) / this.dispatches.length;
     return ahead * intervalMs;
   }
--- a/packages/gateway/src/PlacementLane.ts
+++ b/packages/gateway/src/PlacementLane.ts
@@ -120,6 +120,7 @@
     clearTimeout(state.patienceTimer);
     const index = this.queue.indexOf(waiting);
     if (index >= 0) this.queue.splice(index, 1);
+    if (this.queue.length === 0) this.admission.endQueue();
   }
 
   private refuse(waiting: Waiting, failure: Failure): void {
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -132,3 +132,15 @@
   // Two a second, one and a half times, and a slack of five; one more may go before the probe.
   assert.ok(rig.sender.sent.length <= 1 + 2 * 1.5 + 5 + 1, String(rig.sender.sent.length));
 });
+
+test('a burst after a calm time is not refused while slots are free', (t) => {
+  const rig = new GatewayRig(t);
+  Array.from({ length: 10 }, (_, index) => rig.addTarget(`t${index}`));
+  for (let count = 0; count < 10; count += 1) {
+    rig.request();
+    rig.run(300);
+  }
+  const responses = Array.from({ length: 12 }, () => rig.request());
+  rig.run(1000);
+  assert.deepEqual(responses.map(({ status }) => status), responses.map(() => 200));
+});
--- /dev/null
+++ b/packages/report/src/explainRequest.ts
@@ -0,0 +1,75 @@
+import { z } from 'zod';
+
+const Attempt = z.object({
+  target: z.string(),
+  load: z.number().optional(),
+  slowness: z.number().optional(),
+  loadAgeMs: z.number().optional(),
+  outcome: z.string(),
+  ms: z.number(),
+});
+
+const RequestLine = z.object({
+  vm: z.string(),
+  time: z.string(),
+  requestId: z.string(),
+  route: z.string().optional(),
+  service: z.string().optional(),
+  version: z.number().optional(),
+  attempts: z.array(Attempt),
+  decision: z.string(),
+  detail: z.string().optional(),
+  status: z.number(),
+  retryAfterMs: z.number().optional(),
+  ms: z.number(),
+});
+type RequestLine = z.infer<typeof RequestLine>;
+
+function parse(text: string): RequestLine | undefined {
+  try {
+    return RequestLine.safeParse(JSON.parse(text)).data;
+  } catch {
+    // Logs of several processes may hold other lines; they are not about requests.
+    return undefined;
+  }
+}
+
+function describeAttempt(attempt: z.infer<typeof Attempt>, index: number): string {
+  const {
+    target, load, slowness, loadAgeMs, outcome, ms,
+  } = attempt;
+  const known = load === undefined
+    ? 'nothing was known of its load'
+    : `told ${load} requests and slowness ${slowness ?? 'unknown'} ${loadAgeMs ?? 0} ms before`;
+  return `  attempt ${index + 1}: ${target} (${known}): ${outcome} after ${ms} ms`;
+}
+
+function describe(line: RequestLine): string[] {
+  const {
+    vm, time, route, service, version, decision, detail, status, retryAfterMs, ms,
+  } = line;
+  const way = route === undefined ? 'no route' : `route ${route}, service ${service}, version ${version}`;
+  const back = retryAfterMs === undefined ? '' : `, to come back after ${retryAfterMs} ms`;
+  const reason = detail === undefined || detail === '' ? '' : ` (${detail})`;
+  return [
+    `${time} ${vm}: ${way}`,
+    ...line.attempts.map(describeAttempt),
+    `  ${decision}${reason}: ${status === 0 ? 'no answer' : `answered ${status}`} after ${ms} ms${back}`,
+  ];
+}
+
+/**
+ * Tells the story of one request from the logs of the processes that served it.
+ *
+ * @param lines - lines of the logs, of any processes in any order
+ * @param requestId - id of the request
+ * @returns lines for people, in the order of time; none if the logs do not name the request
+ */
+export default function explainRequest(lines: readonly string[], requestId: string): string[] {
+  return lines
+    .filter((text) => text.includes(requestId))
+    .flatMap((text) => parse(text.slice(text.indexOf('{'))) ?? [])
+    .filter((line) => line.requestId === requestId)
+    .sort((a, b) => (a.time < b.time ? -1 : 1))
+    .flatMap(describe);
+}
