--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -35,6 +35,8 @@
 
   private isClosed = false;
 
+  private writingSinceMs: number | undefined;
+
   private nextJoinMs = 0;
 
   private timer: NodeJS.Timeout | undefined;
@@ -116,6 +118,11 @@
     return this.options.clock() - this.state.leaderHeardAtMs;
   }
 
+  /** For how long the disk has been writing, in milliseconds; 0 if it is not. */
+  get writingMs(): number {
+    return this.writingSinceMs === undefined ? 0 : this.options.clock() - this.writingSinceMs;
+  }
+
   /** A replica that joins may know no address of the leader. */
   private takeJoin(replica: ReplicaId): void {
     const { leaderName } = this;
@@ -154,12 +161,14 @@
     const records: ConsensusRecord[] = effects
       .flatMap((effect) => (effect.kind === 'write' ? [effect.record] : []));
     if (records.length === 0) return;
-    const { store } = this.options;
+    const { store, clock } = this.options;
+    this.writingSinceMs = clock();
     if (records.some((record) => record.kind === 'snapshot')) {
       await store.replace(createRecords(this.state));
     } else {
       await store.append(records);
     }
+    this.writingSinceMs = undefined;
   }
 
   private carryOut(effect: ConsensusEffect): void {
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -103,9 +103,16 @@
 
   /** Whether this replica leads, or has just heard from the leader. */
   get isCurrent(): boolean {
+    // A replica whose disk hangs takes no part, and may lead no more without knowing it.
+    if (this.consensus.writingMs >= CURRENT_MS) return false;
     return this.consensus.isLeader || this.consensus.silenceMs < CURRENT_MS;
   }
 
+  /** Whether this replica takes itself for the leader. */
+  get isLeader(): boolean {
+    return this.consensus.isLeader;
+  }
+
   /** Version of the declaration that is applied here, 0 without one. */
   get version(): number {
     return this.store.state.declaration?.version ?? 0;
@@ -246,7 +253,7 @@
   }
 
   private async answer(call: ControlCall): Promise<ControlAnswer | undefined> {
-    if (!this.consensus.isLeader) return undefined;
+    if (!this.consensus.isLeader || !this.isCurrent) return undefined;
     if (call.kind === 'declaration') {
       if (!await this.consensus.confirm()) return undefined;
       return { kind: 'declaration', source: this.store.state.declaration?.source };
--- a/packages/vm/src/session/FrameDecoder.ts
+++ b/packages/vm/src/session/FrameDecoder.ts
@@ -1,9 +1,18 @@
+import { inflateRawSync } from 'node:zlib';
+
 import { Err, Ok, type Result } from 'ts-results';
 
-/** Bytes of the length that stands before each frame. */
-const HEADER_BYTES = 4;
-/** Longest frame that a peer may send, in bytes. */
-const MAX_FRAME_BYTES = 64 * 1024 * 1024;
+import frameLayout from './frameLayout';
+
+const { headerBytes: HEADER_BYTES, maxFrameBytes: MAX_FRAME_BYTES, compressedFlag } = frameLayout;
+
+function inflate(body: Buffer): Result<Buffer, string> {
+  try {
+    return Ok(inflateRawSync(body, { maxOutputLength: MAX_FRAME_BYTES }));
+  } catch (err) {
+    return Err(`frame cannot be decompressed: ${(err as Error).message}`);
+  }
+}
 
 /** Cuts a byte stream into length-prefixed frames. */
 export default class FrameDecoder {
@@ -12,7 +21,7 @@
   private pendingBytes = 0;
 
   /** Bytes that must be pending before the next frame, or at least its length, is whole. */
-  private neededBytes = HEADER_BYTES;
+  private neededBytes: number = HEADER_BYTES;
 
   /**
    * Takes the next bytes of the stream.
@@ -31,16 +40,21 @@
   private cutFrames(pending: Buffer): Result<Buffer[], string> {
     const frames: Buffer[] = [];
     let start = 0;
-    let needed = HEADER_BYTES;
+    let needed: number = HEADER_BYTES;
     while (pending.length - start >= needed) {
-      const length = pending.readUInt32BE(start);
+      const header = pending.readUInt32BE(start);
+      const isCompressed = header >= compressedFlag;
+      const length = isCompressed ? header - compressedFlag : header;
       if (length > MAX_FRAME_BYTES) return Err(`frame of ${length} bytes is too long`);
       const end = start + HEADER_BYTES + length;
       if (end > pending.length) {
         needed = HEADER_BYTES + length;
         break;
       }
-      frames.push(pending.subarray(start + HEADER_BYTES, end));
+      const body = pending.subarray(start + HEADER_BYTES, end);
+      const frame = isCompressed ? inflate(body) : Ok(body);
+      if (frame.err) return frame;
+      frames.push(frame.val);
       start = end;
     }
     this.chunks = start === pending.length ? [] : [pending.subarray(start)];
--- a/packages/vm/src/session/encodeFrame.ts
+++ b/packages/vm/src/session/encodeFrame.ts
@@ -1,17 +1,23 @@
+import { deflateRawSync } from 'node:zlib';
+
 import { encode } from 'cbor-x';
 
-const HEADER_BYTES = 4;
+import frameLayout from './frameLayout';
 
 /**
- * Encodes a message as a length-prefixed CBOR frame.
+ * Encodes a message as a length-prefixed CBOR frame. Long messages are compressed: declarations and
+ * views repeat their keys, and links between regions are paid by volume.
  *
  * @param message - any plain value
  * @returns the bytes to write to the socket
  */
 export default function encodeFrame(message: unknown): Buffer {
-  const body = encode(message);
-  const frame = Buffer.allocUnsafe(HEADER_BYTES + body.length);
-  frame.writeUInt32BE(body.length, 0);
-  body.copy(frame, HEADER_BYTES);
+  const { headerBytes, compressedFlag, minCompressedBytes } = frameLayout;
+  const plain = encode(message);
+  const isCompressed = plain.length >= minCompressedBytes;
+  const body = isCompressed ? deflateRawSync(plain) : plain;
+  const frame = Buffer.allocUnsafe(headerBytes + body.length);
+  frame.writeUInt32BE(isCompressed ? body.length + compressedFlag : body.length, 0);
+  body.copy(frame, headerBytes);
   return frame;
 }
