Ask control again that was still starting; listen for sessions last

Cause: a control VM accepted sessions before its tasks took messages, so the question of an entry that connected in that moment was lost, and an entry asks only once a session: with all three sessions made then, it never followed control. The new test of packages/vm/test/registry.test.ts waits 20 s in vain without the change. Ruled out: processes that ended, taken ports (all four VMs were alive and listening).

--- a/packages/cli/src/gateway/runGateway.ts
+++ b/packages/cli/src/gateway/runGateway.ts
@@ -116,13 +116,14 @@
     name: 'guavayard', vm: settings.vm.label, level: settings.log.level, streams: [{ stream: stream as unknown as NodeJS.WritableStream, type: 'stream', level: settings.log.level }],
   });
   const hub = new VmHub(SESSION_KEY, identity);
-  const bound = await listen(hub.netServer, identity.address, 'sessions', log);
-  if (bound.err) return bound;
   const context: GatewayContext = {
     settings, identity, hub, log, seeds: findSeeds(settings),
   };
   const roles = await startRoles(context);
   if (roles.err) return roles;
+  // Only now is there somebody to take what other VMs send.
+  const bound = await listen(hub.netServer, identity.address, 'sessions', log);
+  if (bound.err) return bound;
   watchSettings(path, context);
   const served = await serveMetrics(context, roles.val);
   if (served.err) return served;
--- a/packages/vm/src/registry/RegistrySubscription.ts
+++ b/packages/vm/src/registry/RegistrySubscription.ts
@@ -18,6 +18,8 @@
 /** Longest time from asking for the registry to its arrival, in milliseconds. */
 const VIEW_TIMEOUT_MS = 500;
 const CHECK_MS = 100;
+/** Pause before control VMs are asked again that have not told whether they are current. */
+const ASK_PAUSE_MS = 400;
 /** Pause before an entry that follows a distant control VM looks for a nearer one. */
 const NEARER_PAUSE_MS = 3000;
 
@@ -53,6 +55,11 @@
 
   private readonly connected = new Set<string>();
 
+  /** Open sessions with control VMs. */
+  private readonly sessions = new Set<VmSession>();
+
+  private askDueMs = 0;
+
   private heardAtMs = 0;
 
   private nearerDueMs = 0;
@@ -79,7 +86,9 @@
   }
 
   onOpen(session: VmSession, peer: VmIdentity): void {
-    if (peer.roles.includes('control')) session.send({ kind: 'registryAsk' });
+    if (!peer.roles.includes('control')) return;
+    this.sessions.add(session);
+    session.send({ kind: 'registryAsk' });
   }
 
   onMessage(session: VmSession, message: VmMessage): void {
@@ -94,6 +103,7 @@
   }
 
   onClose(session: VmSession, reason: string): void {
+    this.sessions.delete(session);
     if (session === this.asked?.session) this.asked = undefined;
     if (session === this.source) this.leave(reason);
   }
@@ -148,6 +158,7 @@
     }
     if (this.source === undefined) {
       this.connectAll();
+      this.askAgain(nowMs);
       return;
     }
     if (nowMs - this.heardAtMs > SILENCE_MS) {
@@ -162,6 +173,13 @@
       .forEach(({ address }) => this.connect(address));
   }
 
+  /** A control VM that was still starting has not taken the first question. */
+  private askAgain(nowMs: number): void {
+    if (nowMs < this.askDueMs) return;
+    this.askDueMs = nowMs + ASK_PAUSE_MS;
+    this.sessions.forEach((session) => session.send({ kind: 'registryAsk' }));
+  }
+
   private leave(reason: string): void {
     this.options.listener.onSource(undefined, reason);
     const address = this.source?.peer?.address;
--- a/packages/vm/test/registry.test.ts
+++ b/packages/vm/test/registry.test.ts
@@ -117,6 +117,21 @@
   await retryUntil(() => assert.equal(subscription.declaration?.version, 3));
 });
 
+test('an entry that connects before control has started follows it afterwards', async (t) => {
+  const group = new RegistryGroup();
+  t.after(() => group.close());
+  let startTasks = (): void => undefined;
+  await group.start(3, 3, new Promise((resolve) => {
+    startTasks = resolve;
+  }));
+  const subscription = await group.startEntry(20);
+  await retryUntil(() => group.controls.forEach(({ hub }) => {
+    assert.deepEqual(hub.namesOf('entry'), ['127.0.0.20']);
+  }));
+  startTasks();
+  await retryUntil(() => assert.equal(subscription.isFollowing, true));
+});
+
 test('a control VM that hears no leader acknowledges nothing', async (t) => {
   const group = await startGroup(t, 3);
   const [, second, last] = group.controls;
--- a/packages/vm/test/support/RegistryGroup.ts
+++ b/packages/vm/test/support/RegistryGroup.ts
@@ -47,14 +47,18 @@
 
   private port = 0;
 
-  /** Starts control VMs that found a group together. */
-  async start(size: number, requiredVoters = size): Promise<void> {
+  /** Starts control VMs that found a group together; their tasks start once `ready` resolves. */
+  async start(
+    size: number,
+    requiredVoters = size,
+    ready: Promise<void> = Promise.resolve(),
+  ): Promise<void> {
     this.port = await findPort();
     const names = Array.from({ length: size }, (_, index) => `127.0.0.${index + 2}`);
     const founders = names.map((name) => `${name}#00`);
     for (let index = 0; index < size; index += 1) {
       // eslint-disable-next-line no-await-in-loop -- each binds the port at its own address
-      await this.startControl(names[index] ?? '', `${names[index]}#00`, founders, requiredVoters);
+      await this.startControl(names[index] ?? '', `${names[index]}#00`, founders, requiredVoters, ready);
     }
   }
 
@@ -124,6 +128,7 @@
     replica: string,
     founders: readonly string[],
     requiredVoters: number,
+    ready: Promise<void> = Promise.resolve(),
   ): Promise<Control> {
     const identity = this.createIdentity(name, 'control');
     const hub = await RegistryGroup.listen(identity);
@@ -147,7 +152,7 @@
         throw err;
       },
     });
-    task.start();
+    ready.then(() => task.start()).catch(() => undefined);
     const control = {
       name,
       hub,
