Keep the sender's tests, which the ignore list had left out

The lost file is written anew as test/sender.test.ts, six cases.

Found on the way: a reset that arrives together with the last data is reported by the runtime as an orderly end, so only the rule that answers without a length are spoiled covers it.

--- /dev/null
+++ b/test/sender.test.ts
@@ -0,0 +1,102 @@
+import assert from 'node:assert/strict';
+import type { Socket } from 'node:net';
+import test from 'node:test';
+
+import type Failure from '@guavayard/core/errors/Failure';
+
+import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
+import RawTarget from './support/RawTarget';
+
+interface SendOutcome {
+  readonly body: string;
+  /** Undefined if the answer ended by its length, its terminator or an orderly close. */
+  readonly failure: Failure | undefined;
+}
+
+/**
+ * Sends one request to a target that answers by a script, and waits for its end.
+ *
+ * @param script - what the target does with the request
+ * @param onBody - what it does once the first part of the body has been read
+ * @returns what the receiver of the answer was told
+ */
+async function sendOnce(
+  script: (socket: Socket) => void,
+  onBody: (socket: Socket) => void = () => undefined,
+): Promise<SendOutcome> {
+  let connection: Socket | undefined;
+  const target = new RawTarget((socket) => {
+    connection = socket;
+    script(socket);
+  });
+  const address = await target.listen();
+  const sender = new UndiciTargetSender();
+  const outcome = await new Promise<SendOutcome>((resolve) => {
+    let body = '';
+    sender.send({ address, connectionLimit: 1 }, {
+      method: 'GET', path: '/lots', headers: ['host', 'lots.example'], body: null,
+    }, {
+      onConnected: () => undefined,
+      onHeaders: () => undefined,
+      onData: (chunk) => {
+        if (body === '' && connection !== undefined) setImmediate(onBody, connection);
+        body += chunk.toString();
+        return true;
+      },
+      onEnd: () => resolve({ body, failure: undefined }),
+      onFailure: (failure) => resolve({ body, failure }),
+    });
+  });
+  await sender.close();
+  await target.close();
+  return outcome;
+}
+
+const faults = [
+  { name: 'no length', head: 'HTTP/1.1 200 OK\r\n\r\nhalf of it' },
+  { name: 'a length', head: 'HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\nhalf of it' },
+  { name: 'chunks', head: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\na\r\nhalf of it\r\n' },
+];
+
+faults.forEach(({ name, head }) => {
+  test(`a reset in an answer with ${name} is a failure`, async () => {
+    // A reset that comes together with data is reported by the runtime as an orderly end.
+    const { failure } = await sendOnce(
+      (socket) => socket.write(head),
+      (socket) => socket.resetAndDestroy(),
+    );
+    assert.equal(failure?.kind, 'targetFailed');
+  });
+});
+
+test('an answer with a length that ends early is a failure', async () => {
+  const { failure } = await sendOnce((socket) => {
+    socket.end('HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\nhalf of it');
+  });
+  assert.equal(failure?.kind, 'targetFailed');
+});
+
+test('an answer without a length ends with an orderly close', async () => {
+  const { body, failure } = await sendOnce((socket) => {
+    socket.end('HTTP/1.1 200 OK\r\n\r\nall of it');
+  });
+  assert.deepEqual({ body, failure }, { body: 'all of it', failure: undefined });
+});
+
+test('a request that is aborted before it has a connection ends at once', async () => {
+  const sender = new UndiciTargetSender();
+  const failure = await new Promise<Failure>((resolve) => {
+    const dispatch = sender.send({ address: '127.0.0.1:9', connectionLimit: 1 }, {
+      method: 'GET', path: '/lots', headers: ['host', 'lots.example'], body: null,
+    }, {
+      onConnected: () => undefined,
+      onHeaders: () => undefined,
+      onData: () => true,
+      onEnd: () => assert.fail('nothing answered'),
+      onFailure: resolve,
+    });
+    dispatch.abort({ kind: 'callerGone', detail: '' });
+  });
+  assert.equal(failure.kind, 'callerGone');
+  await sender.close();
+});
