--- a/packages/core/src/placement/PlacedTarget.ts
+++ b/packages/core/src/placement/PlacedTarget.ts
@@ -6,6 +6,8 @@
   record: RegisteredTarget;
   /** Region of its data centre. */
   readonly region: string;
+  /** Rank of the target for this entry; each entry prefers targets in an order of its own. */
+  readonly affinity: number;
   /** Requests of this entry that the target holds, by when they were sent. */
   readonly inFlight: Set<{ readonly sentAtMs: number }>;
   reading: LoadReading | undefined;
--- a/packages/core/src/placement/createPlacedTarget.ts
+++ b/packages/core/src/placement/createPlacedTarget.ts
@@ -1,18 +1,22 @@
 import type RegisteredTarget from '../registry/RegisteredTarget';
+import rankMember from '../ownership/rankMember';
 import type PlacedTarget from './PlacedTarget';
 
 /**
  * @param record - the target as control registered it
  * @param region - region of its data centre
+ * @param entryName - this entry
  * @returns a target that this entry has not sent anything to
  */
 export default function createPlacedTarget(
   record: RegisteredTarget,
   region: string,
+  entryName: string,
 ): PlacedTarget {
   return {
     record,
     region,
+    affinity: rankMember(record.id, entryName),
     inFlight: new Set(),
     reading: undefined,
     coldUntilMs: -Infinity,
--- a/packages/core/test/support/createTarget.ts
+++ b/packages/core/test/support/createTarget.ts
@@ -25,7 +25,7 @@
     bornAtMs: 0,
     sequence: 1,
     coldLeftMs: 0,
-  }, 'munster');
+  }, 'munster', 'entry-1');
   if (reading === undefined) return target;
   target.reading = {
     running: 0, waiting: 0, slots, slowness: 1, sentAtMs: 0, atMs: 0, ...reading,
--- a/packages/gateway/src/PlacementLane.ts
+++ b/packages/gateway/src/PlacementLane.ts
@@ -3,6 +3,7 @@
 import estimateLoad from '@guavayard/core/placement/estimateLoad';
 import hasFreeSlot from '@guavayard/core/placement/hasFreeSlot';
 import placementLimits from '@guavayard/core/placement/placementLimits';
+import selectCandidates from '@guavayard/core/placement/selectCandidates';
 import ServiceSpeed from '@guavayard/core/placement/ServiceSpeed';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import type Clock from '@guavayard/core/types/Clock';
@@ -34,6 +35,8 @@
   readonly request: PlacementRequest;
   readonly arrivedAtMs: number;
   isSearching: boolean;
+  /** Looks for a free slot that found none. */
+  looks: number;
   isDone: boolean;
   timer: NodeJS.Timeout | undefined;
   patienceTimer: NodeJS.Timeout | undefined;
@@ -82,6 +85,7 @@
       request,
       arrivedAtMs: nowMs,
       isSearching: false,
+      looks: 0,
       isDone: false,
       timer: undefined,
       patienceTimer: undefined,
@@ -170,6 +174,7 @@
       : [];
     this.ask(waiting, far, placementLimits.remoteProbesPerChoice, FAR_PROBE_WAIT_MS, () => {
       state.isSearching = false;
+      state.looks += 1;
       if (far.length > 0) {
         this.farDueMs = this.options.clock() + this.farPauseMs;
         this.farPauseMs = Math.min(MAX_FAR_PAUSE_MS, this.farPauseMs * 2);
@@ -190,7 +195,7 @@
       onNone();
       return;
     }
-    const asked = this.choose(targets, probes);
+    const asked = this.choose(selectCandidates(targets, probes, waiting.looks), probes);
     let timer: NodeJS.Timeout | undefined;
     let isDecided = false;
     const decide = (): void => {
--- a/packages/gateway/src/TargetBoard.ts
+++ b/packages/gateway/src/TargetBoard.ts
@@ -157,7 +157,11 @@
       return;
     }
     if (known !== undefined) this.remove(record.id);
-    const target = createPlacedTarget(record, this.options.regionOf(record.dataCentre));
+    const target = createPlacedTarget(
+      record,
+      this.options.regionOf(record.dataCentre),
+      this.options.place.name,
+    );
     this.targets.set(record.id, target);
     if (record.coldLeftMs > 0) this.noteCold(target, record.coldLeftMs);
   }
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -4,6 +4,8 @@
 import GatewayRig from './support/GatewayRig';
 
 const NOISE_PERIOD_MS = 150;
+/** Multiples of it are spread evenly over the fractions. */
+const GOLDEN_RATIO = 0.618034;
 
 test('a request goes to the target that is idle and at its usual speed', (t) => {
   const rig = new GatewayRig(t);
@@ -144,3 +146,29 @@
   rig.run(1000);
   assert.deepEqual(responses.map(({ status }) => status), responses.map(() => 200));
 });
+
+test('a request whose usual targets are full finds a free one among the others', (t) => {
+  const rig = new GatewayRig(t);
+  const targets = Array.from({ length: 40 }, (_, index) => rig.addTarget(`t${index}`, { running: 2 }));
+  const [free] = targets;
+  Object.assign(free ?? {}, { running: 0 });
+  const res = rig.request();
+  rig.run(500);
+  assert.equal(res.body, 't0');
+});
+
+test('calm traffic keeps to a few of many targets', (t) => {
+  const rig = new GatewayRig(t);
+  let draws = 0;
+  rig.random = () => {
+    draws += 1;
+    return (draws * GOLDEN_RATIO) % 1;
+  };
+  Array.from({ length: 40 }, (_, index) => rig.addTarget(`t${index}`));
+  for (let count = 0; count < 50; count += 1) {
+    rig.request();
+    rig.run(250);
+  }
+  assert.equal(rig.sender.sent.length, 50);
+  assert.ok(rig.sender.addresses.size <= 8, `${rig.sender.addresses.size} targets have connections`);
+});
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -30,6 +30,9 @@
   /** Requests that were sent, without probes. */
   readonly sent: SentRequest[] = [];
 
+  /** Addresses to which anything was sent. */
+  readonly addresses = new Set<string>();
+
   probes = 0;
 
   aborts = 0;
@@ -39,6 +42,7 @@
   send(address: SendAddress, req: TargetRequest, handler: AnswerHandler): Dispatch {
     const target = this.targets.find((candidate) => candidate.address === address.address);
     if (target === undefined) throw new Error(`no target at ${address.address}`);
+    this.addresses.add(address.address);
     let isOver = false;
     const end = (run: () => void): void => {
       if (isOver) return;
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -7,6 +7,7 @@
 import type Declaration from '@guavayard/core/registry/Declaration';
 import type DeclaredRoute from '@guavayard/core/registry/DeclaredRoute';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
+import type Random from '@guavayard/core/types/Random';
 
 import GatewayHandler from '../../src/GatewayHandler';
 import Placement from '../../src/Placement';
@@ -45,6 +46,9 @@
 
   evacuated = new Set<string>();
 
+  /** Random numbers of the entry, from 0 to 1. */
+  random: Random = () => 0.5;
+
   /** Changes of the records that control registered, by target. */
   readonly records: Record<string, Partial<RegisteredTarget>> = {};
 
@@ -77,7 +81,7 @@
     });
     const placement = new Placement({
       clock,
-      random: () => 0.5,
+      random: () => this.random(),
       board,
       prober,
       retryRatio: 0.2,
