--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -27,6 +27,8 @@
   readonly headers?: Readonly<Record<string, string>>;
 }
 
+const alwaysHalf: Random = () => 0.5;
+
 /** An entry of tests on a virtual clock, in front of fake targets in the region `near`. */
 export default class GatewayRig {
   readonly targets: FakeTarget[] = [];
@@ -47,7 +49,7 @@
   evacuated = new Set<string>();
 
   /** Random numbers of the entry, from 0 to 1. */
-  random: Random = () => 0.5;
+  random: Random = alwaysHalf;
 
   /** Changes of the records that control registered, by target. */
   readonly records: Record<string, Partial<RegisteredTarget>> = {};
