Forget how long targets were cold before control restarted

Ruled out: the election (leader 0.33 s after the last start) and the entries' start (before control's). Now a change of an earlier term does not tell a rest; heartbeats and probes do. Test: 'a target that started cold long before a restart of control is not cold again', shown failing without the term check.

--- a/packages/vm/src/registry/RegistryStore.ts
+++ b/packages/vm/src/registry/RegistryStore.ts
@@ -44,8 +44,10 @@
    *
    * @param index - its index in the log
    * @param change - the change
+   * @param isNews - false for a change that was made before the present leader took over: nobody
+   *   knows how long ago, so that it does not tell how much longer a target is cold
    */
-  apply(index: number, change: RegistryChange): void {
+  apply(index: number, change: RegistryChange, isNews = true): void {
     this.index = index;
     const before = this.registry.declaration;
     const known = new Set(Object.keys(this.registry.targets));
@@ -54,7 +56,7 @@
       this.isDeclarationDirty = true;
     }
     if (change.kind === 'evacuate' || change.kind === 'restore') this.isEvacuationDirty = true;
-    if (change.kind === 'announce') this.noteAnnounced(change.target);
+    if (change.kind === 'announce') this.noteAnnounced(change.target, isNews);
     if (change.kind === 'withdraw' || change.kind === 'expire') this.dirtyIds.add(change.targetId);
     // An announcement may have ended another life at the same address.
     known.forEach((id) => {
@@ -110,10 +112,11 @@
     return update;
   }
 
-  private noteAnnounced(target: RegisteredTarget): void {
+  private noteAnnounced(target: RegisteredTarget, isNews: boolean): void {
     if (this.registry.targets[target.id] !== target) return;
     this.dirtyIds.add(target.id);
-    if (target.coldLeftMs > 0) this.coldUntil.set(target.id, this.clock() + target.coldLeftMs);
+    const coldLeftMs = isNews ? target.coldLeftMs : 0;
+    if (coldLeftMs > 0) this.coldUntil.set(target.id, this.clock() + coldLeftMs);
     else this.coldUntil.delete(target.id);
   }
 
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -269,8 +269,9 @@
   }
 
   private applyAll(entries: readonly LogEntry[]): void {
-    entries.forEach(({ index, command }) => {
-      if (command.kind === 'registry') this.store.apply(index, command.change);
+    const { term: currentTerm } = this.consensus;
+    entries.forEach(({ index, term, command }) => {
+      if (command.kind === 'registry') this.store.apply(index, command.change, term === currentTerm);
       else this.store.advance(index);
     });
     this.publisher.schedule();
--- a/packages/vm/test/registry.test.ts
+++ b/packages/vm/test/registry.test.ts
@@ -153,6 +153,16 @@
   assert.equal(store.createView().targets[0]?.coldLeftMs, 0);
 });
 
+test('a target that started cold long before a restart of control is not cold again', async (t) => {
+  const group = new RegistryGroup();
+  t.after(() => group.close());
+  const target = { ...TARGET, coldLeftMs: 3000 };
+  const change = { kind: 'announce' as const, target };
+  await group.restart({ term: 1, log: [{ index: 1, term: 1, command: { kind: 'registry', change } }] });
+  const entry = await group.startEntry(20);
+  await retryUntil(() => assert.equal(entry.targets.get('t-1')?.coldLeftMs, 0));
+});
+
 test('an update tells each change once, and what is gone', () => {
   const store = new RegistryStore(() => 0, undefined, 0);
   store.apply(1, { kind: 'announce', target: TARGET });
--- a/packages/vm/test/support/RegistryGroup.ts
+++ b/packages/vm/test/support/RegistryGroup.ts
@@ -5,6 +5,7 @@
 import { createLogger } from 'bunyan';
 
 import createDurableState from '@guavayard/core/consensus/createDurableState';
+import type DurableState from '@guavayard/core/consensus/DurableState';
 
 import RegistrySubscription from '../../src/registry/RegistrySubscription';
 import RegistryTask from '../../src/registry/RegistryTask';
@@ -62,6 +63,12 @@
     }
   }
 
+  /** Starts the only control VM of a group again, with what its disk held. */
+  async restart(disk: Pick<DurableState, 'term' | 'log'>): Promise<void> {
+    this.port = await findPort();
+    await this.startControl('127.0.0.2', '127.0.0.2#00', ['127.0.0.2#00'], 1, Promise.resolve(), disk);
+  }
+
   /** Starts a control VM with an empty disk, which joins. */
   async join(last: number): Promise<Control> {
     return this.startControl(`127.0.0.${last}`, `127.0.0.${last}#01`, [], 1);
@@ -129,6 +136,7 @@
     founders: readonly string[],
     requiredVoters: number,
     ready: Promise<void> = Promise.resolve(),
+    disk: Partial<DurableState> = {},
   ): Promise<Control> {
     const identity = this.createIdentity(name, 'control');
     const hub = await RegistryGroup.listen(identity);
@@ -138,7 +146,7 @@
     };
     const task = new RegistryTask({
       replica,
-      durable: createDurableState(founders),
+      durable: { ...createDurableState(founders), ...disk },
       store: { append: write, replace: write },
       hub,
       identity,
