--- a/packages/core/test/candidates.test.ts
+++ b/packages/core/test/candidates.test.ts
@@ -50,3 +50,14 @@
   const widths = [0, 1, 2, 3, 4, 5].map((looks) => selectIds(targets, looks).length);
   assert.deepEqual(widths, [8, 16, 24, 32, 40, 40]);
 });
+
+test('a target that holds a request of this entry is asked only if there are few others', () => {
+  const targets = createTargets('entry-1');
+  const first = selectCandidates(targets, COUNT, 0);
+  first.slice(0, 4).forEach(({ inFlight }) => inFlight.add({ sentAtMs: 0 }));
+  const idleIds = first.slice(4).map(({ record }) => record.id);
+  assert.deepEqual(selectIds(targets, 0), idleIds);
+  assert.equal(selectIds(targets, 1).length, 2 * COUNT);
+  first[4]?.inFlight.add({ sentAtMs: 0 });
+  assert.equal(selectIds(targets, 0).length, COUNT);
+});
