--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -2,22 +2,24 @@
 
 import ReplayableBody from '@guavayard/caller/ReplayableBody';
 import type AnswerHandler from '@guavayard/core/dispatch/AnswerHandler';
-import type AnswerHeaders from '@guavayard/core/dispatch/AnswerHeaders';
 import type Dispatch from '@guavayard/core/dispatch/Dispatch';
 import errorTable from '@guavayard/core/errors/errorTable';
 import type Failure from '@guavayard/core/errors/Failure';
 import isFramedAnswer from '@guavayard/core/http/isFramedAnswer';
 import selectAnswerHeaders from '@guavayard/core/http/selectAnswerHeaders';
-import estimateLoad from '@guavayard/core/placement/estimateLoad';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import recordOutcome from '@guavayard/core/placement/recordOutcome';
 
 import type AnswerMarks from './AnswerMarks';
+import type Attempt from './Attempt';
+import createAttempt from './createAttempt';
+import describeAttempt from './describeAttempt';
 import type GatewayRequest from './GatewayRequest';
 import type GatewayView from './GatewayView';
 import isPromise from './isPromise';
 import judgeAnswer from './judgeAnswer';
 import type PlacementRequest from './PlacementRequest';
+import settleVerdict from './settleVerdict';
 
 /** Longest answer that is held back until it is whole, in bytes. */
 const MAX_HELD_BYTES = 256 * 1024;
@@ -36,31 +38,13 @@
 /** Target latencies after which an attempt that may be repeated is tried elsewhere. */
 const STUCK_FACTOR = 2.2;
 
-interface Attempt {
-  readonly target: PlacedTarget;
-  readonly startedAtMs: number;
-  readonly load: number | undefined;
-  readonly slowness: number | undefined;
-  readonly loadAgeMs: number | undefined;
-  readonly release: (durationMs?: number) => void;
-  status: number | undefined;
-  headers: AnswerHeaders;
-  verdict: ReturnType<typeof judgeAnswer> | undefined;
-  held: Buffer[];
-  heldBytes: number;
-  isForwarding: boolean;
-  isOver: boolean;
-}
-
-type AttemptLine = Parameters<GatewayView['log']['write']>[0]['attempts'][number];
-
 /** Carries one caller's request to its answer. */
 export default class GatewayExchange {
   private readonly body: ReplayableBody;
 
   private readonly triedIds: string[] = [];
 
-  private readonly lines: AttemptLine[] = [];
+  private readonly lines: ReturnType<typeof describeAttempt>[] = [];
 
   private attempt: Attempt | undefined;
 
@@ -127,21 +111,7 @@
       return;
     }
     const nowMs = clock();
-    const attempt: Attempt = {
-      target,
-      startedAtMs: nowMs,
-      load: target.reading === undefined ? undefined : estimateLoad(target, nowMs) - 1,
-      slowness: target.reading?.slowness,
-      loadAgeMs: target.reading === undefined ? undefined : nowMs - target.reading.atMs,
-      release,
-      status: undefined,
-      headers: {},
-      verdict: undefined,
-      held: [],
-      heldBytes: 0,
-      isForwarding: false,
-      isOver: false,
-    };
+    const attempt = createAttempt(target, release, nowMs);
     this.attempt = attempt;
     this.triedIds.push(target.record.id);
     const dispatch = sender.send(
@@ -234,7 +204,7 @@
     state.isOver = true;
     const { clock, log } = this.view;
     const nowMs = clock();
-    const verdict = GatewayExchange.settleVerdict(state, failure);
+    const verdict = settleVerdict(state, failure);
     const hasFailed = verdict !== 'answered' && verdict !== 'not-run';
     if (this.isEnded) {
       state.release();
@@ -243,14 +213,7 @@
     if (recordOutcome(state.target, hasFailed, nowMs)) {
       log.note({ target: state.target.record.id, forMs: state.target.ejectedUntilMs - nowMs }, 'target ejected');
     }
-    this.lines.push({
-      target: state.target.record.id,
-      load: state.load,
-      slowness: state.slowness,
-      loadAgeMs: state.loadAgeMs === undefined ? undefined : Math.round(state.loadAgeMs),
-      outcome: failure === undefined ? `${verdict} ${state.status}` : `${verdict} ${failure.detail || failure.kind}`,
-      ms: Math.round(nowMs - state.startedAtMs),
-    });
+    this.lines.push(describeAttempt(state, verdict, failure, nowMs));
     if (verdict !== 'not-run') this.isUncertain = true;
     this.dispatch = undefined;
     if (verdict === 'answered') this.deliver(state, failure);
@@ -258,18 +221,6 @@
     state.release(verdict === 'answered' ? nowMs - state.startedAtMs : undefined);
   }
 
-  private static settleVerdict(
-    attempt: Attempt,
-    failure: Failure | undefined,
-  ): NonNullable<Attempt['verdict']> {
-    if (failure === undefined) return attempt.verdict ?? 'spoiled';
-    if (attempt.isForwarding) return 'answered';
-    // The head of the answer is proof enough.
-    if (attempt.verdict === 'not-run') return 'not-run';
-    const isNotRun = attempt.status === undefined && errorTable[failure.kind].outcome === 'not-run';
-    return isNotRun ? 'not-run' : 'spoiled';
-  }
-
   private retryOr(attempt: Attempt, verdict: NonNullable<Attempt['verdict']>): void {
     const { route, deadlineMs } = this.request;
     const mayRepeat = verdict === 'not-run' || route.isIdempotent;
