Refuse requests that crash the targets that run them

An entry that sees a target break a request off and then fail a probe tells the others through control; from the third crash on the request is refused at once. An answer clears a request, so that those beside it are not blamed for long. Fingerprint: caller, method, host, path and declared body length, hashed; the body is not read for it.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -4,6 +4,7 @@
 import { Ok, type Result } from 'ts-results';
 
 import CallerListener from '@guavayard/caller/CallerListener';
+import CrashWatch from '@guavayard/gateway/CrashWatch';
 import GatewayHandler from '@guavayard/gateway/GatewayHandler';
 import Placement from '@guavayard/gateway/Placement';
 import RequestLog from '@guavayard/gateway/RequestLog';
@@ -78,6 +79,13 @@
     retrySlack: bounds.retrySlack,
     retryWindowMs: bounds.retryWindowSeconds * MS_PER_SECOND,
   });
+  const crashes = new CrashWatch({
+    clock,
+    log,
+    prober,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called on a crash only
+    report: (fingerprint) => subscription.reportCrash(fingerprint),
+  });
   const subscription: RegistrySubscription = new RegistrySubscription({
     hub,
     identity,
@@ -92,12 +100,13 @@
         caller.server.keepAliveTimeout = declaration.limits.idleTimeoutMs + IDLE_MARGIN_MS;
       },
       onRoster: ({ entries }) => board.setEntries(entries),
+      onCrash: (fingerprint) => crashes.takeReport(fingerprint),
       onSource: (control, reason) => log.info({ control, reason, version: subscription.declaration?.version }, 'following control'),
     },
   });
   const requestLog = new RequestLog(log, clock);
   const handler = new GatewayHandler({
-    clock, dialect, sender, board, placement, prober, log: requestLog,
+    clock, dialect, sender, board, placement, prober, crashes, log: requestLog,
   }, () => subscription.declaration);
   const caller = new CallerListener(handler);
   let isStopping = false;
--- a/packages/core/src/errors/errorTable.ts
+++ b/packages/core/src/errors/errorTable.ts
@@ -162,6 +162,13 @@
     retryable: true,
     text: 'no entry in the home regions of the request can be reached',
   },
+  requestQuarantined: {
+    code: 30,
+    status: 503,
+    outcome: 'not-run',
+    retryable: false,
+    text: 'the request crashed the targets that ran it',
+  },
 } as const satisfies Readonly<Record<string, ErrorAnswer>>;
 
 export default errorTable;
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -134,6 +134,7 @@
 
   /** Looks after an attempt that takes long: its target may be gone without a word. */
   private watch(attempt: Attempt, delayMs: number): void {
+    const state = attempt;
     clearTimeout(this.watchdog);
     this.watchdog = setTimeout(() => {
       if (attempt.isOver || this.isEnded) return;
@@ -143,6 +144,7 @@
         && deadlineMs - this.view.clock() > route.targetLatencyMs;
       if (attempt.target.silentProbes >= LOST_PROBES || isStuck) {
         const detail = isStuck ? 'no answer for too long' : 'the target is silent';
+        state.isAborted = true;
         this.dispatch?.abort({ kind: 'targetFailed', detail });
         return;
       }
@@ -215,18 +217,29 @@
     }
     this.lines.push(describeAttempt(state, verdict, failure, nowMs));
     if (verdict !== 'not-run') this.isUncertain = true;
+    this.noteCrash(state, failure);
     this.dispatch = undefined;
     if (verdict === 'answered') this.deliver(state, failure);
     else this.retryOr(state, verdict);
     state.release(verdict === 'answered' ? nowMs - state.startedAtMs : undefined);
   }
 
+  /** A target that broke the request off may have crashed under it. */
+  private noteCrash(attempt: Attempt, failure: Failure | undefined): void {
+    const { crashes } = this.view;
+    const { fingerprint } = this.request;
+    const isBroken = failure?.kind === 'targetFailed' && !attempt.isAborted;
+    if (attempt.status !== undefined) crashes.noteAnswer(fingerprint);
+    else if (isBroken) crashes.noteBroken(fingerprint, attempt.target);
+  }
+
   private retryOr(attempt: Attempt, verdict: NonNullable<Attempt['verdict']>): void {
     const { route, deadlineMs } = this.request;
     const mayRepeat = verdict === 'not-run' || route.isIdempotent;
     const hasTime = deadlineMs - this.view.clock() > 1;
     const hasAttempts = this.triedIds.length < route.maxAttempts;
-    if (mayRepeat && hasTime && hasAttempts && this.body.isReplayable) {
+    const isHarmless = !this.view.crashes.isQuarantined(this.request.fingerprint);
+    if (mayRepeat && hasTime && hasAttempts && isHarmless && this.body.isReplayable) {
       // What comes from now on is kept for the next attempt.
       this.body.close();
       const leaveQueue = this.view.placement.placeAgain(this.createPlacementRequest());
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -8,6 +8,7 @@
 import type Failure from '@guavayard/core/errors/Failure';
 import matchDeclaredRoute from '@guavayard/core/placement/matchDeclaredRoute';
 import WeightedSplit from '@guavayard/core/placement/WeightedSplit';
+import createFingerprint from '@guavayard/core/quarantine/createFingerprint';
 import type Declaration from '@guavayard/core/registry/Declaration';
 
 import GatewayExchange from './GatewayExchange';
@@ -69,12 +70,24 @@
     const found = matchDeclaredRoute(declaration, host, path);
     if (found === undefined) return fail('noRoute', `version ${declaration.version}`);
     const [routeName, route] = found;
+    const method = req.method ?? 'GET';
+    const fingerprint = createFingerprint({
+      caller: req.socket.remoteAddress ?? '',
+      method,
+      host,
+      path,
+      bodyLength: req.headers['content-length'],
+    });
+    if (this.view.crashes.isQuarantined(fingerprint)) {
+      return fail('requestQuarantined', `fingerprint ${fingerprint}`);
+    }
     const arrivedAtMs = this.view.clock();
     const callerDeadlineMs = arrivedAtMs + (remainingMs ?? Infinity);
     return Ok({
       req,
       requestId,
-      method: req.method ?? 'GET',
+      fingerprint,
+      method,
       path,
       routeName,
       route,
--- a/packages/gateway/src/GatewayRequest.ts
+++ b/packages/gateway/src/GatewayRequest.ts
@@ -6,6 +6,8 @@
 interface GatewayRequest {
   readonly req: IncomingMessage;
   readonly requestId: string;
+  /** What stays the same when the caller sends the request again. */
+  readonly fingerprint: string;
   readonly method: string;
   readonly path: string;
   readonly routeName: string;
--- a/packages/gateway/src/GatewayView.ts
+++ b/packages/gateway/src/GatewayView.ts
@@ -1,6 +1,7 @@
 import type TargetSender from '@guavayard/core/dispatch/TargetSender';
 import type Clock from '@guavayard/core/types/Clock';
 
+import type CrashWatch from './CrashWatch';
 import type Dialect from './Dialect';
 import type Placement from './Placement';
 import type RequestLog from './RequestLog';
@@ -15,6 +16,7 @@
   readonly board: TargetBoard;
   readonly placement: Placement;
   readonly prober: TargetProber;
+  readonly crashes: CrashWatch;
   readonly log: RequestLog;
 }
 
--- /dev/null
+++ b/packages/gateway/test/crashes.test.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import { test, type TestContext } from 'node:test';
+
+import GatewayRig from './support/GatewayRig';
+
+const CRASH_CHECK_MS = 600;
+
+function createRig(t: TestContext): GatewayRig {
+  const rig = new GatewayRig(t);
+  Array.from({ length: 8 }, (_, index) => rig.addTarget(`t${index}`, { mode: 'crashes' }));
+  return rig;
+}
+
+test('a request that crashes its targets is refused when it comes again', (t) => {
+  const rig = createRig(t);
+  const [first, second] = [0, 1].map(() => {
+    const res = rig.request();
+    rig.run(CRASH_CHECK_MS + 400);
+    return res;
+  });
+  const sent = rig.sender.sent.length;
+  assert.ok(sent >= 3, `sent ${sent} times`);
+  assert.deepEqual([first?.status, second?.status], [502, 502]);
+  assert.equal(rig.reports.length, sent);
+  const third = rig.request();
+  rig.run(100);
+  assert.deepEqual([third.status, rig.sender.sent.length], [503, sent]);
+});
+
+test('a request that crashed targets of other entries is refused here too', (t) => {
+  const rig = createRig(t);
+  rig.request();
+  rig.run(CRASH_CHECK_MS + 400);
+  const [fingerprint = ''] = rig.reports;
+  const sent = rig.sender.sent.length;
+  rig.crashes.takeReport(fingerprint);
+  const res = rig.request();
+  rig.run(100);
+  assert.deepEqual([res.status, rig.sender.sent.length], [503, sent]);
+});
+
+test('requests beside the one that crashes targets are served', (t) => {
+  const rig = createRig(t);
+  for (let count = 0; count < 2; count += 1) {
+    rig.request();
+    rig.run(CRASH_CHECK_MS + 400);
+  }
+  rig.targets.forEach((target) => Object.assign(target, { mode: 'answers' }));
+  rig.run(10_000);
+  const others = [rig.request({ caller: '10.9.0.2' }), rig.request({ path: '/lots/2' })];
+  rig.run(1000);
+  assert.deepEqual(others.map(({ status }) => status), [200, 200]);
+});
+
+test('a target that resets a connection and lives on is no crash', (t) => {
+  const rig = new GatewayRig(t);
+  const targets = Array.from({ length: 8 }, (_, index) => rig.addTarget(`t${index}`, { mode: 'resets' }));
+  for (let count = 0; count < 4; count += 1) {
+    rig.request();
+    rig.run(CRASH_CHECK_MS + 400);
+  }
+  assert.deepEqual(rig.reports, []);
+  targets.forEach((target) => Object.assign(target, { mode: 'answers' }));
+  rig.run(10_000);
+  const res = rig.request();
+  rig.run(1000);
+  assert.equal(res.status, 200);
+});
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -87,6 +87,11 @@
     if (target.mode === 'silent') return;
     setTimeout(() => {
       state.running -= 1;
+      if (state.mode === 'crashes') {
+        state.mode = 'silent';
+        end(() => handler.onFailure({ kind: 'targetFailed', detail: 'reset' }));
+        return;
+      }
       // The answer to another request does not end this one.
       if (target.mode === 'foreign' && !isOver()) handler.onHeaders(200, FOREIGN_HEADERS);
       else end(() => FakeSender.answer(target, req, handler));
--- a/packages/gateway/test/support/FakeTarget.ts
+++ b/packages/gateway/test/support/FakeTarget.ts
@@ -9,9 +9,12 @@
   /** Time of one request at the usual speed, in milliseconds. */
   workMs: number;
   coldLeftMs: number;
-  /** What it does with requests; probes are always answered but for `silent`. */
+  /**
+   * What it does with requests. Probes are always answered but for `silent`, which a target that
+   * `crashes` becomes with the request.
+   */
   mode: 'answers' | 'resets' | 'not-run' | 'foreign' | 'silent' | 'unsigned' | 'busy' | 'fails'
-  | 'unframed';
+  | 'unframed' | 'crashes';
 }
 
 export default FakeTarget;
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -9,6 +9,7 @@
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import type Random from '@guavayard/core/types/Random';
 
+import CrashWatch from '../../src/CrashWatch';
 import GatewayHandler from '../../src/GatewayHandler';
 import Placement from '../../src/Placement';
 import RequestLog from '../../src/RequestLog';
@@ -24,6 +25,7 @@
 interface SendOptions {
   readonly path?: string;
   readonly remainingMs?: number;
+  readonly caller?: string;
   readonly headers?: Readonly<Record<string, string>>;
 }
 
@@ -56,6 +58,11 @@
 
   readonly board: TargetBoard;
 
+  readonly crashes: CrashWatch;
+
+  /** Crashes that the other entries were told of. */
+  readonly reports: string[] = [];
+
   private readonly handler: GatewayHandler;
 
   private nowMs = 0;
@@ -90,8 +97,12 @@
       retrySlack: 60,
       retryWindowMs: 10_000,
     });
+    this.crashes = new CrashWatch({
+      clock, log, prober, report: (fingerprint) => this.reports.push(fingerprint),
+    });
+    const { crashes } = this;
     this.handler = new GatewayHandler({
-      clock, dialect, sender, board, placement, prober, log: new RequestLog(log, clock),
+      clock, dialect, sender, board, placement, prober, crashes, log: new RequestLog(log, clock),
     }, () => this.declaration);
   }
 
@@ -150,13 +161,15 @@
   }
 
   /** Sends a request of a caller. */
-  request({ path = '/lots/1', remainingMs = 4000, headers = {} }: SendOptions = {}): FakeResponse {
+  request({
+    path = '/lots/1', remainingMs = 4000, headers = {}, caller = '10.9.0.1',
+  }: SendOptions = {}): FakeResponse {
     this.requests += 1;
     const all = {
       host: HOST, id: `r-${this.requests}`, remaining: String(remainingMs), ...headers,
     };
     const req = Object.assign(new PassThrough(), {
-      headers: all, rawHeaders: Object.entries(all).flat(), method: 'GET', url: path, complete: true,
+      headers: all, rawHeaders: Object.entries(all).flat(), method: 'GET', url: path, complete: true, socket: { remoteAddress: caller },
     });
     const res = new FakeResponse(() => this.nowMs);
     this.handler.handle(req as unknown as IncomingMessage, res as unknown as ServerResponse);
--- a/packages/vm/src/messages/registryMessages.ts
+++ b/packages/vm/src/messages/registryMessages.ts
@@ -39,6 +39,13 @@
   z.strictObject({
     kind: z.literal('roster'), controls: z.array(VmPlace), entries: z.array(VmPlace),
   }),
+  /**
+   * A target crashed while it ran a request. An entry tells the control VM that it follows, which
+   * tells the other control VMs, and each of them its subscribers.
+   */
+  z.strictObject({
+    kind: z.literal('crashReport'), fingerprint: z.string(), isRelayed: z.boolean(),
+  }),
 ] as const;
 
 export default registryMessages;
--- a/packages/vm/src/registry/RegistryListener.ts
+++ b/packages/vm/src/registry/RegistryListener.ts
@@ -6,6 +6,8 @@
   onChange: () => void;
   /** VMs of the system have come or gone. */
   onRoster: (roster: Roster) => void;
+  /** Another entry saw a target crash under a request. */
+  onCrash: (fingerprint: string) => void;
   /** The entry follows another control VM, or none. */
   onSource: (controlName: string | undefined, reason: string) => void;
 }
--- a/packages/vm/src/registry/RegistryPublisher.ts
+++ b/packages/vm/src/registry/RegistryPublisher.ts
@@ -6,6 +6,8 @@
 import type Roster from './Roster';
 import type VmPlace from './VmPlace';
 
+type CrashReport = Extract<VmMessage, { kind: 'crashReport' }>;
+
 /** Changes within this time go out in one update, in milliseconds. */
 const BATCH_MS = 15;
 
@@ -23,10 +25,12 @@
   /**
    * @param store - what is applied
    * @param isCurrent - whether this replica hears the leader or leads
+   * @param relay - sends a message to the other control VMs
    */
   constructor(
     private readonly store: RegistryStore,
     private readonly isCurrent: () => boolean,
+    private readonly relay: (message: VmMessage) => void,
   ) {}
 
   /** The entries that subscribed here. */
@@ -43,6 +47,7 @@
       this.watchers.add(session);
       session.send({ kind: 'registryPulse', isCurrent: this.isCurrent() });
     }
+    if (message.kind === 'crashReport') this.spreadCrash(session, message);
     if (message.kind !== 'registrySubscribe') return;
     if (!this.isCurrent()) {
       session.send({ kind: 'registryPulse', isCurrent: false });
@@ -78,6 +83,13 @@
     this.broadcast({ kind: 'roster', controls: [...roster.controls], entries: [...roster.entries] });
   }
 
+  private spreadCrash(session: VmSession, report: CrashReport): void {
+    const told: CrashReport = { ...report, isRelayed: true };
+    [...this.subscribers].filter((subscriber) => subscriber !== session)
+      .forEach((subscriber) => subscriber.send(told));
+    if (!report.isRelayed) this.relay(told);
+  }
+
   private flush(): void {
     clearTimeout(this.timer);
     this.timer = undefined;
--- a/packages/vm/src/registry/RegistrySubscription.ts
+++ b/packages/vm/src/registry/RegistrySubscription.ts
@@ -80,6 +80,11 @@
     this.timer = setInterval(() => this.check(), CHECK_MS);
   }
 
+  /** Tells the other entries that a target crashed under a request; without control, nobody. */
+  reportCrash(fingerprint: string): void {
+    this.source?.send({ kind: 'crashReport', fingerprint, isRelayed: false });
+  }
+
   /** Stops following. */
   close(): void {
     clearInterval(this.timer);
@@ -100,6 +105,7 @@
     if (session !== this.source) return;
     if (message.kind === 'registryUpdate') this.takeUpdate(message);
     if (message.kind === 'roster') this.takeRoster(message);
+    if (message.kind === 'crashReport') this.options.listener.onCrash(message.fingerprint);
   }
 
   onClose(session: VmSession, reason: string): void {
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -89,7 +89,11 @@
         }),
       },
     });
-    this.publisher = new RegistryPublisher(this.store, () => this.isCurrent);
+    this.publisher = new RegistryPublisher(
+      this.store,
+      () => this.isCurrent,
+      (message) => hub.sendToControl(message),
+    );
     this.router = new CallRouter({
       hub,
       clock,
--- a/packages/vm/test/registry.test.ts
+++ b/packages/vm/test/registry.test.ts
@@ -163,6 +163,22 @@
   await retryUntil(() => assert.equal(entry.targets.get('t-1')?.coldLeftMs, 0));
 });
 
+test('a crash that one entry reports is told to every other entry once', async (t) => {
+  const group = await startGroup(t, 3);
+  const seen: string[] = [];
+  const reporter = await group.startEntry(20, (fingerprint) => seen.push(`20 ${fingerprint}`));
+  const others = await Promise.all([21, 22, 23].map(async (last) => (
+    group.startEntry(last, (fingerprint) => seen.push(`${last} ${fingerprint}`)))));
+  await retryUntil(() => {
+    [reporter, ...others].forEach(({ isFollowing }) => assert.equal(isFollowing, true));
+  });
+  reporter.reportCrash('a');
+  await retryUntil(() => assert.equal(seen.length, 3));
+  reporter.reportCrash('b');
+  await retryUntil(() => assert.equal(seen.length, 6));
+  assert.deepEqual(seen.sort(), ['21 a', '21 b', '22 a', '22 b', '23 a', '23 b']);
+});
+
 test('an update tells each change once, and what is gone', () => {
   const store = new RegistryStore(() => 0, undefined, 0);
   store.apply(1, { kind: 'announce', target: TARGET });
--- a/packages/vm/test/support/RegistryGroup.ts
+++ b/packages/vm/test/support/RegistryGroup.ts
@@ -75,7 +75,10 @@
   }
 
   /** Starts an entry. */
-  async startEntry(last: number): Promise<RegistrySubscription> {
+  async startEntry(
+    last: number,
+    onCrash: (fingerprint: string) => void = () => undefined,
+  ): Promise<RegistrySubscription> {
     const identity = this.createIdentity(`127.0.0.${last}`, 'entry');
     const hub = await RegistryGroup.listen(identity);
     const subscription = new RegistrySubscription({
@@ -84,7 +87,10 @@
       clock,
       seeds: this.seeds,
       listener: {
-        onChange: () => undefined, onRoster: () => undefined, onSource: () => undefined,
+        onChange: () => undefined,
+        onRoster: () => undefined,
+        onSource: () => undefined,
+        onCrash,
       },
     });
     subscription.start();
