--- a/packages/core/src/placement/placementLimits.ts
+++ b/packages/core/src/placement/placementLimits.ts
@@ -11,6 +11,8 @@
   unknownSlowness: 2,
   /** A reading younger than this is not asked for again, in milliseconds. */
   freshReadingMs: 5,
+  /** Targets probed first; the others only if none of these is free and at its usual speed. */
+  firstProbes: 3,
   /** Most targets probed for one choice. */
   probesPerChoice: 8,
   /** Most targets probed for one choice in a region reached over a slow link. */
--- a/packages/gateway/src/PlacementLane.ts
+++ b/packages/gateway/src/PlacementLane.ts
@@ -49,6 +49,11 @@
   readonly prober: TargetProber;
 }
 
+/** Order of waiting requests: the urgent ones first, then those that can be answered in time. */
+function rankOf({ priority, isLate }: PlacementRequest): number {
+  return 2 * priority + Number(isLate);
+}
+
 /** The requests of one service that wait for a target in this entry. */
 export default class PlacementLane {
   private readonly queue: Waiting[] = [];
@@ -90,8 +95,9 @@
       timer: undefined,
       patienceTimer: undefined,
     };
-    const { priority, targetLatencyMs } = request;
-    const ahead = this.queue.filter((other) => other.request.priority <= priority).length;
+    const { targetLatencyMs } = request;
+    const rank = rankOf(request);
+    const ahead = this.queue.filter((other) => rankOf(other.request) <= rank).length;
     const remainingMs = request.deadlineMs - nowMs;
     if (!this.admission.mayWait({ targetLatencyMs, remainingMs, ahead }, nowMs)) {
       this.refuse(waiting, { kind: 'overloaded', detail: `${ahead} requests wait` });
@@ -112,7 +118,7 @@
 
   private enqueue(waiting: Waiting): void {
     const index = this.queue
-      .findIndex(({ request }) => request.priority > waiting.request.priority);
+      .findIndex(({ request }) => rankOf(request) > rankOf(waiting.request));
     if (index < 0) this.queue.push(waiting);
     else this.queue.splice(index, 0, waiting);
   }
@@ -196,13 +202,27 @@
       return;
     }
     const asked = this.choose(selectCandidates(targets, probes, waiting.looks), probes);
+    const first = asked.slice(0, placementLimits.firstProbes);
+    this.askWave(waiting, first, waitMs, () => GOOD_COST, () => {
+      this.askWave(waiting, asked, waitMs, () => this.costLimit(waiting), onNone);
+    });
+  }
+
+  /** Probes targets at once and takes the best below a cost; calls back if there is none. */
+  private askWave(
+    waiting: Waiting,
+    asked: readonly PlacedTarget[],
+    waitMs: number,
+    costLimit: () => number,
+    onNone: () => void,
+  ): void {
     let timer: NodeJS.Timeout | undefined;
     let isDecided = false;
     const decide = (): void => {
       if (isDecided) return;
       isDecided = true;
       clearTimeout(timer);
-      if (!waiting.isDone && !this.take(waiting, asked, this.costLimit(waiting))) onNone();
+      if (!waiting.isDone && !this.take(waiting, asked, costLimit())) onNone();
     };
     const awaited = this.options.prober.probe(asked, (left) => {
       if (isDecided) return;
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -48,6 +48,9 @@
     backends: [{ service: 'lots', weight: 1 }],
   };
 
+  /** Whether the entry knows a declaration. */
+  isDeclared = true;
+
   evacuated = new Set<string>();
 
   /** Random numbers of the entry, from 0 to 1. */
@@ -103,7 +106,7 @@
     const { crashes } = this;
     this.handler = new GatewayHandler({
       clock, dialect, sender, board, placement, prober, crashes, log: new RequestLog(log, clock),
-    }, () => this.declaration);
+    }, () => (this.isDeclared ? this.declaration : undefined));
   }
 
   private get declaration(): Declaration {
@@ -176,6 +179,11 @@
     return res;
   }
 
+  /** Tells the entry that it knows a declaration. */
+  resume(): void {
+    this.handler.resume();
+  }
+
   /** Lets time pass. */
   run(ms: number): void {
     for (let passed = 0; passed < ms; passed += 1) {
