--- a/packages/gateway/src/PlacementLane.ts
+++ b/packages/gateway/src/PlacementLane.ts
@@ -246,12 +246,13 @@
     return isPatient ? placementLimits.patientCost : Infinity;
   }
 
+  /** Of targets that look alike those of highest affinity go first: connections stay few. */
   private choose(targets: readonly PlacedTarget[], count: number): PlacedTarget[] {
-    const { clock, random } = this.options;
-    const nowMs = clock();
+    const nowMs = this.options.clock();
     return targets
-      .map((target) => ({
-        target, rank: estimateCost(target, this.speed.crowding, nowMs) + random(),
+      .map((target, index) => ({
+        target,
+        rank: estimateCost(target, this.speed.crowding, nowMs) + index / targets.length,
       }))
       .sort((a, b) => a.rank - b.rank)
       .slice(0, count)
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -170,7 +170,7 @@
     rig.run(250);
   }
   assert.equal(rig.sender.sent.length, 50);
-  assert.ok(rig.sender.addresses.size <= 8, `${rig.sender.addresses.size} targets have connections`);
+  assert.ok(rig.sender.addresses.size <= 4, `${rig.sender.addresses.size} targets have connections`);
 });
 
 test('on a calm day a few probes find a target', (t) => {
