Take back the waiting at a start and the order by what callers have left

Requests that were held all start at once in a process that has just started, and run out of time there; refusals spread them.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -97,8 +97,6 @@
         board.update(declaration, evacuated, targets);
         if (declaration === undefined) return;
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- set on first news
-        handler.resume();
-        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- set on first news
         caller.server.keepAliveTimeout = declaration.limits.idleTimeoutMs + IDLE_MARGIN_MS;
       },
       onRoster: ({ entries }) => board.setEntries(entries),
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -88,7 +88,6 @@
       homeRegions: route.homeRegions,
       triedIds: this.triedIds,
       priority: route.priority,
-      isLate: request.isLate,
       targetLatencyMs: route.targetLatencyMs,
       isBulky: this.isBulky,
       deadlineMs: request.deadlineMs,
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -6,7 +6,6 @@
 import ReplayableBody from '@guavayard/caller/ReplayableBody';
 import fail from '@guavayard/core/errors/fail';
 import type Failure from '@guavayard/core/errors/Failure';
-import CallerPatience from '@guavayard/core/placement/CallerPatience';
 import matchDeclaredRoute from '@guavayard/core/placement/matchDeclaredRoute';
 import WeightedSplit from '@guavayard/core/placement/WeightedSplit';
 import createFingerprint from '@guavayard/core/quarantine/createFingerprint';
@@ -15,7 +14,6 @@
 import GatewayExchange from './GatewayExchange';
 import type GatewayRequest from './GatewayRequest';
 import type GatewayView from './GatewayView';
-import StartGate from './StartGate';
 
 /** When a caller comes back that met an entry without a declaration, in milliseconds. */
 const RETRY_AFTER_MS = 300;
@@ -24,10 +22,6 @@
 export default class GatewayHandler {
   private readonly split = new WeightedSplit();
 
-  private readonly patience = new CallerPatience();
-
-  private readonly gate: StartGate;
-
   /**
    * @param view - the rest of the entry
    * @param declaration - the declaration in force, undefined as long as none is known
@@ -35,9 +29,7 @@
   constructor(
     private readonly view: GatewayView,
     private readonly declaration: () => Declaration | undefined,
-  ) {
-    this.gate = new StartGate(view.clock);
-  }
+  ) {}
 
   /**
    * Serves a request. The response is always finished or destroyed in the end.
@@ -46,23 +38,7 @@
    * @param res - the caller's response
    */
   handle(req: IncomingMessage, res: ServerResponse): void {
-    const arrivedAtMs = this.view.clock();
-    if (this.declaration() === undefined && this.gate.isStarting) {
-      this.gate.hold(() => {
-        if (!res.destroyed) this.serve(req, res, arrivedAtMs);
-      });
-      return;
-    }
-    this.serve(req, res, arrivedAtMs);
-  }
-
-  /** Goes on with requests that waited for the first declaration. */
-  resume(): void {
-    this.gate.open();
-  }
-
-  private serve(req: IncomingMessage, res: ServerResponse, arrivedAtMs: number): void {
-    const request = this.accept(req, arrivedAtMs);
+    const request = this.accept(req);
     if (request.ok) {
       new GatewayExchange(this.view, request.val, res).start();
       return;
@@ -78,12 +54,12 @@
       decision: request.val.kind,
       detail: request.val.detail,
       status: answer.status,
-      ms: Math.round(this.view.clock() - arrivedAtMs),
+      ms: 0,
     });
     new ReplayableBody(req, false).discard();
   }
 
-  private accept(req: IncomingMessage, arrivedAtMs: number): Result<GatewayRequest, Failure> {
+  private accept(req: IncomingMessage): Result<GatewayRequest, Failure> {
     const declaration = this.declaration();
     if (declaration === undefined) return fail('noConfiguration');
     const framing = checkFraming(req, declaration.limits.maxBodyBytes);
@@ -105,7 +81,7 @@
     if (this.view.crashes.isQuarantined(fingerprint)) {
       return fail('requestQuarantined', `fingerprint ${fingerprint}`);
     }
-    const waitedMs = remainingMs === undefined ? 0 : this.patience.note(routeName, remainingMs);
+    const arrivedAtMs = this.view.clock();
     const callerDeadlineMs = arrivedAtMs + (remainingMs ?? Infinity);
     return Ok({
       req,
@@ -118,7 +94,6 @@
       service: this.split.next(routeName, route.backends),
       version: declaration.version,
       arrivedAtMs,
-      isLate: waitedMs > route.targetLatencyMs,
       callerDeadlineMs,
       deadlineMs: Math.min(callerDeadlineMs, arrivedAtMs + route.timeoutMs),
     });
--- a/packages/gateway/src/GatewayRequest.ts
+++ b/packages/gateway/src/GatewayRequest.ts
@@ -16,8 +16,6 @@
   /** Version of the declaration that the route was found in. */
   readonly version: number;
   readonly arrivedAtMs: number;
-  /** Whether the caller has waited past the target latency already, in earlier attempts. */
-  readonly isLate: boolean;
   /** When the caller stops waiting, in milliseconds of the monotonic clock. */
   readonly callerDeadlineMs: number;
   /** When the request is answered in any case: the caller's time or the route's is over. */
--- a/packages/gateway/src/PlacementLane.ts
+++ b/packages/gateway/src/PlacementLane.ts
@@ -49,11 +49,6 @@
   readonly prober: TargetProber;
 }
 
-/** Order of waiting requests: the urgent ones first, then those that can be answered in time. */
-function rankOf({ priority, isLate }: PlacementRequest): number {
-  return 2 * priority + Number(isLate);
-}
-
 /** The requests of one service that wait for a target in this entry. */
 export default class PlacementLane {
   private readonly queue: Waiting[] = [];
@@ -95,9 +90,8 @@
       timer: undefined,
       patienceTimer: undefined,
     };
-    const { targetLatencyMs } = request;
-    const rank = rankOf(request);
-    const ahead = this.queue.filter((other) => rankOf(other.request) <= rank).length;
+    const { priority, targetLatencyMs } = request;
+    const ahead = this.queue.filter((other) => other.request.priority <= priority).length;
     const remainingMs = request.deadlineMs - nowMs;
     if (!this.admission.mayWait({ targetLatencyMs, remainingMs, ahead }, nowMs)) {
       this.refuse(waiting, { kind: 'overloaded', detail: `${ahead} requests wait` });
@@ -118,7 +112,7 @@
 
   private enqueue(waiting: Waiting): void {
     const index = this.queue
-      .findIndex(({ request }) => rankOf(request) > rankOf(waiting.request));
+      .findIndex(({ request }) => request.priority > waiting.request.priority);
     if (index < 0) this.queue.push(waiting);
     else this.queue.splice(index, 0, waiting);
   }
--- a/packages/gateway/src/PlacementRequest.ts
+++ b/packages/gateway/src/PlacementRequest.ts
@@ -10,8 +10,6 @@
   readonly triedIds: readonly string[];
   /** Rank among requests; 0 goes first. */
   readonly priority: number;
-  /** Whether its caller has waited past the target latency already, in earlier attempts. */
-  readonly isLate: boolean;
   /** Time within which an answer has its full worth, in milliseconds. */
   readonly targetLatencyMs: number;
   /** Whether its body is too large to be sent over a link between regions without need. */
