--- a/packages/bench/src/Fleet.ts
+++ b/packages/bench/src/Fleet.ts
@@ -5,8 +5,8 @@
 import type KnownTarget from '@guavayard/core/types/KnownTarget';
 import type Random from '@guavayard/core/types/Random';
 
+import createRandom from '@guavayard/core/utils/createRandom';
 import type BenchEntryPlace from './BenchEntryPlace';
-import createRandom from './createRandom';
 import FakeTarget from './FakeTarget';
 import NoisePhases from './NoisePhases';
 import type UserProfile from './UserProfile';
--- a/packages/bench/src/createRandom.ts
+++ b/packages/core/src/utils/createRandom.ts
@@ -1,4 +1,4 @@
-import type Random from '@guavayard/core/types/Random';
+import type Random from '../types/Random';
 
 const INCREMENT = 0x6d2b79f5;
 const RANGE = 4_294_967_296;
--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -3,7 +3,7 @@
 
 import { build } from 'hdr-histogram-js';
 
-import createRandom from './soak/createRandom';
+import createRandom from '@guavayard/core/utils/createRandom';
 import PLACES from './soak/places';
 import SoakCaller from './soak/SoakCaller';
 import SoakCluster from './soak/SoakCluster';
