Do not clear a request of crashes by a target that did not run it

Cause, by reading: any answer with a status cleared a request, also a full target's 503. Test: 'a target that did not run a request does not clear it of crashes', shown failing before.

--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -217,7 +217,7 @@
     }
     this.lines.push(describeAttempt(state, verdict, failure, nowMs));
     if (verdict !== 'not-run') this.isUncertain = true;
-    this.noteCrash(state, failure);
+    this.noteCrash(state, verdict, failure);
     this.dispatch = undefined;
     if (verdict === 'answered') this.deliver(state, failure);
     else this.retryOr(state, verdict);
@@ -225,12 +225,19 @@
   }
 
   /** A target that broke the request off may have crashed under it. */
-  private noteCrash(attempt: Attempt, failure: Failure | undefined): void {
+  private noteCrash(
+    attempt: Attempt,
+    verdict: NonNullable<Attempt['verdict']>,
+    failure: Failure | undefined,
+  ): void {
     const { crashes } = this.view;
     const { fingerprint } = this.request;
     const isBroken = failure?.kind === 'targetFailed' && !attempt.isAborted;
-    if (attempt.status !== undefined) crashes.noteAnswer(fingerprint);
-    else if (isBroken) crashes.noteBroken(fingerprint, attempt.target);
+    // A target that did not run the request says nothing of it.
+    if (verdict === 'answered' || verdict === 'failed') crashes.noteAnswer(fingerprint);
+    else if (isBroken && attempt.status === undefined) {
+      crashes.noteBroken(fingerprint, attempt.target);
+    }
   }
 
   private retryOr(attempt: Attempt, verdict: NonNullable<Attempt['verdict']>): void {
--- a/packages/gateway/test/crashes.test.ts
+++ b/packages/gateway/test/crashes.test.ts
@@ -39,6 +39,24 @@
   assert.deepEqual([res.status, rig.sender.sent.length], [503, sent]);
 });
 
+test('a target that did not run a request does not clear it of crashes', (t) => {
+  const rig = createRig(t);
+  rig.request();
+  rig.run(CRASH_CHECK_MS + 400);
+  const [fingerprint = ''] = rig.reports;
+  const modes = rig.targets.map(({ mode }) => mode);
+  rig.targets.forEach((target) => Object.assign(target, { mode: 'not-run' }));
+  assert.equal(rig.crashes.isQuarantined(fingerprint), false);
+  rig.request();
+  rig.run(1000);
+  rig.targets.forEach((target, index) => Object.assign(target, { mode: modes[index] }));
+  rig.crashes.takeReport(fingerprint);
+  const sent = rig.sender.sent.length;
+  const res = rig.request();
+  rig.run(100);
+  assert.deepEqual([res.status, rig.sender.sent.length], [503, sent]);
+});
+
 test('requests beside the one that crashes targets are served', (t) => {
   const rig = createRig(t);
   for (let count = 0; count < 2; count += 1) {
