Close the session, not the process, on bytes that are no handshake, and bound frames

Cause: the schema of the handshake counted characters, timingSafeEqual compared bytes, and its exception left the data handler of the socket. Frames of 64 MB, or of little that inflates to 64 MB, were taken before authentication; a CBOR array header of 5 bytes allocates its stated length. Now: nonce and proof are hexadecimal of a fixed length; an exception in a session or a request closes it with a log line and a count (unexpected_errors_total), and what nothing else catches is reported by ErrorBoundary. A replica whose write or whose apply fails still ends the process, to replay its log. Frames are at most 1 KiB before the handshake and not compressed, then limited by the roles of the peers and by the kind of message; incomplete frames of all sessions share 96 MB; at most 1024 handshakes are open; arrays claim at most the length of their frame. Ruled out: a parser of CBOR of our own; the library's size limit does it per frame.

--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -19,6 +19,11 @@
 /** Maximum number of rounds: Node's default length of the listen backlog. */
 const MAX_ACCEPT_ROUNDS = 511;
 
+interface ListenerOptions {
+  readonly limits?: CallerLimits;
+  readonly onError?: (err: Error) => void;
+}
+
 /** Accepts callers' connections. It owns its server socket. */
 export default class CallerListener {
   readonly server: Server;
@@ -33,9 +38,13 @@
 
   /**
    * @param handler - handles the requests
-   * @param limits - limits on the resources that callers may use
+   * @param options - limits on the resources that callers may use, and what receives exceptions of
+   *   the handler; a request whose handler throws is aborted
    */
-  constructor(handler: CallerHandler, limits: CallerLimits = defaultLimits) {
+  constructor(
+    handler: CallerHandler,
+    { limits = defaultLimits, onError = () => undefined }: ListenerOptions = {},
+  ) {
     // A single handler serves every path, so no router is needed.
     this.server = createServer({
       maxHeaderSize: limits.headerBytes,
@@ -45,7 +54,13 @@
       noDelay: true,
     }, (req, res) => {
       this.track(res);
-      handler.handle(req, res);
+      try {
+        handler.handle(req, res);
+      } catch (err) {
+        // Whether the request has run is unknown, so no status would be true.
+        res.destroy();
+        onError(err as Error);
+      }
     });
     this.server.maxConnections = limits.connections;
     this.server.on('connection', () => {
--- a/packages/caller/test/listenerStop.test.ts
+++ b/packages/caller/test/listenerStop.test.ts
@@ -45,3 +45,21 @@
   });
   await stopped;
 });
+
+test('an exception of the handler aborts its request and leaves the listener serving', async (t) => {
+  const errors: string[] = [];
+  const listener = new CallerListener({
+    handle: (req, res: ServerResponse) => {
+      if (errors.length === 0) throw new Error(`unexpected ${req.url}`);
+      res.setHeader('connection', 'close');
+      res.end('the lots');
+    },
+  }, { onError: (err) => errors.push(err.message) });
+  t.after(() => listener.server.close());
+  listener.server.listen(0, '127.0.0.1');
+  await once(listener.server, 'listening');
+  const { port } = listener.server.address() as AddressInfo;
+  assert.equal(await send(port, () => undefined), '');
+  assert.deepEqual(errors, ['unexpected /lots']);
+  assert.match(await send(port, () => undefined), /the lots$/);
+});
--- a/packages/cli/src/gateway/GatewayContext.ts
+++ b/packages/cli/src/gateway/GatewayContext.ts
@@ -3,6 +3,7 @@
 import type VmHub from '@guavayard/vm/session/VmHub';
 import type VmIdentity from '@guavayard/vm/session/VmIdentity';
 
+import type ErrorBoundary from '../run/ErrorBoundary';
 import type GatewaySettings from '../settings/GatewaySettings';
 
 /** Dependencies that are passed to each role of a VM when it starts. */
@@ -11,6 +12,7 @@
   readonly identity: VmIdentity;
   readonly hub: VmHub;
   readonly log: Logger;
+  readonly errors: ErrorBoundary;
   /** Session addresses of the seeds; updated in place when the settings file is reloaded. */
   readonly seeds: string[];
 }
--- a/packages/cli/src/gateway/runGateway.ts
+++ b/packages/cli/src/gateway/runGateway.ts
@@ -8,6 +8,7 @@
 import VmHub from '@guavayard/vm/session/VmHub';
 import type VmIdentity from '@guavayard/vm/session/VmIdentity';
 
+import ErrorBoundary from '../run/ErrorBoundary';
 import listen from '../run/listen';
 import type GatewaySettings from '../settings/GatewaySettings';
 import readGatewaySettings from '../settings/readGatewaySettings';
@@ -62,14 +63,14 @@
 }
 
 async function serveMetrics(
-  { settings, log }: GatewayContext,
+  { settings, log, errors }: GatewayContext,
   roles: readonly GatewayRole[],
 ): Promise<Result<undefined, string>> {
   const [role] = roles;
   if (settings.metrics === undefined || role === undefined) return Ok(undefined);
   // Imported last, because serving requests does not depend on the metrics.
   const { default: GatewayMetrics } = await import('@guavayard/metrics/GatewayMetrics');
-  const metrics = new GatewayMetrics(() => role.readGauges());
+  const metrics = new GatewayMetrics(() => ({ ...role.readGauges(), errors: errors.count }));
   roles.forEach(({ attachMetrics }) => attachMetrics?.(metrics));
   const bound = await listen(metrics.server, settings.metrics.listen, 'metrics', log);
   return bound.map(() => undefined);
@@ -118,15 +119,18 @@
   const log = createLogger({
     name: 'guavayard', vm: settings.vm.label, level: settings.log.level, streams: [{ stream: stream as unknown as NodeJS.WritableStream, type: 'stream', level: settings.log.level }],
   });
-  const hub = new VmHub(SESSION_KEY, identity);
+  const errors = new ErrorBoundary(log);
+  const hub = new VmHub(SESSION_KEY, identity, { onError: (err) => errors.report(err, 'session') });
   const context: GatewayContext = {
-    settings, identity, hub, log, seeds: listSeedAddresses(settings),
+    settings, identity, hub, log, errors, seeds: listSeedAddresses(settings),
   };
   const roles = await startRoles(context);
   if (roles.err) return roles;
   // Accepts sessions only after the roles have registered their message handlers.
   const bound = await listen(hub.netServer, identity.address, 'sessions', log);
   if (bound.err) return bound;
+  // Until here, an exception ends the process, as a VM that has not started serves nothing.
+  errors.install();
   watchSettings(path, context);
   const served = await serveMetrics(context, roles.val);
   if (served.err) return served;
--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -56,7 +56,7 @@
   readinessAddress: string,
 ): Promise<Result<GatewayRole, string>> {
   const {
-    settings, identity, hub, log, seeds,
+    settings, identity, hub, log, errors, seeds,
   } = context;
   const { bounds, regions } = settings;
   const sender = new UndiciTargetSender({ keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS });
@@ -111,7 +111,7 @@
   const handler = new GatewayHandler({
     clock, dialect, sender, pool, placement, prober, crashes, log: requestLog,
   }, () => subscription.declaration);
-  const caller = new CallerListener(handler);
+  const caller = new CallerListener(handler, { onError: (err) => errors.report(err, 'request') });
   let isStopping = false;
   const readiness = new ReadinessApi(() => subscription.declaration !== undefined && !isStopping);
   const callersBound = await listen(caller.server, callersAddress, 'callers', log);
--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -55,8 +55,8 @@
     random: Math.random,
     requiredVoters: 2 * bounds.lostVms + 1,
     targetTimeoutMs: MAX_MISSED_HEARTBEATS * bounds.targetHeartbeatSeconds * MS_PER_SECOND,
-    onDiskFailure: (err) => {
-      log.fatal({ err }, 'the data folder cannot be written; exiting to be restarted');
+    onFailure: (err) => {
+      log.fatal({ err }, 'the replica has failed; exiting to replay its log');
       task.close();
       setTimeout(() => process.exit(1), DISK_FAILURE_PAUSE_MS);
     },
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -10,4 +10,7 @@
 
 runArguments(process.argv.slice(2)).then((exitCode) => {
   process.exitCode = exitCode;
+}, (err: Error) => {
+  process.stderr.write(`guavayard: ${err.stack ?? err.message}\n`);
+  process.exit(1);
 });
--- a/packages/cli/src/run/RunContext.ts
+++ b/packages/cli/src/run/RunContext.ts
@@ -5,6 +5,7 @@
 import type VmIdentity from '@guavayard/vm/session/VmIdentity';
 
 import type Settings from '../settings/Settings';
+import type ErrorBoundary from './ErrorBoundary';
 import type VmReports from './VmReports';
 
 /** Dependencies that are passed to each role when it starts. */
@@ -16,6 +17,7 @@
   /** Sessions with other VMs, shared by the roles. */
   readonly hub: VmHub;
   readonly log: Logger;
+  readonly errors: ErrorBoundary;
   /** Status and request counts of this VM, for operators. */
   readonly reports: VmReports;
   /** Sends metrics; undefined if the settings name no statsd server. */
--- a/packages/cli/src/run/runVm.ts
+++ b/packages/cli/src/run/runVm.ts
@@ -10,6 +10,7 @@
 import readSecret from '../settings/readSecret';
 import type Settings from '../settings/Settings';
 import createMetrics from './createMetrics';
+import ErrorBoundary from './ErrorBoundary';
 import listen from './listen';
 import type RunContext from './RunContext';
 import type Stoppable from './Stoppable';
@@ -46,7 +47,8 @@
   });
   // A reader of the log that closes the pipe must not end the process.
   process.stdout.on('error', () => undefined);
-  const hub = new VmHub(key.val, identity);
+  const errors = new ErrorBoundary(log);
+  const hub = new VmHub(key.val, identity, { onError: (err) => errors.report(err, 'session') });
   const bound = await listen(hub.netServer, settings.vm.listen, 'vm', log);
   if (bound.err) return bound;
   // Other VMs need the bound address: with port 0 the operating system chooses the port.
@@ -55,7 +57,7 @@
   hub.addHandler(new ReportResponder(reports));
   const metrics = createMetrics(settings.metrics?.statsd, identity, reports, log);
   return Ok({
-    settings, identity, key: key.val, hub, log, reports, metrics,
+    settings, identity, key: key.val, hub, log, errors, reports, metrics,
   });
 }
 
@@ -84,10 +86,14 @@
 export default async function runVm(settings: Settings): Promise<Result<Stoppable, string>> {
   const context = await createContext(settings);
   if (context.err) return context;
-  const { hub, log, metrics } = context.val;
+  const {
+    hub, log, errors, metrics,
+  } = context.val;
   const running = await startRoles(context.val);
   if (running.err) return running;
   metrics?.start();
+  // Until here, an exception ends the process, as a VM that has not started serves nothing.
+  errors.install();
   log.info({ roles: settings.vm.roles }, 'started');
   return Ok({
     stop: async () => {
--- a/packages/cli/src/run/startControl.ts
+++ b/packages/cli/src/run/startControl.ts
@@ -36,7 +36,7 @@
     vmName: identity.name,
     clock: () => performance.now(),
     random: Math.random,
-    onDiskFailure: (err) => {
+    onFailure: (err) => {
       log.fatal({ err }, 'the data folder cannot be written');
       process.exit(1);
     },
--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -88,7 +88,7 @@
     configuration: () => subscription.latest,
   });
   let isStopping = false;
-  const caller = new CallerListener(handler);
+  const caller = new CallerListener(handler, { onError: (err) => context.errors.report(err, 'request') });
   const target = new AnnouncementListener(directory);
   const platform = new BalancerListener(() => subscription.latest !== undefined && !isStopping);
   const callerBound = await listen(caller.server, settings.caller.listen, 'caller', log);
--- a/packages/metrics/src/GatewayMetrics.ts
+++ b/packages/metrics/src/GatewayMetrics.ts
@@ -37,6 +37,7 @@
   readonly targets: number;
   readonly version: number;
   readonly isCurrent: boolean;
+  readonly errors: number;
 }
 
 /**
@@ -73,6 +74,7 @@
       ['targets', ({ targets }) => targets],
       ['declaration_version', ({ version }) => version],
       ['is_current', ({ isCurrent }) => Number(isCurrent)],
+      ['unexpected_errors_total', ({ errors }) => errors],
     ];
     const gauges = gaugeReaders.map(([name, value]) => (
       { gauge: new Gauge(options(name)), value }
--- a/packages/metrics/src/gatewayMetricTable.ts
+++ b/packages/metrics/src/gatewayMetricTable.ts
@@ -24,6 +24,9 @@
   is_current: {
     type: 'gauge', tags: [], meaning: '1 while the VM follows control, or hears the leader; else 0',
   },
+  unexpected_errors_total: {
+    type: 'counter', tags: [], meaning: 'exceptions that ended a session or a request; always 0 in correct operation',
+  },
 } as const;
 
 export default gatewayMetricTable;
--- a/packages/metrics/test/gatewayMetrics.test.ts
+++ b/packages/metrics/test/gatewayMetrics.test.ts
@@ -7,7 +7,7 @@
 
 test('counters, latencies and gauges are served as text', async (t) => {
   const metrics = new GatewayMetrics(() => ({
-    waiting: 3, probes: 7, targets: 2, version: 26, isCurrent: true,
+    waiting: 3, probes: 7, targets: 2, version: 26, isCurrent: true, errors: 0,
   }));
   metrics.server.listen(0, '127.0.0.1');
   await once(metrics.server, 'listening');
--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -136,7 +136,7 @@
     this.events.push(event);
     if (this.isBusy) return;
     this.isBusy = true;
-    this.run().catch((err: Error) => this.options.onDiskFailure(err));
+    this.run().catch((err: Error) => this.options.onFailure(err));
   }
 
   private async run(): Promise<void> {
--- a/packages/vm/src/control/ConsensusTaskOptions.ts
+++ b/packages/vm/src/control/ConsensusTaskOptions.ts
@@ -16,8 +16,11 @@
   readonly listener: ConsensusListener;
   readonly clock: Clock;
   readonly random: Random;
-  /** Called when the disk fails; the replica stops, as it can no longer guarantee durability. */
-  readonly onDiskFailure: (err: Error) => void;
+  /**
+   * Called when a write or the processing of an event fails. The replica stops, as its state may
+   * differ from its log; the process must end and replay the log.
+   */
+  readonly onFailure: (err: Error) => void;
 }
 
 export default ConsensusTaskOptions;
--- a/packages/vm/src/registry/RegistryTaskOptions.ts
+++ b/packages/vm/src/registry/RegistryTaskOptions.ts
@@ -25,7 +25,7 @@
   readonly requiredVoters: number;
   /** Time without an announcement after which a target is expired, in milliseconds. */
   readonly targetTimeoutMs: number;
-  readonly onDiskFailure: (err: Error) => void;
+  readonly onFailure: (err: Error) => void;
 }
 
 export default RegistryTaskOptions;
--- /dev/null
+++ b/packages/vm/src/session/HubOptions.ts
@@ -0,0 +1,12 @@
+import type SessionTransport from './SessionTransport';
+import type VmSession from './VmSession';
+
+/** Options of the sessions of a VM. */
+interface HubOptions {
+  /** Carries the sessions; TCP by default. */
+  readonly transport?: SessionTransport;
+  /** Receives the unexpected exceptions of handlers. */
+  readonly onError?: (err: Error, session: VmSession) => void;
+}
+
+export default HubOptions;
--- a/packages/vm/src/session/SessionHandler.ts
+++ b/packages/vm/src/session/SessionHandler.ts
@@ -10,6 +10,8 @@
   onMessage: (session: VmSession, message: VmMessage) => void;
   /** The session is closed; no event follows. */
   onClose: (session: VmSession, reason: string) => void;
+  /** An unexpected exception while the session handled an event; the session closes. */
+  onError?: (session: VmSession, err: Error) => void;
 }
 
 export default SessionHandler;
--- a/packages/vm/src/session/VmConnector.ts
+++ b/packages/vm/src/session/VmConnector.ts
@@ -1,8 +1,8 @@
-import { connect } from 'node:net';
-
-import splitHostPort from '@guavayard/core/utils/splitHostPort';
+import type ByteBudget from '@guavayard/core/limits/ByteBudget';
 
 import type SessionHandler from './SessionHandler';
+import type SessionTransport from './SessionTransport';
+import TcpTransport from './TcpTransport';
 import type VmIdentity from './VmIdentity';
 import VmSession from './VmSession';
 
@@ -24,11 +24,13 @@
     private readonly key: string,
     private readonly identity: VmIdentity,
     private readonly handler: SessionHandler,
+    private readonly transport: SessionTransport = new TcpTransport(),
+    private readonly budget?: ByteBudget,
   ) {}
 
   /** Connects, and reconnects after each loss until `close`. */
   start(): void {
-    const socket = connect({ ...splitHostPort(this.address) });
+    const socket = this.transport.connect(this.address);
     this.session = new VmSession(socket, 'client', this.key, this.identity, {
       onOpen: (session, peer) => {
         this.delayMs = MIN_RECONNECT_DELAY_MS;
@@ -36,9 +38,13 @@
       },
       onMessage: (session, message) => this.handler.onMessage(session, message),
       onClose: (session, reason) => {
-        this.handler.onClose(session, reason);
         this.scheduleReconnect();
+        this.handler.onClose(session, reason);
       },
+      onError: (session, err) => this.handler.onError?.(session, err),
+    }, {
+      budget: this.budget,
+      checkPeer: (connected, peer) => this.transport.checkPeer(connected, peer),
     });
   }
 
--- a/packages/vm/src/session/VmHub.ts
+++ b/packages/vm/src/session/VmHub.ts
@@ -1,7 +1,13 @@
 import type { Server } from 'node:net';
 
+import ByteBudget from '@guavayard/core/limits/ByteBudget';
+
 import type VmMessage from '../messages/VmMessage';
+import frameLimits from './frameLimits';
+import type HubOptions from './HubOptions';
 import type SessionHandler from './SessionHandler';
+import type SessionTransport from './SessionTransport';
+import TcpTransport from './TcpTransport';
 import VmConnector from './VmConnector';
 import type VmIdentity from './VmIdentity';
 import VmListener from './VmListener';
@@ -21,12 +27,22 @@
 
   private readonly listener: VmListener;
 
+  private readonly transport: SessionTransport;
+
+  private readonly budget = new ByteBudget(frameLimits.pendingBytes);
+
   /**
    * @param key - key shared by all VMs
    * @param identity - identity of this VM
+   * @param options - by default, sessions are carried by TCP and exceptions are not reported
    */
-  constructor(private readonly key: string, private readonly identity: VmIdentity) {
-    this.listener = new VmListener(key, identity, this.dispatcher);
+  constructor(
+    private readonly key: string,
+    private readonly identity: VmIdentity,
+    private readonly options: HubOptions = {},
+  ) {
+    this.transport = options.transport ?? new TcpTransport();
+    this.listener = new VmListener(key, identity, this.dispatcher, this.transport, this.budget);
   }
 
   /** The listener's server, which the caller binds to an address. */
@@ -50,7 +66,14 @@
    */
   connect(address: string): void {
     if (this.connectors.has(address)) return;
-    const connector = new VmConnector(address, this.key, this.identity, this.dispatcher);
+    const connector = new VmConnector(
+      address,
+      this.key,
+      this.identity,
+      this.dispatcher,
+      this.transport,
+      this.budget,
+    );
     this.connectors.set(address, connector);
     connector.start();
   }
@@ -116,7 +139,15 @@
     onClose: (session, reason) => {
       const name = session.peer?.name ?? '';
       if (this.sessions.get(name) === session) this.sessions.delete(name);
-      this.handlers.forEach((handler) => handler.onClose(session, reason));
+      this.handlers.forEach((handler) => {
+        // Each handler must learn that the session is gone, even if another one fails.
+        try {
+          handler.onClose(session, reason);
+        } catch (err) {
+          this.options.onError?.(err as Error, session);
+        }
+      });
     },
+    onError: (session, err) => this.options.onError?.(err, session),
   };
 }
--- a/packages/vm/src/session/VmListener.ts
+++ b/packages/vm/src/session/VmListener.ts
@@ -1,6 +1,11 @@
-import { createServer, type Server } from 'node:net';
+import type { Server, Socket } from 'node:net';
 
+import type ByteBudget from '@guavayard/core/limits/ByteBudget';
+
+import frameLimits from './frameLimits';
 import type SessionHandler from './SessionHandler';
+import type SessionTransport from './SessionTransport';
+import TcpTransport from './TcpTransport';
 import type VmIdentity from './VmIdentity';
 import VmSession from './VmSession';
 
@@ -10,18 +15,16 @@
 
   private readonly sessions = new Set<VmSession>();
 
-  constructor(key: string, identity: VmIdentity, handler: SessionHandler) {
-    const tracked: SessionHandler = {
-      onOpen: (session, peer) => handler.onOpen(session, peer),
-      onMessage: (session, message) => handler.onMessage(session, message),
-      onClose: (session, reason) => {
-        this.sessions.delete(session);
-        handler.onClose(session, reason);
-      },
-    };
-    this.server = createServer((socket) => {
-      this.sessions.add(new VmSession(socket, 'server', key, identity, tracked));
-    });
+  private readonly pending = new Set<VmSession>();
+
+  constructor(
+    private readonly key: string,
+    private readonly identity: VmIdentity,
+    private readonly handler: SessionHandler,
+    private readonly transport: SessionTransport = new TcpTransport(),
+    private readonly budget?: ByteBudget,
+  ) {
+    this.server = transport.createServer((socket) => this.accept(socket));
   }
 
   /** The server, which the caller binds to an address. */
@@ -34,4 +37,29 @@
     this.server.close();
     this.sessions.forEach((session) => session.close('shutting down'));
   }
+
+  private accept(socket: Socket): void {
+    if (this.pending.size >= frameLimits.pendingHandshakes) {
+      socket.destroy();
+      return;
+    }
+    const session = new VmSession(socket, 'server', this.key, this.identity, {
+      onOpen: (opened, peer) => {
+        this.pending.delete(opened);
+        this.handler.onOpen(opened, peer);
+      },
+      onMessage: (opened, message) => this.handler.onMessage(opened, message),
+      onClose: (closed, reason) => {
+        this.sessions.delete(closed);
+        this.pending.delete(closed);
+        this.handler.onClose(closed, reason);
+      },
+      onError: (failed, err) => this.handler.onError?.(failed, err),
+    }, {
+      budget: this.budget,
+      checkPeer: (connected, peer) => this.transport.checkPeer(connected, peer),
+    });
+    this.sessions.add(session);
+    this.pending.add(session);
+  }
 }
--- a/packages/vm/src/session/VmSession.ts
+++ b/packages/vm/src/session/VmSession.ts
@@ -2,13 +2,18 @@
 import type { Socket } from 'node:net';
 import { performance } from 'node:perf_hooks';
 
-import { decode } from 'cbor-x';
+import ByteBudget from '@guavayard/core/limits/ByteBudget';
 
 import computeProof from './computeProof';
+import decodeFrame from './decodeFrame';
 import encodeFrame from './encodeFrame';
+import findFrameLimit from './findFrameLimit';
+import findMessageLimit from './findMessageLimit';
 import FrameDecoder from './FrameDecoder';
+import frameLimits from './frameLimits';
 import Handshake from './Handshake';
 import type SessionHandler from './SessionHandler';
+import type SessionOptions from './SessionOptions';
 import type SessionTiming from './SessionTiming';
 import type VmIdentity from './VmIdentity';
 import VmMessage from '../messages/VmMessage';
@@ -26,7 +31,7 @@
 export default class VmSession {
   peer: VmIdentity | undefined;
 
-  private readonly decoder = new FrameDecoder();
+  private readonly decoder: FrameDecoder;
 
   private readonly nonce = randomBytes(NONCE_BYTES).toString('hex');
 
@@ -48,10 +53,14 @@
     private readonly socket: Socket,
     private readonly role: Role,
     private readonly key: string,
-    identity: VmIdentity,
+    private readonly identity: VmIdentity,
     private readonly handler: SessionHandler,
-    private readonly timing = DEFAULT_TIMING,
+    private readonly options: SessionOptions = {},
   ) {
+    this.decoder = new FrameDecoder(
+      frameLimits.handshakeBytes,
+      options.budget ?? new ByteBudget(frameLimits.pendingBytes),
+    );
     socket.setNoDelay(true);
     socket.on('data', (chunk: Buffer) => this.receive(chunk));
     socket.on('error', (err) => this.close(err.message));
@@ -81,34 +90,59 @@
     this.isClosed = true;
     clearTimeout(this.handshakeTimer);
     clearInterval(this.heartbeatTimer);
+    this.decoder.close();
     this.socket.destroy();
-    this.handler.onClose(this, reason);
+    try {
+      this.handler.onClose(this, reason);
+    } catch (err) {
+      this.handler.onError?.(this, err as Error);
+    }
   }
 
+  /** Handles received bytes. No exception leaves it, as it would end the process. */
   private receive(chunk: Buffer): void {
+    try {
+      this.receiveChunk(chunk);
+    } catch (err) {
+      this.handler.onError?.(this, err as Error);
+      this.close(`unexpected error: ${(err as Error).message}`);
+    }
+  }
+
+  private receiveChunk(chunk: Buffer): void {
+    if (this.isClosed) return;
     this.lastReceivedMs = performance.now();
-    const frames = this.decoder.push(chunk);
-    if (frames.err) {
-      this.close(frames.val);
+    const added = this.decoder.push(chunk);
+    if (added.err) {
+      this.close(added.val);
       return;
     }
-    frames.val.forEach((frame) => this.receiveFrame(frame));
+    while (!this.isClosed) {
+      // One at a time, because the frame that completes the handshake changes the limits.
+      const frame = this.decoder.next();
+      if (frame.err) this.close(frame.val);
+      else if (frame.val === undefined) return;
+      else this.receiveFrame(frame.val);
+    }
   }
 
   private receiveFrame(frame: Buffer): void {
-    if (this.isClosed) return;
     let value: unknown;
     try {
-      value = decode(frame);
+      value = decodeFrame(frame);
     } catch (err) {
       this.close(`frame is not CBOR: ${(err as Error).message}`);
       return;
     }
-    if (this.isOpen) this.receiveMessage(value);
+    if (this.isOpen) this.receiveMessage(value, frame.length);
     else this.receiveHandshake(value);
   }
 
-  private receiveMessage(value: unknown): void {
+  private receiveMessage(value: unknown, bytes: number): void {
+    if (bytes > findMessageLimit(value)) {
+      this.close(`message of ${bytes} bytes is too long for its kind`);
+      return;
+    }
     const message = VmMessage.safeParse(value);
     if (!message.success) {
       this.close(`message is malformed: ${message.error.message}`);
@@ -133,6 +167,11 @@
       this.close('second hello');
       return;
     }
+    const mistake = this.options.checkPeer?.(this.socket, peer);
+    if (mistake !== undefined) {
+      this.close(mistake);
+      return;
+    }
     this.peerNonce = peerNonce;
     this.peer = peer;
     const proof = computeProof(this.key, this.role, this.nonce, peerNonce);
@@ -146,16 +185,26 @@
     }
     const peerRole: Role = this.role === 'client' ? 'server' : 'client';
     const expected = computeProof(this.key, peerRole, this.peerNonce, this.nonce);
-    if (!timingSafeEqual(Buffer.from(expected), Buffer.from(proof))) {
+    if (!timingSafeEqual(Buffer.from(expected, 'hex'), Buffer.from(proof, 'hex'))) {
       this.close('peer does not know the shared key');
       return;
     }
     clearTimeout(this.handshakeTimer);
     this.isOpen = true;
+    this.decoder.acceptMessages(findFrameLimit(this.identity, this.peer));
     this.heartbeatTimer = setInterval(() => this.checkLiveness(), this.timing.heartbeatMs);
     this.handler.onOpen(this, this.peer);
   }
 
+  /** Whether the handshake is complete. */
+  get isAuthenticated(): boolean {
+    return this.isOpen;
+  }
+
+  private get timing(): SessionTiming {
+    return this.options.timing ?? DEFAULT_TIMING;
+  }
+
   /**
    * Closes the session if the peer has sent nothing within the timeout, as a network partition
    * closes no connection. Sends a heartbeat if the session is idle.
--- a/packages/vm/src/session/frameLayout.ts
+++ b/packages/vm/src/session/frameLayout.ts
@@ -4,8 +4,6 @@
   headerBytes: 4,
   /** Added to the length of a frame whose body is compressed. */
   compressedFlag: 0x80000000,
-  /** Maximum size of a received frame before and after decompression, in bytes. */
-  maxFrameBytes: 64 * 1024 * 1024,
   /** Minimum size of a compressed message, in bytes; smaller ones gain nothing per packet. */
   minCompressedBytes: 700,
 } as const;
--- /dev/null
+++ b/packages/vm/test/replicaFailure.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import createDurableState from '@guavayard/core/consensus/createDurableState';
+import createConfigurationSnapshot from '@guavayard/core/configuration/createConfigurationSnapshot';
+
+import ConsensusTask from '../src/control/ConsensusTask';
+import type ConsensusTaskOptions from '../src/control/ConsensusTaskOptions';
+import type VmHub from '../src/session/VmHub';
+
+const REPLICA = 'vm-1#00';
+
+async function waitForFailure(options: Partial<ConsensusTaskOptions>): Promise<Error> {
+  let nowMs = 0;
+  return new Promise((resolve) => {
+    const task = new ConsensusTask({
+      replica: REPLICA,
+      durable: createDurableState([REPLICA]),
+      store: { append: async () => undefined, replace: async () => undefined },
+      hub: { send: () => false, sendToControl: () => undefined } as unknown as VmHub,
+      listener: {
+        onCommit: () => undefined,
+        onRestore: () => undefined,
+        onLeaderChange: () => undefined,
+        createSnapshot: createConfigurationSnapshot,
+      },
+      // Each reading is an election timeout later, so that the only voter leads soon.
+      clock: () => {
+        nowMs += 1000;
+        return nowMs;
+      },
+      random: () => 0.5,
+      onFailure: (err) => {
+        task.close();
+        resolve(err);
+      },
+      ...options,
+    });
+    task.start();
+  });
+}
+
+test('a replica whose write fails stops', async () => {
+  const err = await waitForFailure({
+    store: {
+      append: async () => {
+        throw new Error('no space left');
+      },
+      replace: async () => undefined,
+    },
+  });
+  assert.equal(err.message, 'no space left');
+});
+
+test('a replica that fails to apply an entry stops, as its state may differ from its log', async () => {
+  const err = await waitForFailure({
+    listener: {
+      onCommit: () => {
+        throw new Error('cannot apply');
+      },
+      onRestore: () => undefined,
+      onLeaderChange: () => undefined,
+      createSnapshot: createConfigurationSnapshot,
+    },
+  });
+  assert.equal(err.message, 'cannot apply');
+});
--- a/packages/vm/test/session.test.ts
+++ b/packages/vm/test/session.test.ts
@@ -60,7 +60,7 @@
       // A paused socket delivers nothing, like a network partition that closes no connection.
       onOpen: () => socket.pause(),
       onClose: (_session, why) => resolve(why),
-    }, { heartbeatMs: 20, timeoutMs: 200 });
+    }, { timing: { heartbeatMs: 20, timeoutMs: 200 } });
     t.after(() => client.close('test over'));
   });
   assert.equal(reason, 'nothing received for 200 ms');
--- a/packages/vm/test/support/RegistryGroup.ts
+++ b/packages/vm/test/support/RegistryGroup.ts
@@ -162,7 +162,7 @@
       seeds: this.seeds,
       requiredVoters,
       targetTimeoutMs: 60_000,
-      onDiskFailure: (err) => {
+      onFailure: (err) => {
         throw err;
       },
     });
--- a/test/support/TestEntry.ts
+++ b/test/support/TestEntry.ts
@@ -99,7 +99,7 @@
       relay: createRelay(this.identity, 'a key for the tests only', () => entries.map((entry) => entry.identity)),
       configuration: () => this.currentConfiguration(),
     });
-    this.listener = new CallerListener(handler, limits);
+    this.listener = new CallerListener(handler, { limits });
   }
 
   /**
