Bound the bytes of responses that an entry buffers

Cause: GatewayExchange buffered every body that was not a success without a limit, so a target that answers a failure without end took all memory of the entry. Now: 256 KiB for one response and 32 MB for all of an entry, counted until a caller that reads slowly has taken them; beyond that a success, or a failure that may not be retried, is streamed with backpressure, and anything else is aborted. Probes read 16 KiB; 16 informational responses are the most. Ruled out: dropping long failures of requests that may not be retried (their status is the target's).

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -4,6 +4,7 @@
 import { Ok, type Result } from 'ts-results';
 
 import CallerListener from '@guavayard/caller/CallerListener';
+import ByteBudget from '@guavayard/core/limits/ByteBudget';
 import CrashWatch from '@guavayard/gateway/CrashWatch';
 import GatewayHandler from '@guavayard/gateway/GatewayHandler';
 import Placement from '@guavayard/gateway/Placement';
@@ -20,6 +21,8 @@
 import type GatewayRole from './GatewayRole';
 
 const MS_PER_SECOND = 1000;
+/** Response bytes that are buffered at most, which leaves a VM of 250 MB the rest of its memory. */
+const RESPONSE_BUFFER_BYTES = 32 * 1024 * 1024;
 /**
  * Keep-alive timeout in milliseconds of connections to targets that announce none. A probe right
  * before each request checks whether the connection still works.
@@ -109,7 +112,15 @@
   });
   const requestLog = new RequestLog(log, clock);
   const handler = new GatewayHandler({
-    clock, dialect, sender, pool, placement, prober, crashes, log: requestLog,
+    clock,
+    dialect,
+    sender,
+    pool,
+    placement,
+    prober,
+    crashes,
+    log: requestLog,
+    responseBytes: new ByteBudget(RESPONSE_BUFFER_BYTES),
   }, () => subscription.declaration);
   const caller = new CallerListener(handler, { onError: (err) => errors.report(err, 'request') });
   let isStopping = false;
--- a/packages/gateway/src/ExchangeDependencies.ts
+++ b/packages/gateway/src/ExchangeDependencies.ts
@@ -1,4 +1,5 @@
 import type TargetSender from '@guavayard/core/dispatch/TargetSender';
+import type ByteBudget from '@guavayard/core/limits/ByteBudget';
 import type Clock from '@guavayard/core/types/Clock';
 
 import type CrashWatch from './CrashWatch';
@@ -18,6 +19,8 @@
   readonly prober: TargetProber;
   readonly crashes: CrashWatch;
   readonly log: RequestLog;
+  /** Bounds the response bytes that all exchanges of the entry buffer. */
+  readonly responseBytes: ByteBudget;
 }
 
 export default ExchangeDependencies;
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -200,15 +200,37 @@
   private handleData(attempt: Attempt, chunk: Buffer): boolean {
     const state = attempt;
     if (state.isForwarding) return this.res.write(chunk) || this.res.destroyed;
-    state.bufferedChunks.push(chunk);
-    state.bufferedBytes += chunk.length;
-    if (state.bufferedBytes <= MAX_BUFFERED_BYTES || state.verdict !== 'answered') return true;
+    const mayBuffer = state.bufferedBytes + chunk.length <= MAX_BUFFERED_BYTES
+      && this.dependencies.responseBytes.tryReserve(chunk.length);
+    if (mayBuffer) {
+      state.bufferedChunks.push(chunk);
+      state.bufferedBytes += chunk.length;
+      return true;
+    }
+    if (!this.mayStream(state)) {
+      this.dispatch?.abort({ kind: 'targetFailed', detail: 'its response is too long' });
+      return false;
+    }
     // A response that is too long to be buffered completely is streamed.
     state.isForwarding = true;
     this.res.writeHead(state.status ?? 0, selectAnswerHeaders(state.headers));
-    state.bufferedChunks.forEach((part) => this.res.write(part));
+    const parts = [...state.bufferedChunks, chunk];
+    this.releaseBuffer(state);
+    return parts.map((part) => this.res.write(part)).every(Boolean) || this.res.destroyed;
+  }
+
+  /** Whether a response may be sent to the caller before it is complete. */
+  private mayStream(attempt: Attempt): boolean {
+    if (attempt.verdict === 'answered') return true;
+    return attempt.verdict === 'failed' && !isNotRunStatus(attempt.status ?? 0)
+      && !this.canRetry('failed');
+  }
+
+  private releaseBuffer(attempt: Attempt): void {
+    const state = attempt;
+    this.dependencies.responseBytes.release(state.bufferedBytes);
     state.bufferedChunks = [];
-    return true;
+    state.bufferedBytes = 0;
   }
 
   private finishAttempt(attempt: Attempt, failure: Failure | undefined): void {
@@ -220,6 +242,7 @@
     const verdict = classifyAttempt(state, failure);
     const hasFailed = verdict !== 'answered' && verdict !== 'not-run';
     if (this.isEnded) {
+      this.releaseBuffer(state);
       state.release();
       return;
     }
@@ -231,8 +254,9 @@
     if (verdict !== 'not-run') this.mayHaveRun = true;
     this.reportToCrashDetection(state, verdict, failure);
     this.dispatch = undefined;
-    if (verdict === 'answered') this.forwardResponse(state, failure);
+    if (verdict === 'answered' || state.isForwarding) this.forwardResponse(state, failure);
     else this.retryOrRespond(state, verdict);
+    this.releaseBuffer(state);
     state.release(verdict === 'answered' ? nowMs - state.startedAtMs : undefined);
   }
 
@@ -252,13 +276,17 @@
     }
   }
 
-  private retryOrRespond(attempt: Attempt, verdict: NonNullable<Attempt['verdict']>): void {
-    const { route, deadlineMs } = this.request;
+  private canRetry(verdict: NonNullable<Attempt['verdict']>): boolean {
+    const { route, deadlineMs, fingerprint } = this.request;
     const mayRetry = verdict === 'not-run' || route.isIdempotent;
     const hasTime = deadlineMs - this.dependencies.clock() > 1;
     const hasAttempts = this.triedIds.length < route.maxAttempts;
-    const isAllowed = !this.dependencies.crashes.isQuarantined(this.request.fingerprint);
-    if (mayRetry && hasTime && hasAttempts && isAllowed && this.body.isReplayable) {
+    const isAllowed = !this.dependencies.crashes.isQuarantined(fingerprint);
+    return mayRetry && hasTime && hasAttempts && isAllowed && this.body.isReplayable;
+  }
+
+  private retryOrRespond(attempt: Attempt, verdict: NonNullable<Attempt['verdict']>): void {
+    if (this.canRetry(verdict)) {
       // Further data from the caller is buffered for the next attempt.
       this.body.close();
       const leaveQueue = this.dependencies.placement.placeRetry(this.createPlacementRequest());
@@ -285,10 +313,18 @@
       if (!isBodiless) headers['content-length'] = String(attempt.bufferedBytes);
       this.res.writeHead(status, headers as OutgoingHttpHeaders);
       this.res.end(Buffer.concat(attempt.bufferedChunks));
+      this.holdUntilSent(attempt.bufferedBytes);
     }
     this.finish(attempt.verdict === 'answered' ? 'answered' : 'target failed', status);
   }
 
+  /** Counts a response as buffered until a caller that reads slowly has received it. */
+  private holdUntilSent(bytes: number): void {
+    const { responseBytes } = this.dependencies;
+    if (this.res.writableFinished || !responseBytes.tryReserve(bytes)) return;
+    this.res.once('close', () => responseBytes.release(bytes));
+  }
+
   private fail(failure: Failure, retryAfterMs: number | undefined): void {
     if (this.isEnded) return;
     const isNotRun = errorTable[failure.kind].outcome === 'not-run';
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -19,6 +19,8 @@
 const BUDGET_SHARE = 0.5;
 const CONNECTION_LIMIT = 16;
 const OK = 200;
+/** Maximum length of the response to a probe, in bytes; only its headers are used. */
+const MAX_PROBE_RESPONSE_BYTES = 16 * 1024;
 
 interface TargetProberOptions {
   readonly clock: Clock;
@@ -100,6 +102,7 @@
     state.probeWaiters = [];
     state.lastSentAtMs = sentAtMs;
     let isDone = false;
+    let receivedBytes = 0;
     let timer: NodeJS.Timeout | undefined;
     const finish = (): void => {
       if (isDone) return;
@@ -112,7 +115,11 @@
     const handler: AnswerHandler = {
       onConnected: () => undefined,
       onHeaders: (status, headers) => this.applyResponse(target, status, headers, sentAtMs),
-      onData: () => true,
+      onData: (chunk) => {
+        receivedBytes += chunk.length;
+        // Pauses the response; the timeout ends the probe.
+        return receivedBytes <= MAX_PROBE_RESPONSE_BYTES;
+      },
       onEnd: finish,
       onFailure: (failure) => {
         state.reading = undefined;
--- a/packages/gateway/src/classifyAttempt.ts
+++ b/packages/gateway/src/classifyAttempt.ts
@@ -15,7 +15,7 @@
   failure: Failure | undefined,
 ): NonNullable<Attempt['verdict']> {
   if (failure === undefined) return attempt.verdict ?? 'spoiled';
-  if (attempt.isForwarding) return 'answered';
+  if (attempt.isForwarding) return attempt.verdict ?? 'answered';
   // The status and headers prove it, even without a complete body.
   if (attempt.verdict === 'not-run') return 'not-run';
   const isNotRun = attempt.status === undefined && errorTable[failure.kind].outcome === 'not-run';
--- a/packages/gateway/test/exchange.test.ts
+++ b/packages/gateway/test/exchange.test.ts
@@ -145,3 +145,50 @@
   const retries = rig.sender.sent.length - 400;
   assert.ok(retries <= 0.2 * 400 + 60, String(retries));
 });
+
+const LONG_BODY_BYTES = 400 * 1024;
+
+test('a long failure of a request that is not retried reaches the caller with its status', (t) => {
+  const rig = new GatewayRig(t, { isIdempotent: false });
+  rig.addTarget('a', { mode: 'fails', bodyBytes: LONG_BODY_BYTES });
+  const res = rig.request();
+  rig.run(1000);
+  assert.deepEqual([res.status, res.body.length], [500, LONG_BODY_BYTES]);
+  assert.equal(rig.responseBytes.usedBytes, 0);
+});
+
+test('a long failure of an idempotent request is aborted and retried', async (t) => {
+  const rig = new GatewayRig(t);
+  rig.addTarget('bad', { mode: 'fails', bodyBytes: LONG_BODY_BYTES });
+  rig.addTarget('good', { running: 1 });
+  const res = rig.request();
+  rig.run(1000);
+  assert.deepEqual([res.status, res.body, rig.sender.aborts], [200, 'good', 1]);
+  // The response is held until its connection has taken it.
+  assert.equal(rig.responseBytes.usedBytes, 4);
+  await Promise.resolve();
+  assert.equal(rig.responseBytes.usedBytes, 0);
+});
+
+test('a long response with a promise that its request was not run is not streamed', (t) => {
+  const cases: [FakeTarget['mode'], number][] = [['not-run', 503], ['busy', 502]];
+  cases.forEach(([mode, status]) => {
+    const rig = new GatewayRig(t, { isIdempotent: false });
+    rig.addTarget('a', { mode, bodyBytes: LONG_BODY_BYTES });
+    const res = rig.request();
+    rig.run(3000);
+    assert.equal(res.status, status, mode);
+    assert.equal(rig.responseBytes.usedBytes, 0);
+    t.mock.timers.reset();
+  });
+});
+
+test('a success is streamed when the buffers of all responses are full', (t) => {
+  const rig = new GatewayRig(t, { isIdempotent: false });
+  rig.responseBytes.tryReserve(1024 * 1024);
+  rig.addTarget('a', { bodyBytes: 1000 });
+  const res = rig.request();
+  rig.run(1000);
+  assert.deepEqual([res.status, res.body.length], [200, 1000]);
+  assert.equal(rig.responseBytes.usedBytes, 1024 * 1024);
+});
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -9,6 +9,7 @@
 
 const PROBE_MS = 2;
 const HEALTH_PATH = '/health';
+const CHUNK_BYTES = 64 * 1024;
 const FAILURES: Partial<Record<FakeTarget['mode'], Failure>> = {
   resets: { kind: 'targetFailed', detail: 'reset' },
   silent: { kind: 'targetFailed', detail: 'silent' },
@@ -98,27 +99,36 @@
       }
       // The response to another request does not end this one.
       if (target.mode === 'foreign' && !isOver()) handler.onHeaders(200, FOREIGN_HEADERS);
-      else end(() => FakeSender.respond(target, req, handler));
+      else if (!isOver()) FakeSender.respond(target, req, handler, end, isOver);
     }, target.workMs * slowness);
   }
 
-  private static respond(target: FakeTarget, req: TargetRequest, handler: AnswerHandler): void {
+  private static respond(
+    target: FakeTarget,
+    req: TargetRequest,
+    handler: AnswerHandler,
+    end: (run: () => void) => void,
+    isOver: () => boolean,
+  ): void {
     const failure = FAILURES[target.mode];
     if (failure !== undefined) {
-      handler.onFailure(failure);
+      end(() => handler.onFailure(failure));
       return;
     }
+    const body = target.id.padEnd(target.bodyBytes ?? 0, '.');
     const id = req.headers[req.headers.indexOf('id') + 1];
     const headers: Record<string, string> = {
       id: id ?? '',
       load: FakeSender.describeLoad(target),
     };
-    if (target.mode !== 'unframed') headers['content-length'] = String(target.id.length);
+    if (target.mode !== 'unframed') headers['content-length'] = String(body.length);
     if (target.mode !== 'unsigned') headers.signed = 'yes';
     if (target.mode === 'not-run') headers['not-run'] = '1';
     handler.onHeaders(STATUSES[target.mode] ?? 200, headers);
-    handler.onData(Buffer.from(target.id));
-    handler.onEnd();
+    for (let start = 0; start < body.length && !isOver(); start += CHUNK_BYTES) {
+      handler.onData(Buffer.from(body.slice(start, start + CHUNK_BYTES)));
+    }
+    end(() => handler.onEnd());
   }
 
   private static describeLoad({ running, slots, slowness }: FakeTarget): string {
--- a/packages/gateway/test/support/FakeTarget.ts
+++ b/packages/gateway/test/support/FakeTarget.ts
@@ -9,6 +9,8 @@
   /** Service time of one request at the usual speed, in milliseconds. */
   workMs: number;
   coldLeftMs: number;
+  /** Length to which its response body is padded, in bytes; its id alone by default. */
+  bodyBytes?: number;
   /**
    * How it handles requests. It answers probes in every mode except `silent`, the mode in which a
    * target that `crashes` is after the request.
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -4,6 +4,7 @@
 
 import { createLogger } from 'bunyan';
 
+import ByteBudget from '@guavayard/core/limits/ByteBudget';
 import type Declaration from '@guavayard/core/registry/Declaration';
 import type DeclaredRoute from '@guavayard/core/registry/DeclaredRoute';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
@@ -65,6 +66,8 @@
 
   private readonly handler: GatewayHandler;
 
+  readonly responseBytes = new ByteBudget(1024 * 1024);
+
   private nowMs = 0;
 
   private requests = 0;
@@ -102,7 +105,15 @@
     });
     const { crashes } = this;
     this.handler = new GatewayHandler({
-      clock, dialect, sender, pool, placement, prober, crashes, log: new RequestLog(log, clock),
+      clock,
+      dialect,
+      sender,
+      pool,
+      placement,
+      prober,
+      crashes,
+      log: new RequestLog(log, clock),
+      responseBytes: this.responseBytes,
     }, () => this.declaration);
   }
 
--- a/packages/target/src/UndiciDispatch.ts
+++ b/packages/target/src/UndiciDispatch.ts
@@ -7,6 +7,8 @@
 import describeSendError from './describeSendError';
 
 const FIRST_FINAL_STATUS = 200;
+/** Number of informational responses (1xx) before the final one. */
+const MAX_INFORMATIONAL_RESPONSES = 16;
 
 /** Adapts one undici dispatch to the interfaces of `core`. */
 export default class UndiciDispatch implements Dispatch, Dispatcher.DispatchHandler {
@@ -14,6 +16,8 @@
 
   private isFinished = false;
 
+  private informationalCount = 0;
+
   constructor(private readonly handler: AnswerHandler) {}
 
   resume(): void {
@@ -40,10 +44,22 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    if (this.isFinished || status < FIRST_FINAL_STATUS) return;
+    if (this.isFinished) return;
+    if (status < FIRST_FINAL_STATUS) {
+      this.countInformational();
+      return;
+    }
     this.handler.onHeaders(status, headers);
   }
 
+  /** Aborts the exchange if informational responses do not end. */
+  private countInformational(): void {
+    this.informationalCount += 1;
+    if (this.informationalCount > MAX_INFORMATIONAL_RESPONSES) {
+      this.abort({ kind: 'targetFailed', detail: 'too many informational responses' });
+    }
+  }
+
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.isFinished) return;
     if (!this.handler.onData(chunk)) controller.pause();
