--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,16 +1,6 @@
-async function runArguments([name, ...rest]: string[]): Promise<number> {
-  // A restarting VM is unavailable until it serves, so `serve` loads only the modules it needs.
-  if (name === 'serve' && !rest.includes('--help')) {
-    const { default: ServeCommand } = await import('./commands/ServeCommand');
-    return new ServeCommand().run(rest);
-  }
-  const { default: runCommandLine } = await import('./runCommandLine');
-  return runCommandLine(name === undefined ? [] : [name, ...rest]);
-}
+import { startupSnapshot } from 'node:v8';
 
-runArguments(process.argv.slice(2)).then((exitCode) => {
-  process.exitCode = exitCode;
-}, (err: Error) => {
-  process.stderr.write(`guavayard: ${err.stack ?? err.message}\n`);
-  process.exit(1);
-});
+import runProgram from './runProgram';
+
+if (startupSnapshot.isBuildingSnapshot()) startupSnapshot.setDeserializeMainFunction(runProgram);
+else runProgram();
--- a/packages/metrics/src/GatewayMetrics.ts
+++ b/packages/metrics/src/GatewayMetrics.ts
@@ -1,8 +1,10 @@
 import { createServer, type Server } from 'node:http';
 
-import {
-  Counter, Gauge, Histogram, Registry,
-} from 'prom-client';
+// Importing only these modules: all of them together load `node:cluster` and `node:https`.
+import Counter from 'prom-client/lib/counter';
+import Gauge from 'prom-client/lib/gauge';
+import Histogram from 'prom-client/lib/histogram';
+import Registry from 'prom-client/lib/registry';
 
 import gatewayMetricTable from './gatewayMetricTable';
 
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -15,8 +15,13 @@
 
 // Makes optional modules fail to load immediately, even next to a node_modules folder: resolving
 // them and loading their dependencies would slow down the start.
-const BANNER = `require = ((load) => (id) => {
-  if (load('node:module').isBuiltin(id)) return load(id);
+// While the snapshot is built, errors have no stack trace: some libraries create errors when they
+// are loaded and fail if a stack is missing. `node:module` cannot be in a snapshot; libraries only
+// use it to create a `require` function.
+const BANNER = `Error.stackTraceLimit = 0;
+require = ((load) => (id) => {
+  if (id === 'module') return { createRequire: () => require };
+  if (!${JSON.stringify(EXTERNAL)}.includes(id)) return load(id);
   throw Object.assign(new Error('not in the binary: ' + id), { code: 'MODULE_NOT_FOUND' });
 })(require);`;
 
@@ -25,7 +30,7 @@
 
 mkdirSync(folder, { recursive: true });
 buildSync({
-  entryPoints: ['packages/cli/src/main.ts'],
+  entryPoints: ['packages/cli/src/snapshot.ts'],
   outfile: `${folder}/guavayard.js`,
   bundle: true,
   minify: true,
@@ -38,7 +43,7 @@
   logLevel: 'error',
 });
 writeFileSync(`${folder}/sea.json`, JSON.stringify({
-  main: `${folder}/guavayard.js`, output: `${folder}/sea.blob`, disableExperimentalSEAWarning: true, useCodeCache: true,
+  main: `${folder}/guavayard.js`, output: `${folder}/sea.blob`, disableExperimentalSEAWarning: true, useSnapshot: true,
 }));
 execFileSync(process.execPath, ['--experimental-sea-config', `${folder}/sea.json`], { stdio: 'pipe' });
 copyFileSync(process.execPath, `${folder}/guavayard`);
