Let systems run by declarations have a session key of their own, and mutual TLS

Cause: the key of their sessions was a constant of the program, so anyone who reaches a session port was a member. Now vm.keyFile or GUAVAYARD_SESSION_KEY holds the key; vm.tls turns on mutual TLS, with certificates that name the address of each VM and are read again on SIGHUP and when they change.

--- a/packages/cli/src/gateway/runGateway.ts
+++ b/packages/cli/src/gateway/runGateway.ts
@@ -6,6 +6,7 @@
 
 import splitHostPort from '@guavayard/core/utils/splitHostPort';
 import VmHub from '@guavayard/vm/session/VmHub';
+import type TlsTransport from '@guavayard/vm/session/TlsTransport';
 import type VmIdentity from '@guavayard/vm/session/VmIdentity';
 
 import ErrorBoundary from '../run/ErrorBoundary';
@@ -15,14 +16,11 @@
 import BoundedLogStream from './BoundedLogStream';
 import type GatewayContext from './GatewayContext';
 import type GatewayRole from './GatewayRole';
+import openTransport from './openTransport';
+import readSessionKey from './readSessionKey';
 
 const START_ID_BYTES = 8;
-/**
- * Key with which both sides of a session prove that they belong to this system. It is not secret,
- * because the network between VMs is trusted.
- */
-const SESSION_KEY = 'guavayard-declared-session';
-/** Interval at which the settings file is checked for changes, in milliseconds. */
+/** Interval at which the settings file and the certificates are checked for changes, in ms. */
 const SETTINGS_CHECK_INTERVAL_MS = 5000;
 
 function createIdentity({ vm, entry, control }: GatewaySettings): VmIdentity {
@@ -76,9 +74,21 @@
   return bound.map(() => undefined);
 }
 
-function watchSettings(path: string, { seeds, log }: GatewayContext): void {
-  let changedAtMs: number | undefined;
+/** Changes whenever one of the files has been written. */
+async function readChangeTimes(paths: readonly string[]): Promise<string> {
+  const times = await Promise.all(paths.map(async (path) => (await stat(path)).mtimeMs));
+  return times.join();
+}
+
+function watchSettings(
+  path: string,
+  { settings: { vm }, seeds, log }: GatewayContext,
+  transport: TlsTransport | undefined,
+): void {
+  const paths = [path, ...Object.values(vm.tls ?? {})];
+  let changeTimes: string | undefined;
   const reload = async (): Promise<void> => {
+    transport?.reload();
     const settings = await readGatewaySettings(path);
     if (settings.err) {
       log.warn({ reason: settings.val }, 'settings are not reloaded');
@@ -90,11 +100,12 @@
     log.info({ seeds }, 'settings reloaded');
   };
   const check = async (): Promise<void> => {
-    const { mtimeMs } = await stat(path);
-    if (changedAtMs !== undefined && changedAtMs !== mtimeMs) await reload();
-    changedAtMs = mtimeMs;
+    const times = await readChangeTimes(paths);
+    const isChanged = changeTimes !== undefined && changeTimes !== times;
+    changeTimes = times;
+    if (isChanged) await reload();
   };
-  const report = (err: Error): void => log.warn({ reason: err.message }, 'settings cannot be read');
+  const report = (err: Error): void => log.warn({ reason: err.message }, 'settings or certificates cannot be read');
   process.on('SIGHUP', () => {
     reload().catch(report);
   });
@@ -120,7 +131,16 @@
     name: 'guavayard', vm: settings.vm.label, level: settings.log.level, streams: [{ stream: stream as unknown as NodeJS.WritableStream, type: 'stream', level: settings.log.level }],
   });
   const errors = new ErrorBoundary(log);
-  const hub = new VmHub(SESSION_KEY, identity, { onError: (err) => errors.report(err, 'session') });
+  const sessionKey = await readSessionKey(settings, process.env);
+  if (sessionKey.err) return sessionKey;
+  const transport = await openTransport(settings);
+  if (transport.err) return transport;
+  if (sessionKey.val.isPublic && transport.val === undefined) {
+    log.warn('no session key and no TLS: anyone who reaches the session port is a member');
+  }
+  const hub = new VmHub(sessionKey.val.key, identity, {
+    transport: transport.val, onError: (err) => errors.report(err, 'session'),
+  });
   const context: GatewayContext = {
     settings, identity, hub, log, errors, seeds: listSeedAddresses(settings),
   };
@@ -131,7 +151,7 @@
   if (bound.err) return bound;
   // Until here, an exception ends the process, as a VM that has not started serves nothing.
   errors.install();
-  watchSettings(path, context);
+  watchSettings(path, context, transport.val);
   const served = await serveMetrics(context, roles.val);
   if (served.err) return served;
   log.info({ roles: identity.roles, firstStart: settings.vm.isFirstStart, uptimeMs: Math.round(performance.now()) }, 'started');
--- a/packages/cli/src/settings/GatewaySettings.ts
+++ b/packages/cli/src/settings/GatewaySettings.ts
@@ -22,6 +22,17 @@
     seeds: z.array(HostPort).min(1),
     /** Whether the system as a whole starts for the first time. */
     isFirstStart: z.boolean(),
+    /**
+     * File with the key that all VMs share, of 16 characters or more. Without it, the variable
+     * GUAVAYARD_SESSION_KEY holds the key; without both, sessions are open to anyone.
+     */
+    keyFile: z.string().min(1).optional(),
+    /** PEM files for mutual TLS between the VMs; without them, sessions are not encrypted. */
+    tls: z.object({
+      certificateFile: z.string().min(1),
+      keyFile: z.string().min(1),
+      authorityFile: z.string().min(1),
+    }).optional(),
   }),
   /** Region of each data centre. */
   regions: z.record(Name, Name),
--- a/packages/cli/src/settings/readSecret.ts
+++ b/packages/cli/src/settings/readSecret.ts
@@ -1,8 +1,8 @@
 import { readFile } from 'node:fs/promises';
 
-import { Err, Ok, type Result } from 'ts-results';
+import { Err, type Result } from 'ts-results';
 
-const MIN_SECRET_LENGTH = 16;
+import validateSecret from './validateSecret';
 
 /**
  * Reads a key or token from a file and checks its length.
@@ -15,14 +15,11 @@
   path: string,
   setting: string,
 ): Promise<Result<string, string>> {
-  let secret: string;
+  let text: string;
   try {
-    secret = (await readFile(path, 'utf8')).trim();
+    text = await readFile(path, 'utf8');
   } catch (err) {
     return Err(`${setting}: ${path} cannot be read: ${(err as NodeJS.ErrnoException).code}`);
   }
-  if (secret.length < MIN_SECRET_LENGTH) {
-    return Err(`${setting}: ${path}: expected at least ${MIN_SECRET_LENGTH} characters, found ${secret.length}`);
-  }
-  return Ok(secret);
+  return validateSecret(text, `${setting}: ${path}`);
 }
