Encode each update, roster, pulse and view once for all subscribers

Cause (by reading): a control VM encoded and compressed each message anew for each of its subscribers, 62 of them at 311 entries; after a start of all VMs that is 62 whole views and as many rosters for each change, while entries wait for their first registry. Test: 'entries that subscribe at once share one encoded view, until it changes or gets old'.

--- a/packages/vm/src/registry/RegistryPublisher.ts
+++ b/packages/vm/src/registry/RegistryPublisher.ts
@@ -1,4 +1,7 @@
+import type Clock from '@guavayard/core/types/Clock';
+
 import type VmMessage from '../messages/VmMessage';
+import encodeFrame from '../session/encodeFrame';
 import type SessionHandler from '../session/SessionHandler';
 import type VmSession from '../session/VmSession';
 import createVmLocation from './createVmLocation';
@@ -14,6 +17,15 @@
  */
 const BATCH_MS = 50;
 
+/** Time for which an encoded view is reused: it states how long targets stay cold, in ms. */
+const VIEW_REUSE_MS = 100;
+
+function encodeRoster({ controls, entries }: Roster): Buffer {
+  return encodeFrame({
+    kind: 'roster', controls: [...controls], entries: [...entries],
+  } satisfies VmMessage);
+}
+
 /** Publishes the changes that this replica applies to the subscribed entries. */
 export default class RegistryPublisher implements SessionHandler {
   private readonly subscribers = new Set<VmSession>();
@@ -23,17 +35,26 @@
 
   private roster: Roster = { controls: [], entries: [] };
 
+  private rosterFrame = encodeRoster(this.roster);
+
+  /** The encoded view, undefined once the registry has changed. */
+  private viewFrame: Buffer | undefined;
+
+  private viewEncodedAtMs = 0;
+
   private timer: NodeJS.Timeout | undefined;
 
   /**
    * @param store - the applied registry
    * @param isCurrent - returns whether this replica leads or receives messages from the leader
    * @param relay - sends a message to the other control VMs
+   * @param clock - monotonic clock, in milliseconds
    */
   constructor(
     private readonly store: RegistryStore,
     private readonly isCurrent: () => boolean,
     private readonly relay: (message: VmMessage) => void,
+    private readonly clock: Clock,
   ) {}
 
   /** Locations of the entries subscribed to this VM. */
@@ -59,8 +80,8 @@
     // The view includes pending changes, so they are sent to the other subscribers first.
     this.flush();
     this.subscribers.add(session);
-    session.send(this.store.createView());
-    session.send({ kind: 'roster', controls: [...this.roster.controls], entries: [...this.roster.entries] });
+    session.sendFrame(this.encodeView());
+    session.sendFrame(this.rosterFrame);
   }
 
   onClose(session: VmSession): void {
@@ -75,21 +96,36 @@
 
   /** Sends entries whether this replica is current. */
   sendPulses(): void {
-    const isCurrent = this.isCurrent();
-    this.pulseReceivers.forEach((session) => session.send({ kind: 'registryPulse', isCurrent }));
+    const frame = encodeFrame({ kind: 'registryPulse', isCurrent: this.isCurrent() } satisfies VmMessage);
+    this.pulseReceivers.forEach((session) => session.sendFrame(frame));
   }
 
   /** Sets the VMs of the system, and sends them to the subscribers if they have changed. */
   setRoster(roster: Roster): void {
     if (JSON.stringify(roster) === JSON.stringify(this.roster)) return;
     this.roster = roster;
-    this.broadcast({ kind: 'roster', controls: [...roster.controls], entries: [...roster.entries] });
+    this.rosterFrame = encodeRoster(roster);
+    this.subscribers.forEach((session) => session.sendFrame(this.rosterFrame));
+  }
+
+  /**
+   * Encodes the view for a new subscriber. After a start of the whole system, all entries subscribe
+   * within a fraction of a second, so one encoding serves them until the registry changes.
+   */
+  private encodeView(): Buffer {
+    const nowMs = this.clock();
+    if (this.viewFrame === undefined || nowMs - this.viewEncodedAtMs >= VIEW_REUSE_MS) {
+      this.viewFrame = encodeFrame(this.store.createView());
+      this.viewEncodedAtMs = nowMs;
+    }
+    return this.viewFrame;
   }
 
   private broadcastCrash(session: VmSession, report: CrashReport): void {
     const relayed: CrashReport = { ...report, isRelayed: true };
+    const frame = encodeFrame(relayed);
     [...this.subscribers].filter((subscriber) => subscriber !== session)
-      .forEach((subscriber) => subscriber.send(relayed));
+      .forEach((subscriber) => subscriber.sendFrame(frame));
     if (!report.isRelayed) this.relay(relayed);
   }
 
@@ -97,10 +133,13 @@
     clearTimeout(this.timer);
     this.timer = undefined;
     const update = this.store.collectUpdate();
-    if (update !== undefined) this.broadcast(update);
+    if (update === undefined) return;
+    this.viewFrame = undefined;
+    this.broadcast(update);
   }
 
   private broadcast(message: VmMessage): void {
-    this.subscribers.forEach((session) => session.send(message));
+    const frame = encodeFrame(message);
+    this.subscribers.forEach((session) => session.sendFrame(frame));
   }
 }
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -96,6 +96,7 @@
       this.store,
       () => this.isCurrent,
       (message) => hub.sendToControl(message),
+      clock,
     );
     this.router = new CallRouter({
       hub,
--- a/packages/vm/src/session/VmSession.ts
+++ b/packages/vm/src/session/VmSession.ts
@@ -75,9 +75,19 @@
    * @param message - the message to send
    */
   send(message: VmMessage): void {
+    if (!this.isOpen || this.isClosed) return;
+    this.sendFrame(encodeFrame(message));
+  }
+
+  /**
+   * Sends a message that is encoded already, so that one encoding serves many sessions.
+   *
+   * @param frame - the frame of the message; dropped if the session is closed
+   */
+  sendFrame(frame: Buffer): void {
     if (!this.isOpen || this.isClosed) return;
     this.lastSentMs = performance.now();
-    this.socket.write(encodeFrame(message));
+    this.socket.write(frame);
   }
 
   /**
--- a/packages/vm/test/publisher.test.ts
+++ b/packages/vm/test/publisher.test.ts
@@ -1,18 +1,34 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
+import { decode } from 'cbor-x';
+
 import type VmMessage from '../src/messages/VmMessage';
 import RegistryPublisher from '../src/registry/RegistryPublisher';
 import RegistryStore from '../src/registry/RegistryStore';
+import frameLayout from '../src/session/frameLayout';
 import type VmSession from '../src/session/VmSession';
 
 type Sent = VmMessage['kind'];
 
-/** Creates a session that records the kinds of the messages sent over it. */
-function createSession(): { session: VmSession; sent: Sent[] } {
+interface RecordingSession {
+  readonly session: VmSession;
+  readonly sent: Sent[];
+  readonly frames: Buffer[];
+}
+
+/** Creates a session that records the messages sent over it. */
+function createSession(): RecordingSession {
   const sent: Sent[] = [];
-  const session = { send: (message: VmMessage) => sent.push(message.kind) };
-  return { session: session as unknown as VmSession, sent };
+  const frames: Buffer[] = [];
+  const session = {
+    send: (message: VmMessage) => sent.push(message.kind),
+    sendFrame: (frame: Buffer) => {
+      frames.push(frame);
+      sent.push((decode(frame.subarray(frameLayout.headerBytes)) as VmMessage).kind);
+    },
+  };
+  return { session: session as unknown as VmSession, sent, frames };
 }
 
 test('a crash report of an entry is relayed to control, a relayed one only to subscribers', () => {
@@ -21,6 +37,7 @@
     new RegistryStore(() => 0, undefined, 0),
     () => true,
     (message) => relayed.push(message),
+    () => 0,
   );
   const reporter = createSession();
   const other = createSession();
@@ -35,3 +52,22 @@
   assert.deepEqual([reporter.sent, other.sent], [['crashReport'], ['crashReport', 'crashReport']]);
   assert.equal(relayed.length, 1);
 });
+
+test('entries that subscribe at once share one encoded view, until it changes or gets old', () => {
+  let nowMs = 1000;
+  const store = new RegistryStore(() => nowMs, undefined, 0);
+  const publisher = new RegistryPublisher(store, () => true, () => undefined, () => nowMs);
+  const subscribe = (): Buffer | undefined => {
+    const { session, frames } = createSession();
+    publisher.onMessage(session, { kind: 'registrySubscribe' });
+    return frames[0];
+  };
+  const first = subscribe();
+  assert.equal(subscribe(), first);
+  store.apply(1, { kind: 'evacuate', dataCentre: 'cork' }, true);
+  const changed = subscribe();
+  assert.notEqual(changed, first);
+  assert.equal(subscribe(), changed);
+  nowMs += 100;
+  assert.notEqual(subscribe(), changed);
+});
