Answer pipelined requests during a planned stop

Cause: a stop marked every open response 'connection: close', so the connection closed after the first of several pipelined requests; the later ones had run at their targets and stayed unanswered. They were not tracked either (a response has no socket until it is its turn), so the stop did not wait for them. Now only the last response of a connection closes it, pipelined requests are tracked by the socket of the request, and a request behind a response that closes is not run.

--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -1,4 +1,6 @@
-import { createServer, type Server, type ServerResponse } from 'node:http';
+import {
+  createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import type { Socket } from 'node:net';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 
@@ -7,8 +9,11 @@
 import defaultLimits from './defaultLimits';
 import type CallerHandler from './CallerHandler';
 
-function disableKeepAlive(res: ServerResponse): void {
-  if (!res.headersSent) res.shouldKeepAlive = false;
+/** A request that has no complete response yet. */
+interface ActiveRequest {
+  readonly socket: Socket;
+  /** Whether the caller lets its connection stay open after the response. */
+  readonly mayKeepAlive: boolean;
 }
 
 /**
@@ -28,7 +33,8 @@
 export default class CallerListener {
   readonly server: Server;
 
-  private readonly active = new Map<ServerResponse, Socket>();
+  /** In the order of their arrival, which on each connection is the order of the responses. */
+  private readonly active = new Map<ServerResponse, ActiveRequest>();
 
   private isDraining = false;
 
@@ -53,7 +59,7 @@
       requestTimeout: 0,
       noDelay: true,
     }, (req, res) => {
-      this.track(res);
+      if (!this.track(req, res)) return;
       try {
         handler.handle(req, res);
       } catch (err) {
@@ -67,7 +73,7 @@
       this.accepted += 1;
     });
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
-      const isServing = [...this.active.values()].includes(socket);
+      const isServing = this.findResponses(socket).length > 0;
       respondToBadRequest(err, socket, isServing);
     });
   }
@@ -75,7 +81,7 @@
   /** Continues to serve requests, but asks callers to close connections after the response. */
   startDraining(): void {
     this.isDraining = true;
-    this.active.forEach((_socket, res) => disableKeepAlive(res));
+    this.active.forEach(({ socket }) => this.closeAfterLast(socket));
   }
 
   /** Stops listening, and resolves once every accepted request has been answered. */
@@ -105,12 +111,36 @@
     }
   }
 
-  private track(res: ServerResponse): void {
-    if (res.socket !== null) this.active.set(res, res.socket);
-    if (this.isDraining) disableKeepAlive(res);
+  /**
+   * Tracks a request until its response is complete.
+   *
+   * @returns false if the connection closes before this request can be answered
+   */
+  private track(req: IncomingMessage, res: ServerResponse): boolean {
+    const { socket } = req;
+    const isClosing = this.findResponses(socket)
+      .some((earlier) => earlier.headersSent && !earlier.shouldKeepAlive);
+    if (isClosing) return false;
+    this.active.set(res, { socket, mayKeepAlive: res.shouldKeepAlive });
+    if (this.isDraining) this.closeAfterLast(socket);
     res.once('close', () => {
       this.active.delete(res);
       if (this.active.size === 0) this.drainWaiters.splice(0).forEach((resolve) => resolve());
     });
+    return true;
+  }
+
+  private findResponses(socket: Socket): ServerResponse[] {
+    return [...this.active].filter(([, request]) => request.socket === socket).map(([res]) => res);
+  }
+
+  /** Asks the caller to close its connection after the last of its pipelined requests. */
+  private closeAfterLast(socket: Socket): void {
+    const responses = this.findResponses(socket);
+    responses.forEach((res, index) => {
+      if (res.headersSent) return;
+      const isLast = index === responses.length - 1;
+      res.shouldKeepAlive = !isLast && this.active.get(res)?.mayKeepAlive === true;
+    });
   }
 }
