--- a/packages/vm/src/session/VmSession.ts
+++ b/packages/vm/src/session/VmSession.ts
@@ -206,11 +206,6 @@
     this.handler.onOpen(this, this.peer);
   }
 
-  /** Whether the handshake is complete. */
-  get isAuthenticated(): boolean {
-    return this.isOpen;
-  }
-
   private get timing(): SessionTiming {
     return this.options.timing ?? DEFAULT_TIMING;
   }
