Read the change again: one place for what stood twice, no scan per request

- CallerListener scanned all open responses for each request and, draining, for each response; it now keeps them by connection.
- A buffered response was released and reserved again when it was sent; now its reservation is handed over, also when the budget is full.
- The paths of the TLS files were an interface and a schema; the sizes and the timeout of the handshake stood twice.
One schema, one table.
Behaviour stays.

--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -9,13 +9,21 @@
 import defaultLimits from './defaultLimits';
 import type CallerHandler from './CallerHandler';
 
-/** A request that has no complete response yet. */
-interface ActiveRequest {
-  readonly socket: Socket;
+/** A response that is not complete yet. */
+interface ActiveResponse {
+  readonly res: ServerResponse;
   /** Whether the caller lets its connection stay open after the response. */
   readonly mayKeepAlive: boolean;
 }
 
+/** Asks a caller to close its connection after the last of its pipelined requests. */
+function closeAfterLast(responses: readonly ActiveResponse[]): void {
+  responses.forEach(({ res, mayKeepAlive }, index) => {
+    const state = res;
+    if (!state.headersSent) state.shouldKeepAlive = index < responses.length - 1 && mayKeepAlive;
+  });
+}
+
 /**
  * Event loop turns per round. A round without a new connection shows that none is pending: Node
  * accepts one connection per turn and reads its data in the next turn.
@@ -33,8 +41,8 @@
 export default class CallerListener {
   readonly server: Server;
 
-  /** In the order of their arrival, which on each connection is the order of the responses. */
-  private readonly active = new Map<ServerResponse, ActiveRequest>();
+  /** Responses of each connection, in the order in which they are sent. */
+  private readonly active = new Map<Socket, ActiveResponse[]>();
 
   private isDraining = false;
 
@@ -73,15 +81,14 @@
       this.accepted += 1;
     });
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
-      const isServing = this.findResponses(socket).length > 0;
-      respondToBadRequest(err, socket, isServing);
+      respondToBadRequest(err, socket, this.active.has(socket));
     });
   }
 
   /** Continues to serve requests, but asks callers to close connections after the response. */
   startDraining(): void {
     this.isDraining = true;
-    this.active.forEach(({ socket }) => this.closeAfterLast(socket));
+    this.active.forEach(closeAfterLast);
   }
 
   /** Stops listening, and resolves once every accepted request has been answered. */
@@ -118,29 +125,20 @@
    */
   private track(req: IncomingMessage, res: ServerResponse): boolean {
     const { socket } = req;
-    const isClosing = this.findResponses(socket)
-      .some((earlier) => earlier.headersSent && !earlier.shouldKeepAlive);
+    const responses = this.active.get(socket) ?? [];
+    const isClosing = responses.some((earlier) => (
+      earlier.res.headersSent && !earlier.res.shouldKeepAlive
+    ));
     if (isClosing) return false;
-    this.active.set(res, { socket, mayKeepAlive: res.shouldKeepAlive });
-    if (this.isDraining) this.closeAfterLast(socket);
+    const response = { res, mayKeepAlive: res.shouldKeepAlive };
+    responses.push(response);
+    this.active.set(socket, responses);
+    if (this.isDraining) closeAfterLast(responses);
     res.once('close', () => {
-      this.active.delete(res);
+      responses.splice(responses.indexOf(response), 1);
+      if (responses.length === 0) this.active.delete(socket);
       if (this.active.size === 0) this.drainWaiters.splice(0).forEach((resolve) => resolve());
     });
     return true;
   }
-
-  private findResponses(socket: Socket): ServerResponse[] {
-    return [...this.active].filter(([, request]) => request.socket === socket).map(([res]) => res);
-  }
-
-  /** Asks the caller to close its connection after the last of its pipelined requests. */
-  private closeAfterLast(socket: Socket): void {
-    const responses = this.findResponses(socket);
-    responses.forEach((res, index) => {
-      if (res.headersSent) return;
-      const isLast = index === responses.length - 1;
-      res.shouldKeepAlive = !isLast && this.active.get(res)?.mayKeepAlive === true;
-    });
-  }
 }
--- a/packages/cli/src/settings/GatewaySettings.ts
+++ b/packages/cli/src/settings/GatewaySettings.ts
@@ -2,6 +2,7 @@
 
 import HostPort from '@guavayard/core/types/HostPort';
 import Name from '@guavayard/core/types/Name';
+import TlsFiles from '@guavayard/vm/session/TlsFiles';
 
 const Port = z.int().min(1).max(65535);
 const Seconds = z.number().min(0);
@@ -28,11 +29,7 @@
      */
     keyFile: z.string().min(1).optional(),
     /** PEM files for mutual TLS between the VMs; without them, sessions are not encrypted. */
-    tls: z.object({
-      certificateFile: z.string().min(1),
-      keyFile: z.string().min(1),
-      authorityFile: z.string().min(1),
-    }).optional(),
+    tls: TlsFiles.optional(),
   }),
   /** Region of each data centre. */
   regions: z.record(Name, Name),
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -313,16 +313,17 @@
       if (!isBodiless) headers['content-length'] = String(attempt.bufferedBytes);
       this.res.writeHead(status, headers as OutgoingHttpHeaders);
       this.res.end(Buffer.concat(attempt.bufferedChunks));
-      this.holdUntilSent(attempt.bufferedBytes);
+      this.releaseWhenSent(attempt);
     }
     this.finish(attempt.verdict === 'answered' ? 'answered' : 'target failed', status);
   }
 
   /** Counts a response as buffered until a caller that reads slowly has received it. */
-  private holdUntilSent(bytes: number): void {
-    const { responseBytes } = this.dependencies;
-    if (this.res.writableFinished || !responseBytes.tryReserve(bytes)) return;
-    this.res.once('close', () => responseBytes.release(bytes));
+  private releaseWhenSent(attempt: Attempt): void {
+    const state = attempt;
+    const bytes = state.bufferedBytes;
+    state.bufferedBytes = 0;
+    this.res.once('close', () => this.dependencies.responseBytes.release(bytes));
   }
 
   private fail(failure: Failure, retryAfterMs: number | undefined): void {
--- a/packages/vm/src/session/TlsTransport.ts
+++ b/packages/vm/src/session/TlsTransport.ts
@@ -6,13 +6,11 @@
 
 import splitHostPort from '@guavayard/core/utils/splitHostPort';
 
+import handshakeLimits from './handshakeLimits';
 import type SessionTransport from './SessionTransport';
 import type TlsFiles from './TlsFiles';
 import type VmIdentity from './VmIdentity';
 
-/** Longest time for the TLS handshake of an accepted connection, in milliseconds. */
-const HANDSHAKE_TIMEOUT_MS = 1500;
-
 interface Credentials {
   readonly cert: Buffer;
   readonly key: Buffer;
@@ -60,7 +58,7 @@
       ...this.credentials,
       requestCert: true,
       rejectUnauthorized: true,
-      handshakeTimeout: HANDSHAKE_TIMEOUT_MS,
+      handshakeTimeout: handshakeLimits.timeoutMs,
       // A resumed session would not present the peer's certificate.
       sessionTimeout: 1,
     }, onSocket);
--- a/packages/vm/src/session/VmSession.ts
+++ b/packages/vm/src/session/VmSession.ts
@@ -12,16 +12,13 @@
 import FrameDecoder from './FrameDecoder';
 import frameLimits from './frameLimits';
 import Handshake from './Handshake';
+import handshakeLimits from './handshakeLimits';
 import type SessionHandler from './SessionHandler';
 import type SessionOptions from './SessionOptions';
 import type SessionTiming from './SessionTiming';
 import type VmIdentity from './VmIdentity';
 import VmMessage from '../messages/VmMessage';
 
-const NONCE_BYTES = 16;
-/** Longest time from connecting until both sides have proved that they know the shared key. */
-const HANDSHAKE_TIMEOUT_MS = 1500;
-
 /** The timeout spans several heartbeats, so that one late message does not close a session. */
 const DEFAULT_TIMING: SessionTiming = { heartbeatMs: 500, timeoutMs: 2000 };
 
@@ -33,7 +30,7 @@
 
   private readonly decoder: FrameDecoder;
 
-  private readonly nonce = randomBytes(NONCE_BYTES).toString('hex');
+  private readonly nonce = randomBytes(handshakeLimits.nonceBytes).toString('hex');
 
   private peerNonce: string | undefined;
 
@@ -65,7 +62,10 @@
     socket.on('data', (chunk: Buffer) => this.receive(chunk));
     socket.on('error', (err) => this.close(err.message));
     socket.on('close', () => this.close('connection closed'));
-    this.handshakeTimer = setTimeout(() => this.close('handshake timed out'), HANDSHAKE_TIMEOUT_MS);
+    this.handshakeTimer = setTimeout(
+      () => this.close('handshake timed out'),
+      handshakeLimits.timeoutMs,
+    );
     socket.write(encodeFrame({ kind: 'hello', nonce: this.nonce, identity } satisfies Handshake));
   }
 
