--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -139,6 +139,7 @@
       waiting: placement.waiting,
       probes: prober.count,
       targets: pool.targetCount,
+      limitedTargets: pool.limitedCount,
       version: subscription.declaration?.version ?? 0,
       isCurrent: subscription.isFollowing,
     }),
--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -70,6 +70,7 @@
       waiting: 0,
       probes: 0,
       targets: task.targetCount,
+      limitedTargets: 0,
       version: task.version,
       isCurrent: task.isCurrent,
     }),
--- a/packages/core/src/placement/PlacedTarget.ts
+++ b/packages/core/src/placement/PlacedTarget.ts
@@ -22,6 +22,8 @@
   /** Share of recent requests that the target refused to run, from 0 to 1, at `rejectShareAtMs`. */
   rejectShare: number;
   rejectShareAtMs: number;
+  /** Requests per second that the target takes from all entries; undefined without a limit. */
+  requestLimit: number | undefined;
   /** Whether the target reports itself as unable to serve. */
   isUnhealthy: boolean;
   /** Consecutive probes without a response. */
--- a/packages/core/src/placement/createPlacedTarget.ts
+++ b/packages/core/src/placement/createPlacedTarget.ts
@@ -28,6 +28,7 @@
     failureShare: 0,
     rejectShare: 0,
     rejectShareAtMs: 0,
+    requestLimit: undefined,
     isUnhealthy: false,
     unansweredProbes: 0,
     lastSentAtMs: -Infinity,
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -165,6 +165,7 @@
 
   private createHandler(attempt: Attempt): AnswerHandler {
     const state = attempt;
+    const { target } = attempt;
     return {
       onConnected: () => undefined,
       onHeaders: (status, headers) => {
@@ -176,6 +177,9 @@
         const verdict = classifyResponse(status, metadata, this.request.requestId);
         state.verdict = isFramed || verdict === 'not-run' ? verdict : 'spoiled';
         this.recordLoad(state, metadata);
+        if (state.verdict !== 'spoiled') {
+          this.dependencies.pool.recordRequestLimit(target, metadata.requestLimit, 'request');
+        }
         // Any further data on this connection may belong to another request.
         if (state.verdict === 'spoiled') {
           this.dispatch?.abort({ kind: 'targetFailed', detail: isFramed ? 'not its answer' : 'no length' });
--- a/packages/gateway/src/ProbeMetadata.ts
+++ b/packages/gateway/src/ProbeMetadata.ts
@@ -7,6 +7,8 @@
   readonly load: LoadFigures | undefined;
   /** Remaining warm-up time of the target, in milliseconds; undefined if it reports none. */
   readonly coldLeftMs: number | undefined;
+  /** Requests per second that the target takes from all entries; undefined if it names no limit. */
+  readonly requestLimit: number | undefined;
 }
 
 export default ProbeMetadata;
--- a/packages/gateway/src/ResponseMetadata.ts
+++ b/packages/gateway/src/ResponseMetadata.ts
@@ -11,6 +11,8 @@
   /** Whether an intermediary encoded the body, so that it differs from the target's body. */
   readonly isEncoded: boolean;
   readonly load: LoadFigures | undefined;
+  /** Requests per second that the target takes from all entries; undefined if it names no limit. */
+  readonly requestLimit: number | undefined;
 }
 
 export default ResponseMetadata;
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -129,6 +129,32 @@
     }
   }
 
+  /**
+   * Records the request limit that a target named in a response, or that it named none.
+   *
+   * @param target - the target
+   * @param requestLimit - requests per second from all entries, undefined without a limit
+   * @param source - the kind of response
+   */
+  recordRequestLimit(
+    target: PlacedTarget,
+    requestLimit: number | undefined,
+    source: 'request' | 'probe',
+  ): void {
+    const state = target;
+    if (requestLimit === target.requestLimit) return;
+    this.options.log.info({
+      target: target.record.id, requestLimit, before: target.requestLimit, source,
+    }, 'request limit of target changed');
+    state.requestLimit = requestLimit;
+  }
+
+  /** @returns the number of targets that name a request limit */
+  get limitedCount(): number {
+    return [...this.targets.values()].filter(({ requestLimit }) => requestLimit !== undefined)
+      .length;
+  }
+
   /** Records that a request is sent to a target. */
   recordSend(target: PlacedTarget): void {
     const state = target;
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -150,7 +150,9 @@
     const state = target;
     state.unansweredProbes = 0;
     state.idleTimeoutMs = parseKeepAliveTimeout(headers['keep-alive']);
-    const { targetId, load, coldLeftMs } = dialect.readProbe(headers);
+    const {
+      targetId, load, coldLeftMs, requestLimit,
+    } = dialect.readProbe(headers);
     if (targetId !== undefined && targetId !== target.record.id) {
       // Another target has the address; the update from control will follow.
       state.isUnhealthy = true;
@@ -158,6 +160,7 @@
       return;
     }
     state.isUnhealthy = status !== OK;
+    if (requestLimit !== undefined) pool.recordRequestLimit(target, requestLimit, 'probe');
     if (coldLeftMs !== undefined) pool.recordColdLeft(target, coldLeftMs);
     const figures = load ?? {
       running: target.inFlight.size, waiting: 0, slots: target.record.slots, slowness: 1,
--- a/packages/gateway/test/support/PlainDialect.ts
+++ b/packages/gateway/test/support/PlainDialect.ts
@@ -17,6 +17,10 @@
   return value === undefined ? undefined : JSON.parse(value) as LoadFigures;
 }
 
+function readLimit(headers: AnswerHeaders): number | undefined {
+  return headers.limit === undefined ? undefined : Number(headers.limit);
+}
+
 /** Dialect for tests, whose headers are named after their content. */
 export default class PlainDialect implements Dialect {
   readRequest(req: IncomingMessage): RequestMetadata {
@@ -39,6 +43,7 @@
       isMarkedNotRun: headers['not-run'] !== undefined,
       isEncoded: headers['content-encoding'] !== undefined,
       load: readLoad(headers),
+      requestLimit: readLimit(headers),
     };
   }
 
@@ -47,6 +52,7 @@
       targetId: headers.target?.toString(),
       load: readLoad(headers),
       coldLeftMs: headers.cold === undefined ? undefined : Number(headers.cold),
+      requestLimit: readLimit(headers),
     };
   }
 
--- a/packages/metrics/src/GatewayMetrics.ts
+++ b/packages/metrics/src/GatewayMetrics.ts
@@ -37,6 +37,7 @@
   readonly waiting: number;
   readonly probes: number;
   readonly targets: number;
+  readonly limitedTargets: number;
   readonly version: number;
   readonly isCurrent: boolean;
   readonly errors: number;
@@ -74,6 +75,7 @@
       ['waiting_requests', ({ waiting }) => waiting],
       ['probes_total', ({ probes }) => probes],
       ['targets', ({ targets }) => targets],
+      ['limited_targets', ({ limitedTargets }) => limitedTargets],
       ['declaration_version', ({ version }) => version],
       ['is_current', ({ isCurrent }) => Number(isCurrent)],
       ['unexpected_errors_total', ({ errors }) => errors],
--- a/packages/metrics/src/gatewayMetricTable.ts
+++ b/packages/metrics/src/gatewayMetricTable.ts
@@ -18,6 +18,9 @@
   targets: {
     type: 'gauge', tags: [], meaning: 'targets known',
   },
+  limited_targets: {
+    type: 'gauge', tags: [], meaning: 'targets that name a limit on the requests they take',
+  },
   declaration_version: {
     type: 'gauge', tags: [], meaning: 'version of the declaration in force on this VM',
   },
--- a/packages/metrics/test/gatewayMetrics.test.ts
+++ b/packages/metrics/test/gatewayMetrics.test.ts
@@ -7,7 +7,7 @@
 
 test('counters, latencies and gauges are served as text', async (t) => {
   const metrics = new GatewayMetrics(() => ({
-    waiting: 3, probes: 7, targets: 2, version: 26, isCurrent: true, errors: 0,
+    waiting: 3, probes: 7, targets: 2, limitedTargets: 1, version: 26, isCurrent: true, errors: 0,
   }));
   metrics.server.listen(0, '127.0.0.1');
   await once(metrics.server, 'listening');
@@ -27,6 +27,7 @@
     'guavayard_attempts_total{service="lots",outcome="not-run"} 1',
     'guavayard_request_seconds_bucket{le="0.3",service="lots"} 1',
     'guavayard_waiting_requests 3',
+    'guavayard_limited_targets 1',
     'guavayard_declaration_version 26',
     'guavayard_is_current 1',
   ].forEach((line) => assert.ok(text.includes(line), line));
