Keep the request limits of targets, in sum over all entries

Cause: nothing read the limit. Ruled out: requests under way (the breaks go on for 16 s). Fix: each limit is divided between a few entries, its holders, by rendezvous hash over the roster. A holder may send 1/n of the rate and two requests at once, so in 4 s all together send at most 5 x limit + 3, whatever the number of entries; a new share starts empty. What an entry learns reaches the others through control (batched for 100 ms, again every 5 s while it holds). What does not fit goes to other targets; a request that only limited targets could take waits if a share accrues in time and is refused at once otherwise, with that time.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -72,6 +72,8 @@
     coldBurstFactor: bounds.coldBurstFactor,
     coldSlack: bounds.coldSlack,
     onTargetRemoved: (address) => sender.closeConnections(address),
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a response
+    shareLimit: (notice) => subscription.shareLimit(notice),
   });
   const prober = new TargetProber({
     clock, sender, dialect, pool, probesPerSecond: bounds.probesPerSecond,
@@ -106,6 +108,7 @@
         caller.server.keepAliveTimeout = declaration.limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
       },
       onRosterChange: ({ entries }) => pool.setEntries(entries),
+      onRequestLimits: (notices) => pool.recordLimitNotices(notices),
       onCrash: (fingerprint) => crashes.recordReportedCrash(fingerprint),
       onSourceChange: (control, reason) => log.info({ control, reason, version: subscription.declaration?.version }, 'control VM changed'),
     },
@@ -131,7 +134,10 @@
   if (readinessBound.err) return readinessBound;
   subscription.start();
   const keepAliveTimer = setInterval(
-    () => prober.keepConnectionsAlive(),
+    () => {
+      prober.keepConnectionsAlive();
+      prober.verifyLimits();
+    },
     KEEP_ALIVE_CHECK_INTERVAL_MS,
   );
   return Ok({
--- a/packages/core/src/limits/TokenBucket.ts
+++ b/packages/core/src/limits/TokenBucket.ts
@@ -12,6 +12,11 @@
     this.tokens = limit;
   }
 
+  /** Tokens added per second. */
+  get rate(): number {
+    return this.ratePerSecond;
+  }
+
   /**
    * @param nowMs - monotonic clock, in milliseconds
    * @returns the available tokens; negative after an overdraft
@@ -45,6 +50,17 @@
     return true;
   }
 
+  /**
+   * Returns the time until tokens are available.
+   *
+   * @param count - tokens
+   * @param nowMs - monotonic clock, in milliseconds
+   * @returns the time in milliseconds, 0 if they are available now
+   */
+  waitMs(count: number, nowMs: number): number {
+    return Math.max(0, ((count - this.available(nowMs)) / this.ratePerSecond) * 1000);
+  }
+
   /**
    * Changes the rate and the limit. A higher limit adds no tokens immediately, except to a bucket
    * whose limit was 0.
--- a/packages/core/src/placement/PlacedTarget.ts
+++ b/packages/core/src/placement/PlacedTarget.ts
@@ -1,3 +1,4 @@
+import type RequestLimit from '../requestLimit/RequestLimit';
 import type RegisteredTarget from '../registry/RegisteredTarget';
 import type LoadReading from './LoadReading';
 
@@ -22,8 +23,8 @@
   /** Share of recent requests that the target refused to run, from 0 to 1, at `rejectShareAtMs`. */
   rejectShare: number;
   rejectShareAtMs: number;
-  /** Requests per second that the target takes from all entries; undefined without a limit. */
-  requestLimit: number | undefined;
+  /** Limit on requests that the target has named; undefined without one. */
+  requestLimit: RequestLimit | undefined;
   /** Whether the target reports itself as unable to serve. */
   isUnhealthy: boolean;
   /** Consecutive probes without a response. */
--- a/packages/core/src/placement/placementLimits.ts
+++ b/packages/core/src/placement/placementLimits.ts
@@ -38,6 +38,8 @@
   rejectCost: 2,
   /** Added to the rank of a target that needs a new connection. */
   connectPenalty: 0.5,
+  /** Subtracted from the rank of a target whose request limit leaves this entry a share. */
+  limitPreference: 1,
   /** How long before its expiry an idle connection is refreshed by a probe, in milliseconds. */
   idleMarginMs: 4000,
   /** Targets of each service to which idle connections are kept open. */
--- a/packages/core/src/placement/selectCandidates.ts
+++ b/packages/core/src/placement/selectCandidates.ts
@@ -2,6 +2,16 @@
 
 /** Targets without a request of this entry that suffice for a selection. */
 const MIN_IDLE_TARGETS = 4;
+/** Highest affinity: affinities are unsigned integers of 32 bits. */
+const MAX_AFFINITY = 2 ** 32 - 1;
+
+/**
+ * Ranks targets by affinity. A target with a request limit comes first: it is given only while this
+ * entry has a share of its limit left, and nobody else may use that share.
+ */
+function rank({ affinity, requestLimit }: PlacedTarget): number {
+  return affinity + (requestLimit === undefined ? 0 : MAX_AFFINITY + 1);
+}
 
 /**
  * Selects the targets that one selection round may probe. Each entry starts with a small, stable
@@ -24,7 +34,7 @@
   failedRounds: number,
 ): PlacedTarget[] {
   const candidates = [...targets]
-    .sort((left, right) => right.affinity - left.affinity)
+    .sort((left, right) => rank(right) - rank(left))
     .slice(0, count * (failedRounds + 1));
   if (failedRounds > 0) return candidates;
   const idle = candidates.filter(({ inFlight }) => inFlight.size === 0);
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -178,7 +178,7 @@
         state.verdict = isFramed || verdict === 'not-run' ? verdict : 'spoiled';
         this.recordLoad(state, metadata);
         if (state.verdict !== 'spoiled') {
-          this.dependencies.pool.recordRequestLimit(target, metadata.requestLimit, 'request');
+          this.dependencies.pool.limits.recordResponse(target, metadata.requestLimit, 'request');
         }
         // Any further data on this connection may belong to another request.
         if (state.verdict === 'spoiled') {
--- a/packages/gateway/src/PlacementQueue.ts
+++ b/packages/gateway/src/PlacementQueue.ts
@@ -37,6 +37,8 @@
 interface QueuedRequest {
   readonly request: PlacementRequest;
   readonly arrivedAtMs: number;
+  /** When it is refused unless it has been assigned by then. */
+  readonly refusedAtMs: number;
   isSearching: boolean;
   /** Completed searches that found no free slot. */
   searchRounds: number;
@@ -84,23 +86,24 @@
   place(request: PlacementRequest): () => void {
     const { clock } = this.options;
     const nowMs = clock();
+    const { priority, targetLatencyMs } = request;
+    const remainingMs = request.deadlineMs - nowMs;
+    const longestWaitMs = AdmissionControl.longestWaitMs({ targetLatencyMs, remainingMs });
     const queued: QueuedRequest = {
       request,
       arrivedAtMs: nowMs,
+      refusedAtMs: nowMs + longestWaitMs,
       isSearching: false,
       searchRounds: 0,
       isDone: false,
       timer: undefined,
       waitLimitTimer: undefined,
     };
-    const { priority, targetLatencyMs } = request;
     const ahead = this.queue.filter((other) => other.request.priority <= priority).length;
-    const remainingMs = request.deadlineMs - nowMs;
     if (!this.admission.mayWait({ targetLatencyMs, remainingMs, ahead }, nowMs)) {
       this.refuse(queued, { kind: 'overloaded', detail: `${ahead} requests wait` });
       return () => undefined;
     }
-    const longestWaitMs = AdmissionControl.longestWaitMs({ targetLatencyMs, remainingMs });
     queued.timer = setTimeout(() => {
       this.refuse(queued, { kind: 'overloaded', detail: 'no slot was free in time' });
     }, longestWaitMs);
@@ -130,11 +133,12 @@
     if (this.queue.length === 0) this.admission.resetDispatchRate();
   }
 
-  private refuse(queued: QueuedRequest, failure: Failure): void {
+  private refuse(queued: QueuedRequest, failure: Failure, waitMs?: number): void {
     const { clock, random } = this.options;
     if (queued.isDone) return;
     this.remove(queued);
-    const retryAfterMs = this.admission.retryAfterMs(this.queue.length, random(), clock());
+    const retryAfterMs = waitMs
+      ?? this.admission.retryAfterMs(this.queue.length, random(), clock());
     queued.request.onRefused(failure, retryAfterMs);
   }
 
@@ -153,7 +157,7 @@
     const eligible = this.options.pool
       .findEligible(request.service, request.homeRegions, request.triedIds);
     if (eligible.length === 0) {
-      this.refuse(queued, { kind: 'noTarget', detail: `service "${request.service}"` });
+      this.awaitLimit(queued);
       return;
     }
     state.isSearching = true;
@@ -163,6 +167,26 @@
     });
   }
 
+  /**
+   * Keeps a request queued if the limit of a target allows one in time, and refuses it otherwise,
+   * also if there is no target at all.
+   */
+  private awaitLimit(queued: QueuedRequest): void {
+    const { pool, clock } = this.options;
+    const { request, refusedAtMs } = queued;
+    const ahead = Math.max(0, this.queue.indexOf(queued));
+    const waitMs = pool
+      .estimateLimitWaitMs(request.service, request.homeRegions, request.triedIds, ahead);
+    if (waitMs === undefined) {
+      this.refuse(queued, { kind: 'noTarget', detail: `service "${request.service}"` });
+    } else if (clock() + waitMs <= refusedAtMs) {
+      this.scheduleSearch(waitMs);
+    } else {
+      pool.limits.recordReturn(waitMs);
+      this.refuse(queued, { kind: 'overloaded', detail: 'the targets have reached their limits' }, waitMs);
+    }
+  }
+
   /**
    * Searches other regions, whose links are slow and billed by volume, once all near targets or
    * those of three search rounds had no free slot.
@@ -254,14 +278,18 @@
     return isWithinWaitLimit ? placementLimits.maxCostWhileWaiting : Infinity;
   }
 
-  /** Ranks targets by cost; affinity and open connections also count, to keep connections few. */
+  /**
+   * Ranks targets by cost. Affinity and open connections also count, to keep connections few, and
+   * an unused share of a request limit, which would be lost.
+   */
   private rankTargets(targets: readonly PlacedTarget[], count: number): PlacedTarget[] {
     const nowMs = this.options.clock();
     return targets
       .map((target, index) => ({
         target,
         rank: estimateCost(target, this.speed.kneeSlowdown, nowMs) + index / targets.length
-          + (hasOpenConnection(target, nowMs) ? 0 : placementLimits.connectPenalty),
+          + (hasOpenConnection(target, nowMs) ? 0 : placementLimits.connectPenalty)
+          - (target.requestLimit === undefined ? 0 : placementLimits.limitPreference),
       }))
       .sort((a, b) => a.rank - b.rank)
       .slice(0, count)
@@ -321,11 +349,11 @@
     if (first === undefined) this.startSearches();
   }
 
-  private scheduleSearch(): void {
+  private scheduleSearch(pauseMs?: number): void {
     this.pause ??= setTimeout(() => {
       this.pause = undefined;
       this.startSearches();
-    }, this.pauseMs);
-    this.pauseMs = Math.min(MAX_SEARCH_PAUSE_MS, this.pauseMs * 2);
+    }, pauseMs ?? this.pauseMs);
+    if (pauseMs === undefined) this.pauseMs = Math.min(MAX_SEARCH_PAUSE_MS, this.pauseMs * 2);
   }
 }
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -7,15 +7,14 @@
 import type Declaration from '@guavayard/core/registry/Declaration';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import type Clock from '@guavayard/core/types/Clock';
+import type RequestLimitNotice from '@guavayard/core/requestLimit/RequestLimitNotice';
+
+import type EntryLocation from './EntryLocation';
+import RequestLimitTracker from './RequestLimitTracker';
 
 /** Shortest remaining warm-up time that is logged, in milliseconds. */
 const MIN_LOGGED_COLD_MS = 100;
 
-interface EntryLocation {
-  readonly name: string;
-  readonly region: string;
-}
-
 interface TargetPoolOptions {
   readonly clock: Clock;
   readonly log: Logger;
@@ -27,6 +26,8 @@
   readonly coldSlack: number;
   /** Called with the address of a target that was removed. */
   readonly onTargetRemoved: (address: string) => void;
+  /** Tells the other entries of the request limit of a target. */
+  readonly shareLimit: (notice: RequestLimitNotice) => void;
 }
 
 /** Table of the targets that this entry knows; selects those that may receive a request. */
@@ -39,7 +40,19 @@
 
   private entries: readonly EntryLocation[] = [];
 
-  constructor(private readonly options: TargetPoolOptions) {}
+  /** Request limits of the targets. */
+  readonly limits: RequestLimitTracker;
+
+  private limitContext = '';
+
+  constructor(private readonly options: TargetPoolOptions) {
+    this.limits = new RequestLimitTracker({
+      clock: options.clock,
+      log: options.log,
+      entryName: options.location.name,
+      share: options.shareLimit,
+    });
+  }
 
   /** Number of entries that are known to serve, including this one. */
   get entryCount(): number {
@@ -54,6 +67,7 @@
   /** Replaces the list of entries of the system. */
   setEntries(entries: readonly EntryLocation[]): void {
     this.entries = entries;
+    this.updateLimitContext();
   }
 
   /**
@@ -72,6 +86,7 @@
     this.evacuated = evacuated;
     [...this.targets.keys()].filter((id) => !records.has(id)).forEach((id) => this.remove(id));
     records.forEach((record) => this.upsert(record));
+    this.updateLimitContext();
   }
 
   /**
@@ -86,16 +101,43 @@
     service: string,
     homeRegions: readonly string[] | undefined,
     triedIds: readonly string[],
+  ): PlacedTarget[] {
+    return this.findUsable(service, homeRegions, triedIds)
+      .filter((target) => this.limits.allows(target));
+  }
+
+  /**
+   * Estimates when a request may be sent to one of the targets that have reached their limits.
+   *
+   * @param service - the service
+   * @param homeRegions - the only regions that may serve it; undefined if every region may
+   * @param triedIds - ids of the targets of earlier attempts
+   * @param ahead - queued requests that are served first
+   * @returns the time until then in milliseconds, undefined if no target has a limit
+   */
+  estimateLimitWaitMs(
+    service: string,
+    homeRegions: readonly string[] | undefined,
+    triedIds: readonly string[],
+    ahead: number,
+  ): number | undefined {
+    return this.limits.estimateWaitMs(this.findUsable(service, homeRegions, triedIds), ahead);
+  }
+
+  /** Finds the targets that may receive a request as far as their request limits allow it. */
+  private findUsable(
+    service: string,
+    homeRegions: readonly string[] | undefined,
+    triedIds: readonly string[],
   ): PlacedTarget[] {
     const nowMs = this.options.clock();
-    const found = [...this.targets.values()].filter((target) => {
+    return [...this.targets.values()].filter((target) => {
       const { record, region } = target;
       if (record.service !== service || record.state !== 'ready') return false;
       if (this.evacuated.has(record.dataCentre) || triedIds.includes(record.id)) return false;
       if (homeRegions !== undefined && !homeRegions.includes(region)) return false;
       return target.ejectedUntilMs <= nowMs && this.isWithinColdLimit(target, nowMs);
     });
-    return found;
   }
 
   /** @returns the targets in the region of this entry that receive requests */
@@ -111,11 +153,12 @@
     return target.region === this.options.location.region;
   }
 
-  /** @returns whether a request may still be sent to a target that was eligible before */
-  canSendTo({ record }: PlacedTarget): boolean {
-    const known = this.targets.get(record.id);
-    return known?.record.bornAtMs === record.bornAtMs && known.record.state === 'ready'
-      && !this.evacuated.has(record.dataCentre);
+  /** Records the request limits that other entries have learnt. */
+  recordLimitNotices(notices: readonly RequestLimitNotice[]): void {
+    notices.forEach((notice) => {
+      const target = this.targets.get(notice.targetId);
+      if (target !== undefined) this.limits.recordNotice(target, notice);
+    });
   }
 
   /** Records the remaining warm-up time that a target reported. */
@@ -129,26 +172,6 @@
     }
   }
 
-  /**
-   * Records the request limit that a target named in a response, or that it named none.
-   *
-   * @param target - the target
-   * @param requestLimit - requests per second from all entries, undefined without a limit
-   * @param source - the kind of response
-   */
-  recordRequestLimit(
-    target: PlacedTarget,
-    requestLimit: number | undefined,
-    source: 'request' | 'probe',
-  ): void {
-    const state = target;
-    if (requestLimit === target.requestLimit) return;
-    this.options.log.info({
-      target: target.record.id, requestLimit, before: target.requestLimit, source,
-    }, 'request limit of target changed');
-    state.requestLimit = requestLimit;
-  }
-
   /** @returns the number of targets that name a request limit */
   get limitedCount(): number {
     return [...this.targets.values()].filter(({ requestLimit }) => requestLimit !== undefined)
@@ -162,6 +185,7 @@
     state.lastSentAtMs = nowMs;
     state.lastAskedAtMs = nowMs;
     if (target.coldUntilMs > nowMs) target.coldSends.push(nowMs);
+    target.requestLimit?.allowance?.take(1);
   }
 
   /** @returns the declared path for probes of a service */
@@ -183,6 +207,24 @@
     return maySendToColdTarget(target, limit, location.name, nowMs);
   }
 
+  /** Updates what determines the shares of request limits, if it has changed. */
+  private updateLimitContext(): void {
+    const regionsOf = new Map<string, Set<string>>();
+    this.targets.forEach(({ record, region }) => {
+      const regions = regionsOf.get(record.service) ?? new Set();
+      regionsOf.set(record.service, regions.add(region));
+    });
+    const context = JSON.stringify([
+      this.entries,
+      this.declaration?.version,
+      [...regionsOf].map(([service, regions]) => `${service} ${[...regions].sort().join()}`).sort(),
+    ]);
+    if (context === this.limitContext) return;
+    this.limitContext = context;
+    const routes = Object.values(this.declaration?.routes ?? {});
+    this.limits.setContext({ entries: this.entries, routes, regionsOf });
+  }
+
   private upsert(record: RegisteredTarget): void {
     const known = this.targets.get(record.id);
     const isSameIncarnation = known?.record.bornAtMs === record.bornAtMs
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -79,6 +79,15 @@
       .forEach((target) => this.ensureProbe(target, nowMs));
   }
 
+  /** Probes targets whose request limit nobody has confirmed for a long time. */
+  verifyLimits(): void {
+    const { pool, clock } = this.options;
+    const nowMs = clock();
+    this.refill(nowMs);
+    pool.findNearTargets().filter((target) => pool.limits.isUnverified(target))
+      .forEach((target) => this.ensureProbe(target, nowMs));
+  }
+
   /** Starts a probe unless one is in flight, whose response serves this selection as well. */
   private ensureProbe(target: PlacedTarget, nowMs: number): boolean {
     if (target.probeWaiters !== undefined) return true;
@@ -160,7 +169,7 @@
       return;
     }
     state.isUnhealthy = status !== OK;
-    if (requestLimit !== undefined) pool.recordRequestLimit(target, requestLimit, 'probe');
+    pool.limits.recordResponse(target, requestLimit, 'probe');
     if (coldLeftMs !== undefined) pool.recordColdLeft(target, coldLeftMs);
     const figures = load ?? {
       running: target.inFlight.size, waiting: 0, slots: target.record.slots, slowness: 1,
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -71,7 +71,10 @@
     if (target.mode === 'silent') return;
     setTimeout(() => end(() => {
       handler.onHeaders(200, {
-        target: target.id, load: FakeSender.describeLoad(target), cold: String(target.coldLeftMs),
+        target: target.id,
+        load: FakeSender.describeLoad(target),
+        cold: String(target.coldLeftMs),
+        ...FakeSender.describeLimit(target),
       });
       handler.onEnd();
     }), PROBE_MS);
@@ -120,6 +123,7 @@
     const headers: Record<string, string> = {
       id: id ?? '',
       load: FakeSender.describeLoad(target),
+      ...FakeSender.describeLimit(target),
     };
     if (target.mode !== 'unframed') headers['content-length'] = String(body.length);
     if (target.mode !== 'unsigned') headers.signed = 'yes';
@@ -131,6 +135,10 @@
     end(() => handler.onEnd());
   }
 
+  private static describeLimit({ limit }: FakeTarget): Record<string, string> {
+    return limit === undefined ? {} : { limit: String(limit) };
+  }
+
   private static describeLoad({ running, slots, slowness }: FakeTarget): string {
     return JSON.stringify({
       running, waiting: 0, slots, slowness,
--- a/packages/gateway/test/support/FakeTarget.ts
+++ b/packages/gateway/test/support/FakeTarget.ts
@@ -9,6 +9,8 @@
   /** Service time of one request at the usual speed, in milliseconds. */
   workMs: number;
   coldLeftMs: number;
+  /** Requests per second that it says it takes; undefined without a limit. */
+  limit?: number;
   /** Length to which its response body is padded, in bytes; its id alone by default. */
   bodyBytes?: number;
   /**
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -7,6 +7,7 @@
 import ByteBudget from '@guavayard/core/limits/ByteBudget';
 import type Declaration from '@guavayard/core/registry/Declaration';
 import type DeclaredRoute from '@guavayard/core/registry/DeclaredRoute';
+import type RequestLimitNotice from '@guavayard/core/requestLimit/RequestLimitNotice';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import type Random from '@guavayard/core/types/Random';
 
@@ -64,6 +65,9 @@
   /** Fingerprints of the crashes that were reported to the other entries. */
   readonly reports: string[] = [];
 
+  /** Request limits that were shared with the other entries. */
+  readonly notices: RequestLimitNotice[] = [];
+
   private readonly handler: GatewayHandler;
 
   readonly responseBytes = new ByteBudget(1024 * 1024);
@@ -86,6 +90,7 @@
       coldBurstFactor: 1.5,
       coldSlack: 5,
       onTargetRemoved: () => undefined,
+      shareLimit: (notice) => this.notices.push(notice),
     });
     const { pool, sender } = this;
     const prober = new TargetProber({
--- a/packages/vm/src/messages/registryMessages.ts
+++ b/packages/vm/src/messages/registryMessages.ts
@@ -1,6 +1,7 @@
 import * as z from 'zod';
 
 import RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
+import RequestLimitNotice from '@guavayard/core/requestLimit/RequestLimitNotice';
 import Declaration from '@guavayard/core/registry/Declaration';
 import Name from '@guavayard/core/types/Name';
 
@@ -46,6 +47,16 @@
   z.strictObject({
     kind: z.literal('crashReport'), fingerprint: z.string(), isRelayed: z.boolean(),
   }),
+  /**
+   * Limits that targets name on the requests of all entries together. An entry tells the control VM
+   * that it follows, which relays them to the other control VMs; each control VM sends them to its
+   * subscribers.
+   */
+  z.strictObject({
+    kind: z.literal('requestLimits'),
+    notices: z.array(RequestLimitNotice),
+    isRelayed: z.boolean(),
+  }),
 ] as const;
 
 export default registryMessages;
--- a/packages/vm/src/registry/RegistryListener.ts
+++ b/packages/vm/src/registry/RegistryListener.ts
@@ -1,3 +1,5 @@
+import type RequestLimitNotice from '@guavayard/core/requestLimit/RequestLimitNotice';
+
 import type Roster from './Roster';
 
 /** Receives the updates that an entry gets from control. */
@@ -8,6 +10,8 @@
   onRosterChange: (roster: Roster) => void;
   /** Another entry has reported that a target crashed while it ran a request. */
   onCrash: (fingerprint: string) => void;
+  /** Other entries have learnt the request limits of targets. */
+  onRequestLimits: (notices: readonly RequestLimitNotice[]) => void;
   /** The entry has switched to another control VM, or follows none. */
   onSourceChange: (controlName: string | undefined, reason: string) => void;
 }
--- a/packages/vm/src/registry/RegistryPublisher.ts
+++ b/packages/vm/src/registry/RegistryPublisher.ts
@@ -6,9 +6,11 @@
 import type VmSession from '../session/VmSession';
 import createVmLocation from './createVmLocation';
 import type RegistryStore from './RegistryStore';
+import RequestLimitBoard from './RequestLimitBoard';
 import type Roster from './Roster';
 import type VmLocation from './VmLocation';
 
+type RequestLimits = Extract<VmMessage, { kind: 'requestLimits' }>;
 type CrashReport = Extract<VmMessage, { kind: 'crashReport' }>;
 
 /**
@@ -20,6 +22,9 @@
 /** Time for which an encoded view is reused: it states how long targets stay cold, in ms. */
 const VIEW_REUSE_MS = 100;
 
+/** Time for which the request limits of targets are batched into one message, in milliseconds. */
+const LIMITS_BATCH_MS = 100;
+
 function encodeRoster({ controls, entries }: Roster): Buffer {
   return encodeFrame({
     kind: 'roster', controls: [...controls], entries: [...entries],
@@ -44,6 +49,10 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  private readonly limits: RequestLimitBoard;
+
+  private limitsTimer: NodeJS.Timeout | undefined;
+
   /**
    * @param store - the applied registry
    * @param isCurrent - returns whether this replica leads or receives messages from the leader
@@ -55,7 +64,9 @@
     private readonly isCurrent: () => boolean,
     private readonly relay: (message: VmMessage) => void,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.limits = new RequestLimitBoard(store);
+  }
 
   /** Locations of the entries subscribed to this VM. */
   get entries(): VmLocation[] {
@@ -72,6 +83,7 @@
       session.send({ kind: 'registryPulse', isCurrent: this.isCurrent() });
     }
     if (message.kind === 'crashReport') this.broadcastCrash(session, message);
+    if (message.kind === 'requestLimits') this.recordLimits(message);
     if (message.kind !== 'registrySubscribe') return;
     if (!this.isCurrent()) {
       session.send({ kind: 'registryPulse', isCurrent: false });
@@ -82,6 +94,8 @@
     this.subscribers.add(session);
     session.sendFrame(this.encodeView());
     session.sendFrame(this.rosterFrame);
+    const notices = this.limits.list();
+    if (notices.length > 0) session.send({ kind: 'requestLimits', notices, isRelayed: true });
   }
 
   onClose(session: VmSession): void {
@@ -129,6 +143,20 @@
     if (!report.isRelayed) this.relay(relayed);
   }
 
+  private recordLimits({ notices, isRelayed }: RequestLimits): void {
+    notices.forEach((notice) => this.limits.record(notice, isRelayed));
+    this.limitsTimer ??= setTimeout(() => this.flushLimits(), LIMITS_BATCH_MS);
+  }
+
+  private flushLimits(): void {
+    this.limitsTimer = undefined;
+    const { all, own } = this.limits.collect();
+    if (all.length > 0) {
+      this.broadcast({ kind: 'requestLimits', notices: [...all], isRelayed: true });
+    }
+    if (own.length > 0) this.relay({ kind: 'requestLimits', notices: [...own], isRelayed: true });
+  }
+
   private flush(): void {
     clearTimeout(this.timer);
     this.timer = undefined;
--- a/packages/vm/src/registry/RegistrySubscription.ts
+++ b/packages/vm/src/registry/RegistrySubscription.ts
@@ -1,4 +1,5 @@
 import type Declaration from '@guavayard/core/registry/Declaration';
+import type RequestLimitNotice from '@guavayard/core/requestLimit/RequestLimitNotice';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import type Clock from '@guavayard/core/types/Clock';
 
@@ -93,6 +94,11 @@
     this.source?.send({ kind: 'crashReport', fingerprint, isRelayed: false });
   }
 
+  /** Tells the other entries of the request limit of a target, if there is a source. */
+  shareLimit(notice: RequestLimitNotice): void {
+    this.source?.send({ kind: 'requestLimits', notices: [notice], isRelayed: false });
+  }
+
   /** Stops following control. */
   close(): void {
     this.isClosed = true;
@@ -115,6 +121,7 @@
     if (session !== this.source) return;
     if (message.kind === 'registryUpdate') this.applyUpdate(message);
     if (message.kind === 'roster') this.applyRoster(message);
+    if (message.kind === 'requestLimits') this.options.listener.onRequestLimits(message.notices);
     if (message.kind === 'crashReport') this.options.listener.onCrash(message.fingerprint);
   }
 
--- a/packages/vm/src/session/frameLimits.ts
+++ b/packages/vm/src/session/frameLimits.ts
@@ -32,6 +32,7 @@
     keyDecision: MIB,
     keyOutcome: MIB,
     load: MIB,
+    requestLimits: MIB,
     targetsReleased: MIB,
   } as Readonly<Record<string, number>>,
   /** Maximum size of a frame between two control VMs, in bytes. */
--- a/packages/vm/test/publisher.test.ts
+++ b/packages/vm/test/publisher.test.ts
@@ -71,3 +71,49 @@
   nowMs += 100;
   assert.notEqual(subscribe(), changed);
 });
+
+test('request limits reach all entries and control VMs, and an entry that subscribes later', (t) => {
+  t.mock.timers.enable({ apis: ['setTimeout'] });
+  const store = new RegistryStore(() => 0, undefined, 0);
+  store.apply(1, {
+    kind: 'announce',
+    target: {
+      id: 'i-1',
+      service: 'lots',
+      address: '10.0.0.1:80',
+      dataCentre: 'cork',
+      slots: 2,
+      state: 'ready',
+      bornAtMs: 7,
+      sequence: 1,
+      coldLeftMs: 0,
+    },
+  }, true);
+  const relayed: VmMessage[] = [];
+  const publisher = new RegistryPublisher(
+    store,
+    () => true,
+    (message) => relayed.push(message),
+    () => 0,
+  );
+  const reporter = createSession();
+  publisher.onMessage(reporter.session, { kind: 'registrySubscribe' });
+  const notice = { targetId: 'i-1', bornAtMs: 7, requestsPerSecond: 1.5 };
+  const unknown = [{ ...notice, bornAtMs: 6 }, { ...notice, targetId: 'i-2' }];
+  publisher.onMessage(reporter.session, { kind: 'requestLimits', notices: [...unknown, notice], isRelayed: false });
+  t.mock.timers.tick(100);
+  const expected = { kind: 'requestLimits', notices: [notice], isRelayed: true };
+  assert.deepEqual(relayed, [expected]);
+  const frame = reporter.frames.at(-1)?.subarray(frameLayout.headerBytes) ?? Buffer.alloc(0);
+  assert.deepEqual(decode(frame), expected);
+  const late = createSession();
+  publisher.onMessage(late.session, { kind: 'registrySubscribe' });
+  assert.deepEqual(late.sent, ['registryView', 'roster', 'requestLimits']);
+  // A relayed notice is not relayed again, and a withdrawn limit is forgotten.
+  publisher.onMessage(reporter.session, { kind: 'requestLimits', notices: [{ targetId: 'i-1', bornAtMs: 7 }], isRelayed: true });
+  t.mock.timers.tick(100);
+  assert.equal(relayed.length, 1);
+  const later = createSession();
+  publisher.onMessage(later.session, { kind: 'registrySubscribe' });
+  assert.deepEqual(later.sent, ['registryView', 'roster']);
+});
--- a/packages/vm/test/subscription.test.ts
+++ b/packages/vm/test/subscription.test.ts
@@ -46,6 +46,7 @@
       onChange: () => undefined,
       onRosterChange: () => undefined,
       onCrash: () => undefined,
+      onRequestLimits: () => undefined,
       onSourceChange: (_control, reason) => reasons.push(reason),
     },
   });
--- a/packages/vm/test/support/RegistryGroup.ts
+++ b/packages/vm/test/support/RegistryGroup.ts
@@ -91,6 +91,7 @@
         onRosterChange: () => undefined,
         onSourceChange: () => undefined,
         onCrash,
+        onRequestLimits: () => undefined,
       },
     });
     subscription.start();
