Believe a refusal only if it names the request

Cause: a response marked as not run, or 421, was believed without a request id. With the id of another request it was refused already. Refusals of probes carry no id at all, so a copy of one is enough.

--- a/packages/gateway/src/classifyResponse.ts
+++ b/packages/gateway/src/classifyResponse.ts
@@ -24,9 +24,10 @@
   metadata: ResponseMetadata,
   requestId: string,
 ): Verdict {
-  if (metadata.requestId !== undefined && metadata.requestId !== requestId) return 'spoiled';
+  // Also a refusal must name the request: without an id it may be a copy of an earlier one.
+  if (metadata.requestId !== requestId) return 'spoiled';
   if (metadata.isMarkedNotRun || status === MISDIRECTED) return 'not-run';
-  if (metadata.requestId === undefined || metadata.isEncoded) return 'spoiled';
+  if (metadata.isEncoded) return 'spoiled';
   if (status >= FIRST_FAILURE_STATUS) return 'failed';
   return metadata.isSigned ? 'answered' : 'spoiled';
 }
