Refuse requests that come late in a planned stop and may outlast it

Cause: an entry took every request for 0.55 of the grace period, whatever time it might take. Fix: once the balancer has had the time to notice (2.5 s, at most 0.4 of the grace), only requests whose deadline or route timeout lies before the end of the process are taken; the others are refused at once as not run, to return to another entry. Decision: core/shutdown/mayFinishBeforeStop. Left: a request taken in the first 2.5 s that runs to the end of the grace is still cut off.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -41,6 +41,14 @@
  */
 const ACCEPTING_SHARE = 0.55;
 
+/**
+ * Longest time after the start of a stop in which requests are accepted that may outlast it, in
+ * milliseconds: until then the balancer may still send new connections.
+ */
+const ACCEPTS_ALL_MS = 2500;
+/** Upper bound of that time as a share of the grace period. */
+const ACCEPTS_ALL_SHARE = 0.4;
+
 function clock(): number {
   return performance.now();
 }
@@ -153,12 +161,17 @@
       requestLog.observer = (line) => metrics.observe(line);
     },
     stop: async () => {
-      const endsAtMs = clock() + bounds.graceSeconds * MS_PER_SECOND - GRACE_MARGIN_MS;
+      const graceMs = bounds.graceSeconds * MS_PER_SECOND;
+      const endsAtMs = clock() + graceMs - GRACE_MARGIN_MS;
+      handler.startStopping({
+        acceptsAllUntilMs: clock() + Math.min(ACCEPTS_ALL_MS, graceMs * ACCEPTS_ALL_SHARE),
+        endsAtMs,
+      });
       isStopping = true;
       clearInterval(keepAliveTimer);
       caller.startDraining();
       log.info({ waiting: placement.waiting }, 'not ready any more');
-      await sleep(bounds.graceSeconds * MS_PER_SECOND * ACCEPTING_SHARE);
+      await sleep(graceMs * ACCEPTING_SHARE);
       await Promise.race([caller.stop(), sleep(Math.max(0, endsAtMs - clock()))]);
     },
   });
--- /dev/null
+++ b/packages/core/src/shutdown/StopWindow.ts
@@ -0,0 +1,9 @@
+/** Times of a planned stop, in milliseconds of the monotonic clock. */
+interface StopWindow {
+  /** Until then, every request is accepted: the balancer may not have noticed the stop yet. */
+  readonly acceptsAllUntilMs: number;
+  /** When the process ends, and with it all requests that have no response. */
+  readonly endsAtMs: number;
+}
+
+export default StopWindow;
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -5,8 +5,11 @@
 import checkFraming from '@guavayard/caller/checkFraming';
 import ReplayableBody from '@guavayard/caller/ReplayableBody';
 import fail from '@guavayard/core/errors/fail';
+import type ErrorKind from '@guavayard/core/errors/ErrorKind';
 import type Failure from '@guavayard/core/errors/Failure';
 import matchDeclaredRoute from '@guavayard/core/placement/matchDeclaredRoute';
+import mayFinishBeforeStop from '@guavayard/core/shutdown/mayFinishBeforeStop';
+import type StopWindow from '@guavayard/core/shutdown/StopWindow';
 import WeightedRoundRobin from '@guavayard/core/placement/WeightedRoundRobin';
 import createFingerprint from '@guavayard/core/quarantine/createFingerprint';
 import type Declaration from '@guavayard/core/registry/Declaration';
@@ -21,11 +24,23 @@
  * to the same length spreads callers that were refused together.
  */
 const RETRY_AFTER_MS = 300;
+/**
+ * Retry delay for a caller whose request was refused by an entry that stops, in milliseconds, with
+ * jitter as above. It is short, because the caller reaches another entry.
+ */
+const STOPPING_RETRY_AFTER_MS = 30;
+/** Retry delays by the reason of the refusal; the others say none. */
+const RETRY_DELAYS: Partial<Record<ErrorKind, number>> = {
+  noConfiguration: RETRY_AFTER_MS,
+  shuttingDown: STOPPING_RETRY_AFTER_MS,
+};
 
 /** Serves callers' requests according to the declaration in force. */
 export default class GatewayHandler {
   private readonly split = new WeightedRoundRobin();
 
+  private stop: StopWindow | undefined;
+
   /**
    * @param dependencies - the components of the entry that exchanges use
    * @param declaration - returns the declaration in force, undefined as long as none is known
@@ -48,8 +63,8 @@
       return;
     }
     const { requestId } = this.dependencies.dialect.readRequest(req);
-    const retryAfterMs = request.val.kind === 'noConfiguration'
-      ? RETRY_AFTER_MS * (1 + Math.random()) : undefined;
+    const delayMs = RETRY_DELAYS[request.val.kind];
+    const retryAfterMs = delayMs === undefined ? undefined : delayMs * (1 + Math.random());
     const response = this.dependencies.dialect
       .createFailureResponse(request.val, requestId, retryAfterMs);
     res.writeHead(response.status, response.headers);
@@ -65,6 +80,11 @@
     new ReplayableBody(req, false).discard();
   }
 
+  /** Refuses, from now on, requests that would outlast a planned stop. */
+  startStopping(stop: StopWindow): void {
+    this.stop = stop;
+  }
+
   private accept(req: IncomingMessage): Result<GatewayRequest, Failure> {
     const declaration = this.declaration();
     if (declaration === undefined) return fail('noConfiguration');
@@ -89,6 +109,10 @@
     }
     const arrivedAtMs = this.dependencies.clock();
     const callerDeadlineMs = arrivedAtMs + (remainingMs ?? Infinity);
+    const deadlineMs = Math.min(callerDeadlineMs, arrivedAtMs + route.timeoutMs);
+    if (this.stop !== undefined && !mayFinishBeforeStop(this.stop, deadlineMs, arrivedAtMs)) {
+      return fail('shuttingDown', 'the request may outlast the stop');
+    }
     return Ok({
       req,
       requestId,
@@ -101,7 +125,7 @@
       version: declaration.version,
       arrivedAtMs,
       callerDeadlineMs,
-      deadlineMs: Math.min(callerDeadlineMs, arrivedAtMs + route.timeoutMs),
+      deadlineMs,
     });
   }
 }
--- a/packages/vm/test/support/RegistryGroup.ts
+++ b/packages/vm/test/support/RegistryGroup.ts
@@ -1,5 +1,4 @@
 import { once } from 'node:events';
-import { createServer, type AddressInfo } from 'node:net';
 import { performance } from 'node:perf_hooks';
 
 import { createLogger } from 'bunyan';
@@ -7,6 +6,7 @@
 import createDurableState from '@guavayard/core/consensus/createDurableState';
 import type DurableState from '@guavayard/core/consensus/DurableState';
 
+import reservePort from '../../../../test/support/reservePort';
 import RegistrySubscription from '../../src/registry/RegistrySubscription';
 import RegistryTask from '../../src/registry/RegistryTask';
 import type VmIdentity from '../../src/session/VmIdentity';
@@ -31,15 +31,6 @@
   return performance.now();
 }
 
-async function findPort(): Promise<number> {
-  const server = createServer().listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
-}
-
 /** A group of control VMs and entries for tests, each with its own loopback address. */
 export default class RegistryGroup {
   readonly controls: Control[] = [];
@@ -54,7 +45,7 @@
     requiredVoters = size,
     ready: Promise<void> = Promise.resolve(),
   ): Promise<void> {
-    this.port = await findPort();
+    this.port = await reservePort();
     const names = Array.from({ length: size }, (_, index) => `127.0.0.${index + 2}`);
     const founders = names.map((name) => `${name}#00`);
     for (let index = 0; index < size; index += 1) {
@@ -65,7 +56,7 @@
 
   /** Starts the only control VM of a group with the given disk contents, as after a restart. */
   async restart(disk: Pick<DurableState, 'term' | 'log'>): Promise<void> {
-    this.port = await findPort();
+    this.port = await reservePort();
     await this.startControl('127.0.0.2', '127.0.0.2#00', ['127.0.0.2#00'], 1, Promise.resolve(), disk);
   }
 
