Keep the roster of entries over a change of leader

A new leader forgot all entries and published those that reported first; for up to a second every entry took a larger share, in sum more than the limit.

--- a/packages/vm/src/registry/PresenceTable.ts
+++ b/packages/vm/src/registry/PresenceTable.ts
@@ -36,10 +36,16 @@
     entries.forEach((location) => this.presenceByEntry.set(location.name, { location, seenAtMs }));
   }
 
-  /** Clears all contacts, so that every timeout starts anew, for instance on a new leader. */
-  reset(): void {
+  /**
+   * Starts every timeout anew, for instance on a new leader. Entries divide limits by the number of
+   * entries in the roster, so it must not shrink until those that are gone have timed out.
+   *
+   * @param entries - the entries of the last roster
+   */
+  reset(entries: readonly VmLocation[]): void {
     this.targetsSeenAtMs.clear();
     this.presenceByEntry.clear();
+    this.recordContact([], entries);
   }
 
   /** @returns the entries with a recent subscription, sorted by name */
--- a/packages/vm/src/registry/RegistryPublisher.ts
+++ b/packages/vm/src/registry/RegistryPublisher.ts
@@ -75,6 +75,11 @@
     ));
   }
 
+  /** Locations of all entries of the system, as the last roster lists them. */
+  get knownEntries(): readonly VmLocation[] {
+    return this.roster.entries;
+  }
+
   onOpen(): void {}
 
   onMessage(session: VmSession, message: VmMessage): void {
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -84,7 +84,7 @@
         },
         onLeaderChange: (leader) => {
           options.log.info({ leader, term: this.consensus.term }, 'leader changed');
-          this.presence.reset();
+          this.presence.reset(this.publisher.knownEntries);
           this.publisher.sendPulses();
         },
         createSnapshot: (): ConfigurationSnapshot => ({
--- a/packages/vm/test/registry.test.ts
+++ b/packages/vm/test/registry.test.ts
@@ -205,7 +205,7 @@
   presence.recordContact(['t-1'], []);
   nowMs = 1500;
   assert.deepEqual(presence.findExpiredTargets(state), ['t-1']);
-  presence.reset();
+  presence.reset([]);
   assert.deepEqual(presence.findExpiredTargets(state), []);
   nowMs = 2400;
   assert.deepEqual(presence.findExpiredTargets(state), []);
