Refuse on arrival what the limits of the targets allow too late

Cause: after a search that found no slot only the first queued request searches, and the decision on limits was made in the search. Fix: it is made on arrival. Test: 'of requests that wait for a limit ...', failed before (no status in place of 503).

--- a/packages/gateway/src/PlacementQueue.ts
+++ b/packages/gateway/src/PlacementQueue.ts
@@ -112,7 +112,9 @@
       if (!queued.isDone && !queued.isSearching) this.search(queued);
     }, Math.min(targetLatencyMs * WAIT_LIMIT_SHARE, longestWaitMs));
     this.enqueue(queued);
-    this.startSearches();
+    // Decided on arrival, as the requests ahead may keep this one from searching until it is late.
+    if (this.findEligible(request).length === 0) this.awaitLimit(queued);
+    else this.startSearches();
     return () => this.remove(queued);
   }
 
@@ -151,11 +153,14 @@
       .forEach((queued) => this.search(queued));
   }
 
+  private findEligible({ service, homeRegions, triedIds }: PlacementRequest): PlacedTarget[] {
+    return this.options.pool.findEligible(service, homeRegions, triedIds);
+  }
+
   private search(queued: QueuedRequest): void {
     const state = queued;
     const { request } = queued;
-    const eligible = this.options.pool
-      .findEligible(request.service, request.homeRegions, request.triedIds);
+    const eligible = this.findEligible(request);
     if (eligible.length === 0) {
       this.awaitLimit(queued);
       return;
@@ -301,11 +306,10 @@
     targets: readonly PlacedTarget[],
     maxCost: number,
   ): boolean {
-    const { pool, clock } = this.options;
+    const { clock } = this.options;
     const { request } = queued;
     const nowMs = clock();
-    const eligible = new Set(pool
-      .findEligible(request.service, request.homeRegions, request.triedIds));
+    const eligible = new Set(this.findEligible(request));
     let best: PlacedTarget | undefined;
     let bestCost = maxCost;
     targets.forEach((target) => {
--- a/packages/gateway/test/requestLimits.test.ts
+++ b/packages/gateway/test/requestLimits.test.ts
@@ -42,6 +42,23 @@
   assert.deepEqual(refused.map(({ headers }) => Number(headers['retry-after'])), [2000, 4000]);
 });
 
+test('of requests that wait for a limit, those that it allows too late are refused on arrival', (t) => {
+  const rig = createRig(t);
+  const target = rig.addTarget('a', { limit: 8, workMs: 20, running: 2 });
+  // After a search that found no slot, one request searches at a time.
+  rig.request();
+  rig.run(300);
+  target.running = 0;
+  [undefined, 8].forEach((requestsPerSecond) => {
+    rig.pool.recordLimitNotices([{ targetId: 'a', bornAtMs: 1, requestsPerSecond }]);
+  });
+  const first = rig.request();
+  const second = rig.request();
+  assert.deepEqual([first.status, second.status], [undefined, 503]);
+  rig.run(200);
+  assert.equal(first.status, 200);
+});
+
 test('a request waits for the limit of a target if it allows one in time, by priority', (t) => {
   const rig = createRig(t);
   rig.addTarget('a', { limit: 4, workMs: 20 });
--- a/packages/vm/test/support/RegistryGroup.ts
+++ b/packages/vm/test/support/RegistryGroup.ts
@@ -6,7 +6,7 @@
 import createDurableState from '@guavayard/core/consensus/createDurableState';
 import type DurableState from '@guavayard/core/consensus/DurableState';
 
-import reservePort from '../../../../test/support/reservePort';
+import reservePort from '@guavayard/emulator/reservePort';
 import RegistrySubscription from '../../src/registry/RegistrySubscription';
 import RegistryTask from '../../src/registry/RegistryTask';
 import type VmIdentity from '../../src/session/VmIdentity';
--- a/scripts/control/MeasuredSystem.ts
+++ b/scripts/control/MeasuredSystem.ts
@@ -1,7 +1,7 @@
 import OperatorClient from '@guavayard/operator/OperatorClient';
 
+import reservePort from '@guavayard/emulator/reservePort';
 import eventually from '../../test/support/eventually';
-import reservePort from '../../test/support/reservePort';
 import VmProcess from '../../test/support/VmProcess';
 
 const REGIONS = ['munster', 'leinster', 'connacht'];
--- a/test/support/ControlGroup.ts
+++ b/test/support/ControlGroup.ts
@@ -4,9 +4,9 @@
 import type ConfigurationEnforcement from '@guavayard/core/configuration/ConfigurationEnforcement';
 import OperatorClient from '@guavayard/operator/OperatorClient';
 
+import reservePort from '@guavayard/emulator/reservePort';
 import eventually from './eventually';
 import LinkRelay from './LinkRelay';
-import reservePort from './reservePort';
 import VmProcess from './VmProcess';
 
 const VM_COUNT = 3;
