--- a/packages/target/test/truncatedResponse.test.ts
+++ b/packages/target/test/truncatedResponse.test.ts
@@ -5,7 +5,7 @@
 
 import UndiciTargetSender from '../src/UndiciTargetSender';
 
-const HEADERS = 'x-request-id: r-1\r\nx-server-signature: s\r\n';
+const HEADERS = 'x-first: 1\r\nx-second: 2\r\n';
 const RESPONSES = {
   'with a length': `HTTP/1.1 200 OK\r\n${HEADERS}content-length: 12\r\n\r\nhello world!`,
   'with a length, on a connection that closes': `HTTP/1.1 200 OK\r\n${HEADERS}connection: close\r\ncontent-length: 12\r\n\r\nhello world!`,
