Log when an entry hears from no target of a service

A service of which several targets leave probes unanswered, with no answer of any since, is logged as unreachable, and its return too; an attempt line says whether its target had left a probe unanswered. Nothing acts on it yet.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -82,6 +82,7 @@
     onTargetRemoved: (address) => sender.closeConnections(address),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a response
     shareLimit: (notice) => subscription.shareLimit(notice),
+    defer: setImmediate,
   });
   const prober = new TargetProber({
     clock, sender, dialect, pool, probesPerSecond: bounds.probesPerSecond,
--- a/packages/gateway/src/Attempt.ts
+++ b/packages/gateway/src/Attempt.ts
@@ -11,6 +11,8 @@
   readonly load: number | undefined;
   readonly slowness: number | undefined;
   readonly loadAgeMs: number | undefined;
+  /** Whether the target had left a probe unanswered when it was selected. */
+  readonly wasSilent: boolean;
   /** Frees the slot; receives the duration if the request was answered. */
   readonly release: (durationMs?: number) => void;
   status: number | undefined;
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -171,6 +171,7 @@
       onHeaders: (status, headers) => {
         state.status = status;
         state.headers = headers;
+        this.dependencies.pool.reachability.recordAnswer(target);
         const metadata = this.dependencies.dialect.readResponse(headers);
         const isFramed = isFramedResponse(this.request.method, status, headers);
         // Without a length, a truncated response cannot be distinguished from a complete one.
--- a/packages/gateway/src/RequestLog.ts
+++ b/packages/gateway/src/RequestLog.ts
@@ -17,6 +17,8 @@
   readonly slowness: number | undefined;
   /** Age of that report at the selection, in milliseconds. */
   readonly loadAgeMs: number | undefined;
+  /** Whether it had left a probe unanswered when it was selected. */
+  readonly wasSilent?: boolean;
   readonly outcome: string;
   readonly ms: number;
 }
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -10,6 +10,7 @@
 import type RequestLimitNotice from '@guavayard/core/requestLimit/RequestLimitNotice';
 
 import type EntryLocation from './EntryLocation';
+import ReachabilityTracker from './ReachabilityTracker';
 import RequestLimitTracker from './RequestLimitTracker';
 
 /** Shortest remaining warm-up time that is logged, in milliseconds. */
@@ -28,6 +29,8 @@
   readonly onTargetRemoved: (address: string) => void;
   /** Tells the other entries of the request limit of a target. */
   readonly shareLimit: (notice: RequestLimitNotice) => void;
+  /** Runs a function after pending network events. */
+  readonly defer: (run: () => void) => void;
 }
 
 /** Table of the targets that this entry knows; selects those that may receive a request. */
@@ -43,6 +46,9 @@
   /** Request limits of the targets. */
   readonly limits: RequestLimitTracker;
 
+  /** Which services have targets that answer this entry. */
+  readonly reachability: ReachabilityTracker;
+
   private limitContext = '';
 
   constructor(private readonly options: TargetPoolOptions) {
@@ -52,6 +58,12 @@
       entryName: options.location.name,
       share: options.shareLimit,
     });
+    this.reachability = new ReachabilityTracker({
+      clock: options.clock,
+      log: options.log,
+      countTargets: (service) => this.countServing(service),
+      defer: options.defer,
+    });
   }
 
   /** Number of entries that are known to serve, including this one. */
@@ -207,6 +219,12 @@
     return maySendToColdTarget(target, limit, location.name, nowMs);
   }
 
+  /** Counts the targets of a service that would receive requests if all of them answered. */
+  private countServing(service: string): number {
+    return [...this.targets.values()].filter(({ record }) => record.service === service
+      && record.state === 'ready' && !this.evacuated.has(record.dataCentre)).length;
+  }
+
   /** Updates what determines the shares of request limits, if it has changed. */
   private updateLimitContext(): void {
     const regionsOf = new Map<string, Set<string>>();
@@ -248,6 +266,8 @@
   private remove(id: string): void {
     const known = this.targets.get(id);
     this.targets.delete(id);
-    if (known !== undefined) this.options.onTargetRemoved(known.record.address);
+    if (known === undefined) return;
+    this.reachability.forget(known);
+    this.options.onTargetRemoved(known.record.address);
   }
 }
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -110,6 +110,7 @@
     this.count += 1;
     state.probeWaiters = [];
     state.lastSentAtMs = sentAtMs;
+    this.options.pool.reachability.recordProbe(target);
     let isDone = false;
     let receivedBytes = 0;
     let timer: NodeJS.Timeout | undefined;
@@ -133,6 +134,7 @@
       onFailure: (failure) => {
         state.reading = undefined;
         state.unansweredProbes += 1;
+        this.options.pool.reachability.recordFailure(target);
         if (failure.kind === 'targetUnreachable') state.ejectedUntilMs = clock() + UNREACHABLE_EJECTION_MS;
         finish();
       },
@@ -158,6 +160,7 @@
     const { pool, clock, dialect } = this.options;
     const state = target;
     state.unansweredProbes = 0;
+    pool.reachability.recordAnswer(target);
     state.idleTimeoutMs = parseKeepAliveTimeout(headers['keep-alive']);
     const {
       targetId, load, coldLeftMs, requestLimit,
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -23,6 +23,7 @@
     load: reading === undefined ? undefined : estimateLoad(target, nowMs) - 1,
     slowness: reading?.slowness,
     loadAgeMs: reading === undefined ? undefined : nowMs - reading.atMs,
+    wasSilent: target.unansweredProbes > 0 || target.probeWaiters !== undefined,
     release,
     status: undefined,
     headers: {},
--- a/packages/gateway/src/describeAttempt.ts
+++ b/packages/gateway/src/describeAttempt.ts
@@ -26,6 +26,7 @@
     load: attempt.load,
     slowness: attempt.slowness,
     loadAgeMs: loadAgeMs === undefined ? undefined : Math.round(loadAgeMs),
+    ...(attempt.wasSilent ? { wasSilent: true } : {}),
     outcome: failure === undefined ? `${verdict} ${status}` : `${verdict} ${failure.detail || failure.kind}`,
     ms: Math.round(nowMs - attempt.startedAtMs),
   };
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -91,6 +91,7 @@
       coldSlack: 5,
       onTargetRemoved: () => undefined,
       shareLimit: (notice) => this.notices.push(notice),
+      defer: (run) => setTimeout(run, 0),
     });
     const { pool, sender } = this;
     const prober = new TargetProber({
