--- a/packages/caller/src/ReplayableBody.ts
+++ b/packages/caller/src/ReplayableBody.ts
@@ -1,6 +1,7 @@
-import type { IncomingMessage } from 'node:http';
 import { Readable } from 'node:stream';
 
+import type InboundRequest from '@guavayard/core/dispatch/InboundRequest';
+
 /** Maximum size of a body that is buffered for retries, in bytes. */
 const MAX_RECORDED_BYTES = 64 * 1024;
 /** Maximum remainder of a body that is read and discarded after the response, in bytes. */
@@ -21,7 +22,8 @@
 
   private isRecording: boolean;
 
-  private readonly hasBody: boolean;
+  /** Whether the request has a body. */
+  readonly hasBody: boolean;
 
   private current: Readable | undefined;
 
@@ -31,7 +33,7 @@
    * @param req - the caller's request
    * @param mayRecord - false if the body must not be buffered
    */
-  constructor(private readonly req: IncomingMessage, mayRecord: boolean) {
+  constructor(private readonly req: Pick<InboundRequest, 'headers' | 'complete'> & Readable, mayRecord: boolean) {
     this.isRecording = mayRecord;
     this.hasBody = req.headers['transfer-encoding'] !== undefined
       || Number(req.headers['content-length'] ?? 0) > 0;
--- a/packages/caller/src/checkFraming.ts
+++ b/packages/caller/src/checkFraming.ts
@@ -14,7 +14,7 @@
  * @returns nothing, or the failure if the request is rejected
  */
 export default function checkFraming(
-  req: IncomingMessage,
+  req: Pick<IncomingMessage, 'headers'>,
   maxBodyBytes: number,
 ): Result<undefined, Failure> {
   const coding = req.headers['transfer-encoding'];
--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -8,6 +8,7 @@
 import CrashWatch from '@guavayard/gateway/CrashWatch';
 import GatewayHandler from '@guavayard/gateway/GatewayHandler';
 import Placement from '@guavayard/gateway/Placement';
+import RelayAdmission from '@guavayard/gateway/RelayAdmission';
 import RequestLog from '@guavayard/gateway/RequestLog';
 import TargetPool from '@guavayard/gateway/TargetPool';
 import TargetProber from '@guavayard/gateway/TargetProber';
@@ -15,6 +16,8 @@
 import ReadinessApi from '@guavayard/platform/ReadinessApi';
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
 import RegistrySubscription from '@guavayard/vm/registry/RegistrySubscription';
+import RelayClient from '@guavayard/vm/relay/RelayClient';
+import RelayServer from '@guavayard/vm/relay/RelayServer';
 
 import listen from '../run/listen';
 import type GatewayContext from './GatewayContext';
@@ -70,7 +73,10 @@
     settings, identity, hub, log, errors, seeds,
   } = context;
   const { bounds, regions } = settings;
-  const sender = new UndiciTargetSender({ keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS });
+  const sender = new UndiciTargetSender({
+    keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
+    localAddress: settings.vm.bindsToIp ? settings.vm.ip : undefined,
+  });
   const dialect = new PlatformDialect();
   const pool = new TargetPool({
     clock,
@@ -83,6 +89,8 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a response
     shareLimit: (notice) => subscription.shareLimit(notice),
     defer: setImmediate,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a probe
+    onSilence: () => prober.startVerifying(),
   });
   const prober = new TargetProber({
     clock, sender, dialect, pool, probesPerSecond: bounds.probesPerSecond,
@@ -123,6 +131,13 @@
     },
   });
   const requestLog = new RequestLog(log, clock);
+  const relay = new RelayClient({
+    hub,
+    identity,
+    clock,
+    entries: () => subscription.roster.entries,
+    onRefusal: (entry, reason) => log.info({ entry, reason }, 'entry does not take a request'),
+  });
   const handler = new GatewayHandler({
     clock,
     dialect,
@@ -133,8 +148,17 @@
     crashes,
     log: requestLog,
     responseBytes: new ByteBudget(RESPONSE_BUFFER_BYTES),
+    relay,
   }, () => subscription.declaration);
   const caller = new CallerListener(handler, { onError: (err) => errors.report(err, 'request') });
+  const admission = new RelayAdmission({
+    pool, prober, version: () => subscription.declaration?.version,
+  });
+  const relayServer = new RelayServer({
+    hub,
+    decide: (service, version, respond) => admission.decide(service, version, respond),
+    serve: (request) => handler.handleRelayed(request),
+  });
   let isStopping = false;
   const readiness = new ReadinessApi(() => subscription.declaration !== undefined && !isStopping);
   const callersBound = await listen(caller.server, callersAddress, 'callers', log);
@@ -155,6 +179,7 @@
       probes: prober.count,
       targets: pool.targetCount,
       limitedTargets: pool.limitedCount,
+      unreachableServices: pool.reachability.unreachableCount,
       version: subscription.declaration?.version ?? 0,
       isCurrent: subscription.isFollowing,
     }),
@@ -169,11 +194,16 @@
         endsAtMs,
       });
       isStopping = true;
+      relayServer.startStopping();
       clearInterval(keepAliveTimer);
       caller.startDraining();
       log.info({ waiting: placement.waiting }, 'not ready any more');
       await sleep(graceMs * ACCEPTING_SHARE);
-      await Promise.race([caller.stop(), sleep(Math.max(0, endsAtMs - clock()))]);
+      await Promise.race([
+        Promise.all([caller.stop(), relayServer.awaitIdle()]),
+        sleep(Math.max(0, endsAtMs - clock())),
+      ]);
+      relay.close();
     },
   });
 }
--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -71,6 +71,7 @@
       probes: 0,
       targets: task.targetCount,
       limitedTargets: 0,
+      unreachableServices: 0,
       version: task.version,
       isCurrent: task.isCurrent,
     }),
--- a/packages/cli/src/settings/GatewaySettings.ts
+++ b/packages/cli/src/settings/GatewaySettings.ts
@@ -17,6 +17,8 @@
     ip: z.ipv4(),
     region: Name,
     dataCentre: Name,
+    /** Whether connections to targets are opened from `ip`, so that targets can tell VMs apart. */
+    bindsToIp: z.boolean().default(false),
     /** Port for sessions between VMs, the same on all VMs. */
     sessionPort: Port,
     /** Control VMs through which the other VMs are discovered; only the IP addresses are used. */
--- a/packages/core/src/errors/errorTable.ts
+++ b/packages/core/src/errors/errorTable.ts
@@ -169,6 +169,20 @@
     retryable: false,
     text: 'the request crashed the targets that ran it',
   },
+  targetsUnreachable: {
+    code: 31,
+    status: 503,
+    outcome: 'not-run',
+    retryable: true,
+    text: 'this VM cannot reach the targets, and no other entry takes the request',
+  },
+  relayFailed: {
+    code: 32,
+    status: 502,
+    outcome: 'unknown',
+    retryable: false,
+    text: 'the entry that the request was relayed to did not complete it',
+  },
 } as const satisfies Readonly<Record<string, ErrorDefinition>>;
 
 export default errorTable;
--- a/packages/core/src/placement/PlacedTarget.ts
+++ b/packages/core/src/placement/PlacedTarget.ts
@@ -18,6 +18,8 @@
   /** End of the ejection of the target, which failed too often; it gets no requests before. */
   ejectedUntilMs: number;
   ejections: number;
+  /** Until when the target is not considered, as it did not answer; an answer ends it. */
+  unreachableUntilMs: number;
   /** Share of failures among recent responses, from 0 to 1. */
   failureShare: number;
   /** Share of recent requests that the target refused to run, from 0 to 1, at `rejectShareAtMs`. */
@@ -29,6 +31,10 @@
   isUnhealthy: boolean;
   /** Consecutive probes without a response. */
   unansweredProbes: number;
+  /** When the probe in progress was sent, in milliseconds; undefined if there is none. */
+  probeSentAtMs: number | undefined;
+  /** When the target last answered a request or a probe, in milliseconds. */
+  lastAnswerAtMs: number;
   /** When a request or probe was last sent to the target, in milliseconds. */
   lastSentAtMs: number;
   /** When the target was last considered for a request, in milliseconds. */
--- /dev/null
+++ b/packages/core/src/relay/RelayRequest.ts
@@ -0,0 +1,18 @@
+import type { Readable } from 'node:stream';
+
+import type RelayedHead from './RelayedHead';
+
+/** A request that is to be relayed to another entry. */
+interface RelayRequest {
+  readonly head: Omit<RelayedHead, 'remainingMs'>;
+  /** Version of the declaration by which the request was matched. */
+  readonly version: number;
+  /** Its deadline, in milliseconds of the monotonic clock. */
+  readonly deadlineMs: number;
+  /** The only regions to which the request may be sent; undefined if every region may get it. */
+  readonly homeRegions: readonly string[] | undefined;
+  /** Opens the body, once another entry has agreed to serve the request. */
+  readonly openBody: () => Readable | null;
+}
+
+export default RelayRequest;
--- /dev/null
+++ b/packages/core/src/relay/rankPeers.ts
@@ -0,0 +1,57 @@
+import rankMember from '../ownership/rankMember';
+import type EntryPeer from './EntryPeer';
+import relayLimits from './relayLimits';
+
+interface PeerContext {
+  /** This entry. */
+  readonly own: EntryPeer;
+  /** The only regions to which the request may be sent; undefined if every region may get it. */
+  readonly homeRegions: readonly string[] | undefined;
+  /** Until when entries that refused or did not answer are left out, in ms, by name. */
+  readonly avoidedUntilMs: ReadonlyMap<string, number>;
+  /** Relayed requests of this entry in progress, by name of the entry that serves them. */
+  readonly inProgress: ReadonlyMap<string, number>;
+  readonly nowMs: number;
+}
+
+function distance(own: EntryPeer, peer: EntryPeer): number {
+  if (peer.dataCentre === own.dataCentre) return 0;
+  return peer.region === own.region ? 1 : 2;
+}
+
+/**
+ * Ranks the entries that may be asked to serve a request of this entry: near ones first, and a few
+ * of each data centre, as a data centre may be cut off as a whole. A hash of both names makes
+ * different entries prefer different ones, so that those cut off together spread over the others.
+ *
+ * @param entries - the entries of the system
+ * @param context - what decides for this request
+ * @returns the entries to ask, in order
+ */
+export default function rankPeers<Peer extends EntryPeer>(
+  entries: readonly Peer[],
+  context: PeerContext,
+): Peer[] {
+  const {
+    own, homeRegions, avoidedUntilMs, inProgress, nowMs,
+  } = context;
+  const ranked = entries
+    .filter(({ name, region }) => name !== own.name
+      && (homeRegions === undefined || homeRegions.includes(region))
+      && (avoidedUntilMs.get(name) ?? -Infinity) <= nowMs)
+    .map((peer) => ({
+      peer, distance: distance(own, peer), rank: rankMember(peer.name, own.name),
+    }))
+    .sort((a, b) => a.distance - b.distance || b.rank - a.rank);
+  const { preferredPerDataCentre, askedPerDataCentre, maxAsked } = relayLimits;
+  const byDataCentre = new Map<string, Peer[]>();
+  ranked.forEach(({ peer }) => {
+    const preferred = byDataCentre.get(peer.dataCentre) ?? [];
+    if (preferred.length < preferredPerDataCentre) preferred.push(peer);
+    byDataCentre.set(peer.dataCentre, preferred);
+  });
+  const load = ({ name }: Peer): number => inProgress.get(name) ?? 0;
+  return [...byDataCentre.values()]
+    .flatMap((peers) => peers.sort((a, b) => load(a) - load(b)).slice(0, askedPerDataCentre))
+    .slice(0, maxAsked);
+}
--- /dev/null
+++ b/packages/core/src/relay/relayLimits.ts
@@ -0,0 +1,31 @@
+/** Bounds of the requests that entries relay to each other. */
+const relayLimits = {
+  /** Entries of one data centre among which an entry chooses, so that few sessions are opened. */
+  preferredPerDataCentre: 3,
+  /** Entries of one data centre that are asked for one request. */
+  askedPerDataCentre: 2,
+  /** Entries that are asked for one request. */
+  maxAsked: 6,
+  /** Longest wait for the consent of an entry in the same region, in milliseconds. */
+  nearAskMs: 60,
+  /** Longest wait for the consent of an entry in another region, in milliseconds. */
+  farAskMs: 120,
+  /** Added to these waits while the session is not open yet, in milliseconds. */
+  connectMs: 100,
+  /** Time for which an entry that refused or did not answer is not asked again, in ms. */
+  avoidMs: 1000,
+  /** Time without a relayed request after which the session to an entry is closed, in ms. */
+  idleSessionMs: 10_000,
+  /** Least remaining time with which a request is relayed, in milliseconds. */
+  minRemainingMs: 30,
+  /** Taken from the remaining time, so that the other entry answers before this one gives up. */
+  marginMs: 10,
+  /** Relayed requests that one entry serves at the same time. */
+  maxServed: 256,
+  /** Largest part of a body in one message, in bytes. */
+  chunkBytes: 16 * 1024,
+  /** Bytes of a body that may be under way before the receiver has consumed them. */
+  windowBytes: 64 * 1024,
+} as const;
+
+export default relayLimits;
--- /dev/null
+++ b/packages/core/test/relay.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import type EntryPeer from '../src/relay/EntryPeer';
+import rankPeers from '../src/relay/rankPeers';
+import relayLimits from '../src/relay/relayLimits';
+
+const REGIONS = {
+  cork: 'munster', yard: 'munster', dublin: 'leinster', galway: 'connacht',
+};
+
+function createEntries(perDataCentre: number): EntryPeer[] {
+  return Object.entries(REGIONS).flatMap(([dataCentre, region]) => (
+    Array.from({ length: perDataCentre }, (_, index) => (
+      { name: `${dataCentre}-${index}`, region, dataCentre }))));
+}
+
+type Context = Parameters<typeof rankPeers>[1];
+
+function createContext(own: EntryPeer, change: Partial<Context> = {}): Context {
+  return {
+    own,
+    homeRegions: undefined,
+    avoidedUntilMs: new Map(),
+    inProgress: new Map(),
+    nowMs: 0,
+    ...change,
+  };
+}
+
+const entries = createEntries(5);
+const [own] = entries as [EntryPeer];
+
+test('near entries are asked first, and those of several data centres', () => {
+  const asked = rankPeers(entries, createContext(own)).map(({ dataCentre }) => dataCentre);
+  assert.equal(asked.length, relayLimits.maxAsked);
+  assert.deepEqual(asked.slice(0, 4), ['cork', 'cork', 'yard', 'yard']);
+  assert.ok(!rankPeers(entries, createContext(own)).some(({ name }) => name === own.name));
+});
+
+test('a request with home regions is sent nowhere else', () => {
+  const asked = rankPeers(entries, createContext(own, { homeRegions: ['leinster'] }));
+  assert.deepEqual(new Set(asked.map(({ region }) => region)), new Set(['leinster']));
+});
+
+test('an entry that refused is left out until its time is over', () => {
+  const [first] = rankPeers(entries, createContext(own)) as [EntryPeer];
+  const avoidedUntilMs = new Map([[first.name, 1000]]);
+  const names = (nowMs: number): string[] => (
+    rankPeers(entries, createContext(own, { avoidedUntilMs, nowMs })).map(({ name }) => name));
+  assert.ok(!names(999).includes(first.name));
+  assert.ok(names(1000).includes(first.name));
+});
+
+test('of the preferred entries, the one with the fewest requests is asked first', () => {
+  const [first, second] = rankPeers(entries, createContext(own)) as [EntryPeer, EntryPeer];
+  const inProgress = new Map([[first.name, 3], [second.name, 2]]);
+  const [next] = rankPeers(entries, createContext(own, { inProgress }));
+  assert.ok(next !== undefined && next.name !== first.name && next.name !== second.name);
+});
+
+test('the entries of a data centre that is cut off as a whole spread over the others', () => {
+  const large = createEntries(35);
+  const cut = large.filter(({ dataCentre }) => dataCentre === 'cork');
+  const avoidedUntilMs = new Map(cut.map(({ name }) => [name, 1000]));
+  const counts = new Map<string, number>();
+  cut.forEach((entry) => {
+    const [first] = rankPeers(large, createContext(entry, { avoidedUntilMs }));
+    counts.set(first?.name ?? '', (counts.get(first?.name ?? '') ?? 0) + 1);
+    assert.equal(first?.dataCentre, 'yard');
+  });
+  assert.ok(Math.max(...counts.values()) <= 5, JSON.stringify([...counts]));
+});
--- a/packages/gateway/src/Dialect.ts
+++ b/packages/gateway/src/Dialect.ts
@@ -14,7 +14,7 @@
  * decisions.
  */
 interface Dialect {
-  readRequest: (req: IncomingMessage) => RequestMetadata;
+  readRequest: (req: Pick<IncomingMessage, 'headers'>) => RequestMetadata;
   /**
    * Creates the headers of the request to the target.
    *
--- a/packages/gateway/src/ExchangeDependencies.ts
+++ b/packages/gateway/src/ExchangeDependencies.ts
@@ -1,5 +1,6 @@
 import type TargetSender from '@guavayard/core/dispatch/TargetSender';
 import type ByteBudget from '@guavayard/core/limits/ByteBudget';
+import type RequestRelay from '@guavayard/core/relay/RequestRelay';
 import type Clock from '@guavayard/core/types/Clock';
 
 import type CrashWatch from './CrashWatch';
@@ -21,6 +22,8 @@
   readonly log: RequestLog;
   /** Bounds the response bytes that all exchanges of the entry buffer. */
   readonly responseBytes: ByteBudget;
+  /** Relays requests whose targets cannot be reached to other entries. */
+  readonly relay: RequestRelay;
 }
 
 export default ExchangeDependencies;
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -1,7 +1,6 @@
-import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
-
 import ReplayableBody from '@guavayard/caller/ReplayableBody';
 import type AnswerHandler from '@guavayard/core/dispatch/AnswerHandler';
+import type CallerReply from '@guavayard/core/dispatch/CallerReply';
 import type Dispatch from '@guavayard/core/dispatch/Dispatch';
 import errorTable from '@guavayard/core/errors/errorTable';
 import type Failure from '@guavayard/core/errors/Failure';
@@ -10,8 +9,10 @@
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import recordOutcome from '@guavayard/core/placement/recordOutcome';
 import recordRejection from '@guavayard/core/placement/recordRejection';
+import relayLimits from '@guavayard/core/relay/relayLimits';
 
 import type ResponseMetadata from './ResponseMetadata';
+import RelayAttempt from './RelayAttempt';
 import type Attempt from './Attempt';
 import createAttempt from './createAttempt';
 import describeAttempt from './describeAttempt';
@@ -26,12 +27,20 @@
 const MAX_BUFFERED_BYTES = 256 * 1024;
 /** Retry delay for a caller whose deadline passed before its request was sent, in milliseconds. */
 const RETRY_AFTER_MS = 250;
+const FIRST_FAILURE_STATUS = 300;
 /**
  * Retry delay for a caller whose request was refused by a target with a free slot, in milliseconds.
  * It is short because another entry selects another target, so there is nothing to wait for; random
  * jitter of up to the same length spreads the retries.
  */
 const REJECTED_RETRY_AFTER_MS = 30;
+/**
+ * Retry delay for a caller whose request could be sent neither to a target nor to another entry, in
+ * milliseconds, with jitter as above.
+ */
+const UNREACHABLE_RETRY_AFTER_MS = 250;
+/** Times that one request is given to another entry. */
+const MAX_RELAYS = 2;
 const CONNECTION_LIMIT = 16;
 /** Body length in bytes above which a request stays in its region while a target there is alive. */
 const LARGE_BODY_BYTES = 16 * 1024;
@@ -52,7 +61,7 @@
 export default class GatewayExchange {
   private readonly body: ReplayableBody;
 
-  private readonly triedIds: string[] = [];
+  private readonly triedIds: string[];
 
   private readonly attemptLines: ReturnType<typeof describeAttempt>[] = [];
 
@@ -62,6 +71,12 @@
 
   private leaveQueue: (() => void) | undefined;
 
+  private relayAttempt: RelayAttempt | undefined;
+
+  private relayLine: ReturnType<RelayAttempt['describe']> | undefined;
+
+  private relays = 0;
+
   private timer: NodeJS.Timeout | undefined;
 
   private watchdog: NodeJS.Timeout | undefined;
@@ -74,20 +89,105 @@
   constructor(
     private readonly dependencies: ExchangeDependencies,
     private readonly request: GatewayRequest,
-    private readonly res: ServerResponse,
+    private readonly reply: CallerReply,
   ) {
     this.body = new ReplayableBody(request.req, true);
+    this.triedIds = [...request.triedIds];
   }
 
   /** Starts the exchange. The response is eventually finished or destroyed in all cases. */
   start(): void {
     const { clock, placement } = this.dependencies;
     this.timer = setTimeout(() => this.expire(), this.request.deadlineMs - clock());
-    this.res.once('close', () => this.handleCallerClose());
-    this.res.on('drain', () => this.dispatch?.resume());
-    const leaveQueue = placement.placeFirst(this.createPlacementRequest());
-    // `placeFirst` may have assigned and sent the request synchronously.
-    if (this.attempt === undefined) this.leaveQueue = leaveQueue;
+    this.reply.onClose(() => this.handleCallerClose());
+    this.reply.onDrain(() => {
+      this.dispatch?.resume();
+      this.relayAttempt?.resume();
+    });
+    // The entry that relays a request has recorded it.
+    if (this.request.relayedBy === undefined) placement.recordFirst(this.request.service);
+    this.findTarget();
+  }
+
+  /** Finds a target for the next attempt, or another entry if no target can be reached. */
+  private findTarget(): void {
+    const { placement, pool } = this.dependencies;
+    if (this.mayRelay && pool.reachability.isUnreachable(this.request.service)) {
+      this.startRelay();
+      return;
+    }
+    const { attempt } = this;
+    const leaveQueue = placement.place(this.createPlacementRequest());
+    // `place` may have assigned and sent the request synchronously.
+    if (this.attempt === attempt) this.leaveQueue = leaveQueue;
+  }
+
+  /** Whether another entry may be asked to serve the request. Relayed requests go no further. */
+  private get mayRelay(): boolean {
+    const { relayedBy, deadlineMs } = this.request;
+    return relayedBy === undefined && this.relays < MAX_RELAYS && this.body.isReplayable
+      && deadlineMs - this.dependencies.clock() >= relayLimits.minRemainingMs;
+  }
+
+  private startRelay(): void {
+    const { clock, relay } = this.dependencies;
+    const { request, body, reply } = this;
+    this.leaveQueue = undefined;
+    this.relays += 1;
+    const relayAttempt = new RelayAttempt({
+      clock, relay, request, triedIds: this.triedIds, body, reply,
+    }, {
+      onRefused: (reason) => this.handleRelayRefusal(reason),
+      onFailed: (failure, retryAfterMs) => this.handleRelayFailure(failure, retryAfterMs),
+      onAnswered: (status) => {
+        const outcome = status < FIRST_FAILURE_STATUS ? 'answered' : 'target failed';
+        this.endRelay(`${outcome} ${status}`);
+        this.finish(outcome, status);
+      },
+    });
+    this.relayAttempt = relayAttempt;
+    relayAttempt.start();
+  }
+
+  private endRelay(outcome: string): void {
+    this.relayLine = this.relayAttempt?.describe(outcome);
+    this.relayAttempt = undefined;
+  }
+
+  private handleRelayRefusal(reason: string): void {
+    this.endRelay(`refused ${reason}`);
+    if (this.isEnded) return;
+    this.relays = MAX_RELAYS;
+    const { pool, placement } = this.dependencies;
+    if (pool.reachability.isUnreachable(this.request.service)) {
+      const retryAfterMs = UNREACHABLE_RETRY_AFTER_MS * (1 + Math.random());
+      this.fail({ kind: 'targetsUnreachable', detail: `other entries: ${reason}` }, retryAfterMs);
+      return;
+    }
+    const { attempt } = this;
+    const leaveQueue = placement.place(this.createPlacementRequest());
+    if (this.attempt === attempt) this.leaveQueue = leaveQueue;
+  }
+
+  private handleRelayFailure(failure: Failure, retryAfterMs: number | undefined): void {
+    const isNotRun = errorTable[failure.kind].outcome === 'not-run';
+    this.endRelay(`${isNotRun ? 'not-run' : 'failed'} ${failure.kind}`);
+    if (this.isEnded) return;
+    if (!isNotRun) this.mayHaveRun = true;
+    // That entry has lost its targets, too; others may have some.
+    if (failure.kind === 'targetsUnreachable' && this.mayRelay) {
+      this.body.close();
+      this.startRelay();
+      return;
+    }
+    const { request: { service, route }, dependencies: { placement } } = this;
+    const mayRetry = !isNotRun && route.isIdempotent && !this.reply.isStarted && this.mayRelay;
+    if (mayRetry && placement.takeRetry(service)) {
+      this.body.close();
+      this.findTarget();
+      return;
+    }
+    this.fail(failure, retryAfterMs);
   }
 
   private createPlacementRequest(): PlacementRequest {
@@ -101,8 +201,12 @@
       targetLatencyMs: route.targetLatencyMs,
       hasLargeBody: this.hasLargeBody,
       deadlineMs: request.deadlineMs,
+      mayRelay: this.mayRelay,
       onPlaced: (target, release) => this.send(target, release),
-      onRefused: (failure, retryAfterMs) => this.fail(failure, retryAfterMs),
+      onRefused: (failure, retryAfterMs) => {
+        if (failure.kind === 'targetsUnreachable' && this.mayRelay) this.startRelay();
+        else this.fail(failure, retryAfterMs);
+      },
     };
   }
 
@@ -171,7 +275,7 @@
       onHeaders: (status, headers) => {
         state.status = status;
         state.headers = headers;
-        this.dependencies.pool.reachability.recordAnswer(target);
+        this.dependencies.pool.recordAnswer(target);
         const metadata = this.dependencies.dialect.readResponse(headers);
         const isFramed = isFramedResponse(this.request.method, status, headers);
         // Without a length, a truncated response cannot be distinguished from a complete one.
@@ -204,7 +308,7 @@
 
   private handleData(attempt: Attempt, chunk: Buffer): boolean {
     const state = attempt;
-    if (state.isForwarding) return this.res.write(chunk) || this.res.destroyed;
+    if (state.isForwarding) return this.reply.write(chunk);
     const mayBuffer = state.bufferedBytes + chunk.length <= MAX_BUFFERED_BYTES
       && this.dependencies.responseBytes.tryReserve(chunk.length);
     if (mayBuffer) {
@@ -218,10 +322,10 @@
     }
     // A response that is too long to be buffered completely is streamed.
     state.isForwarding = true;
-    this.res.writeHead(state.status ?? 0, selectAnswerHeaders(state.headers));
+    this.reply.start(state.status ?? 0, selectAnswerHeaders(state.headers));
     const parts = [...state.bufferedChunks, chunk];
     this.releaseBuffer(state);
-    return parts.map((part) => this.res.write(part)).every(Boolean) || this.res.destroyed;
+    return parts.map((part) => this.reply.write(part)).every(Boolean);
   }
 
   /** Whether a response may be sent to the caller before it is complete. */
@@ -251,7 +355,8 @@
       state.release();
       return;
     }
-    if (recordOutcome(state.target, hasFailed, nowMs)) {
+    const isPathLost = this.dependencies.pool.reachability.isUnreachable(this.request.service);
+    if (!isPathLost && recordOutcome(state.target, hasFailed, nowMs)) {
       log.logEvent({ target: state.target.record.id, forMs: state.target.ejectedUntilMs - nowMs }, 'target ejected');
     }
     recordRejection(state.target, verdict === 'not-run', nowMs);
@@ -294,9 +399,8 @@
     if (this.canRetry(verdict)) {
       // Further data from the caller is buffered for the next attempt.
       this.body.close();
-      const leaveQueue = this.dependencies.placement.placeRetry(this.createPlacementRequest());
-      if (leaveQueue !== undefined) {
-        if (this.attempt === attempt) this.leaveQueue = leaveQueue;
+      if (this.dependencies.placement.takeRetry(this.request.service)) {
+        this.findTarget();
         return;
       }
     }
@@ -310,15 +414,15 @@
     const status = attempt.status ?? 0;
     if (attempt.isForwarding) {
       // A partial response must not look complete to the caller.
-      if (failure === undefined) this.res.end();
-      else this.res.destroy();
+      if (failure === undefined) this.reply.end();
+      else this.reply.cut();
     } else {
       const headers = { ...selectAnswerHeaders(attempt.headers) };
       const isBodiless = this.request.method === 'HEAD' || BODILESS_STATUSES.has(status);
       if (!isBodiless) headers['content-length'] = String(attempt.bufferedBytes);
-      this.res.writeHead(status, headers as OutgoingHttpHeaders);
-      this.res.end(Buffer.concat(attempt.bufferedChunks));
       this.releaseWhenSent(attempt);
+      this.reply.start(status, headers);
+      this.reply.end(Buffer.concat(attempt.bufferedChunks));
     }
     this.finish(attempt.verdict === 'answered' ? 'answered' : 'target failed', status);
   }
@@ -328,7 +432,7 @@
     const state = attempt;
     const bytes = state.bufferedBytes;
     state.bufferedBytes = 0;
-    this.res.once('close', () => this.dependencies.responseBytes.release(bytes));
+    this.reply.onClose(() => this.dependencies.responseBytes.release(bytes));
   }
 
   private fail(failure: Failure, retryAfterMs: number | undefined): void {
@@ -336,31 +440,30 @@
     const isNotRun = errorTable[failure.kind].outcome === 'not-run';
     const reported: Failure = isNotRun && this.mayHaveRun ? { kind: 'targetFailed', detail: failure.detail } : failure;
     const reportedRetryAfterMs = reported === failure ? retryAfterMs : undefined;
-    const response = this.dependencies.dialect
-      .createFailureResponse(reported, this.request.requestId, reportedRetryAfterMs);
-    if (this.res.headersSent) this.res.destroy();
-    else {
-      this.res.writeHead(response.status, response.headers);
-      this.res.end(response.body);
-    }
-    this.finish(reported.kind, response.status, reported.detail, reportedRetryAfterMs);
+    const status = this.reply.refuse(reported, reportedRetryAfterMs);
+    this.finish(reported.kind, status, reported.detail, reportedRetryAfterMs);
   }
 
   private expire(): void {
     if (this.isEnded) return;
-    const isSent = this.attempt !== undefined && !this.attempt.isOver;
+    const isSent = (this.attempt !== undefined && !this.attempt.isOver)
+      || this.relayAttempt?.mayHaveRun === true;
     const kind = isSent || this.mayHaveRun ? 'deadlineExceeded' : 'deadlineBeforeDispatch';
     this.mayHaveRun ||= isSent;
     const attempt = isSent ? this.attempt : undefined;
     this.fail({ kind, detail: '' }, RETRY_AFTER_MS);
-    if (attempt !== undefined) recordOutcome(attempt.target, true, this.dependencies.clock());
+    if (attempt !== undefined && !attempt.isOver) {
+      recordOutcome(attempt.target, true, this.dependencies.clock());
+    }
     this.dispatch?.abort({ kind: 'deadlineExceeded', detail: '' });
+    this.relayAttempt?.abort({ kind: 'deadlineExceeded', detail: '' });
   }
 
   private handleCallerClose(): void {
     if (this.isEnded) return;
     this.finish('caller gone', 0);
     this.dispatch?.abort({ kind: 'callerGone', detail: '' });
+    this.relayAttempt?.abort({ kind: 'callerGone', detail: '' });
   }
 
   private finish(decision: string, status: number, detail?: string, retryAfterMs?: number): void {
@@ -377,6 +480,8 @@
       service: request.service,
       version: request.version,
       attempts: this.attemptLines,
+      ...(this.relayLine === undefined ? {} : { relay: this.relayLine }),
+      ...(request.relayedBy === undefined ? {} : { relayedBy: request.relayedBy }),
       decision,
       ...(detail === undefined || detail === '' ? {} : { detail }),
       status,
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -4,6 +4,8 @@
 
 import checkFraming from '@guavayard/caller/checkFraming';
 import ReplayableBody from '@guavayard/caller/ReplayableBody';
+import type CallerReply from '@guavayard/core/dispatch/CallerReply';
+import type InboundRequest from '@guavayard/core/dispatch/InboundRequest';
 import fail from '@guavayard/core/errors/fail';
 import type ErrorKind from '@guavayard/core/errors/ErrorKind';
 import type Failure from '@guavayard/core/errors/Failure';
@@ -11,9 +13,11 @@
 import mayFinishBeforeStop from '@guavayard/core/shutdown/mayFinishBeforeStop';
 import type StopWindow from '@guavayard/core/shutdown/StopWindow';
 import WeightedRoundRobin from '@guavayard/core/placement/WeightedRoundRobin';
+import type RelayedHead from '@guavayard/core/relay/RelayedHead';
 import createFingerprint from '@guavayard/core/quarantine/createFingerprint';
 import type Declaration from '@guavayard/core/registry/Declaration';
 
+import DirectReply from './DirectReply';
 import GatewayExchange from './GatewayExchange';
 import type GatewayRequest from './GatewayRequest';
 import type ExchangeDependencies from './ExchangeDependencies';
@@ -35,6 +39,18 @@
   shuttingDown: STOPPING_RETRY_AFTER_MS,
 };
 
+/** Where a relayed request comes from, and what the other entry tells of it. */
+interface RelayOrigin {
+  readonly head: RelayedHead;
+  /** Name of the other entry. */
+  readonly from: string;
+}
+
+interface RelayedRequest extends RelayOrigin {
+  readonly req: InboundRequest;
+  readonly reply: CallerReply;
+}
+
 /** Serves callers' requests according to the declaration in force. */
 export default class GatewayHandler {
   private readonly split = new WeightedRoundRobin();
@@ -57,24 +73,36 @@
    * @param res - the caller's response
    */
   handle(req: IncomingMessage, res: ServerResponse): void {
-    const request = this.accept(req);
+    const { dialect } = this.dependencies;
+    const { requestId } = dialect.readRequest(req);
+    this.serve(req, new DirectReply(res, dialect, requestId));
+  }
+
+  /**
+   * Serves a request that another entry relays to this one.
+   *
+   * @param relayed - the request, the response and the name of the other entry
+   */
+  handleRelayed({ req, reply, ...relayed }: RelayedRequest): void {
+    this.serve(req, reply, relayed);
+  }
+
+  private serve(req: InboundRequest, reply: CallerReply, relayed?: RelayOrigin): void {
+    const request = this.accept(req, relayed);
     if (request.ok) {
-      new GatewayExchange(this.dependencies, request.val, res).start();
+      new GatewayExchange(this.dependencies, request.val, reply).start();
       return;
     }
     const { requestId } = this.dependencies.dialect.readRequest(req);
     const delayMs = RETRY_DELAYS[request.val.kind];
     const retryAfterMs = delayMs === undefined ? undefined : delayMs * (1 + Math.random());
-    const response = this.dependencies.dialect
-      .createFailureResponse(request.val, requestId, retryAfterMs);
-    res.writeHead(response.status, response.headers);
-    res.end(response.body);
+    const status = reply.refuse(request.val, retryAfterMs);
     this.dependencies.log.write({
       requestId,
       attempts: [],
       decision: request.val.kind,
       detail: request.val.detail,
-      status: response.status,
+      status,
       ms: 0,
     });
     new ReplayableBody(req, false).discard();
@@ -85,12 +113,13 @@
     this.stop = stop;
   }
 
-  private accept(req: IncomingMessage): Result<GatewayRequest, Failure> {
+  private accept(req: InboundRequest, relayed?: RelayOrigin): Result<GatewayRequest, Failure> {
     const declaration = this.declaration();
     if (declaration === undefined) return fail('noConfiguration');
     const framing = checkFraming(req, declaration.limits.maxBodyBytes);
     if (framing.err) return framing;
-    const { requestId, remainingMs, host } = this.dependencies.dialect.readRequest(req);
+    const { requestId, host, ...metadata } = this.dependencies.dialect.readRequest(req);
+    const remainingMs = relayed?.head.remainingMs ?? metadata.remainingMs;
     if (requestId === undefined) return fail('malformedRequest', 'the request has no id');
     const path = req.url ?? '/';
     const match = matchDeclaredRoute(declaration, host, path);
@@ -121,11 +150,13 @@
       path,
       routeName,
       route,
-      service: this.split.next(routeName, route.backends),
+      service: relayed?.head.service ?? this.split.next(routeName, route.backends),
       version: declaration.version,
       arrivedAtMs,
       callerDeadlineMs,
       deadlineMs,
+      relayedBy: relayed?.from,
+      triedIds: relayed?.head.triedIds ?? [],
     });
   }
 }
--- a/packages/gateway/src/GatewayRequest.ts
+++ b/packages/gateway/src/GatewayRequest.ts
@@ -1,10 +1,9 @@
-import type { IncomingMessage } from 'node:http';
-
+import type InboundRequest from '@guavayard/core/dispatch/InboundRequest';
 import type DeclaredRoute from '@guavayard/core/registry/DeclaredRoute';
 
 /** A caller's request that matched a route. */
 interface GatewayRequest {
-  readonly req: IncomingMessage;
+  readonly req: InboundRequest;
   readonly requestId: string;
   /** Digest of what stays the same when the caller sends the request again. */
   readonly fingerprint: string;
@@ -20,6 +19,10 @@
   readonly callerDeadlineMs: number;
   /** The earlier of the caller's deadline and the end of the route's timeout. */
   readonly deadlineMs: number;
+  /** The entry that relayed the request; undefined if the caller is connected to this one. */
+  readonly relayedBy: string | undefined;
+  /** Targets that the entry which relayed the request has sent it to. */
+  readonly triedIds: readonly string[];
 }
 
 export default GatewayRequest;
--- a/packages/gateway/src/Placement.ts
+++ b/packages/gateway/src/Placement.ts
@@ -31,27 +31,29 @@
   }
 
   /**
-   * Finds a target for the first attempt of a request.
+   * Finds a target for an attempt of a request.
    *
    * @param request - the request
    * @returns a function that removes the request from the queue
    */
-  placeFirst(request: PlacementRequest): () => void {
-    this.budgetOf(request.service).recordFirst(this.options.clock());
+  place(request: PlacementRequest): () => void {
     return this.queueOf(request.service).place(request);
   }
 
+  /** Records the first attempt of a caller's request, which the retry budget is a share of. */
+  recordFirst(service: string): void {
+    this.budgetOf(service).recordFirst(this.options.clock());
+  }
+
   /**
-   * Finds a target for a retry, if the retry budget of the service allows it.
+   * Takes a retry from the budget of a service.
    *
-   * @param request - the request
-   * @returns a function that removes the request from the queue; undefined if the budget is
-   *   exhausted
+   * @param service - the service
+   * @returns false if the budget is exhausted
    */
-  placeRetry(request: PlacementRequest): (() => void) | undefined {
+  takeRetry(service: string): boolean {
     const { pool, clock } = this.options;
-    if (!this.budgetOf(request.service).take(clock(), pool.entryCount)) return undefined;
-    return this.queueOf(request.service).place(request);
+    return this.budgetOf(service).take(clock(), pool.entryCount);
   }
 
   private queueOf(service: string): PlacementQueue {
--- a/packages/gateway/src/PlacementQueue.ts
+++ b/packages/gateway/src/PlacementQueue.ts
@@ -3,6 +3,7 @@
 import estimateLoad from '@guavayard/core/placement/estimateLoad';
 import hasFreeSlot from '@guavayard/core/placement/hasFreeSlot';
 import hasOpenConnection from '@guavayard/core/placement/hasOpenConnection';
+import isConfirmed from '@guavayard/core/placement/isConfirmed';
 import placementLimits from '@guavayard/core/placement/placementLimits';
 import selectCandidates from '@guavayard/core/placement/selectCandidates';
 import ServiceSpeed from '@guavayard/core/placement/ServiceSpeed';
@@ -105,7 +106,7 @@
       return () => undefined;
     }
     queued.timer = setTimeout(() => {
-      this.refuse(queued, { kind: 'overloaded', detail: 'no slot was free in time' });
+      this.refuse(queued, this.explainTimeout(queued));
     }, longestWaitMs);
     // The search at the wait limit may select a target that was too slow before.
     queued.waitLimitTimer = setTimeout(() => {
@@ -144,6 +145,13 @@
     queued.request.onRefused(failure, retryAfterMs);
   }
 
+  private explainTimeout({ request: { service }, arrivedAtMs }: QueuedRequest): Failure {
+    const { pool } = this.options;
+    return pool.reachability.isUnansweredSince(service, arrivedAtMs) || pool.isMostlySilent(service)
+      ? { kind: 'targetsUnreachable', detail: 'no target answered in time' }
+      : { kind: 'overloaded', detail: 'no slot was free in time' };
+  }
+
   private startSearches(): void {
     const searching = this.queue.filter(({ isSearching }) => isSearching).length;
     // While no slot is free, a single search is enough to notice a change.
@@ -183,7 +191,8 @@
     const waitMs = pool
       .estimateLimitWaitMs(request.service, request.homeRegions, request.triedIds, ahead);
     if (waitMs === undefined) {
-      this.refuse(queued, { kind: 'noTarget', detail: `service "${request.service}"` });
+      const kind = pool.isMostlySilent(request.service) ? 'targetsUnreachable' : 'noTarget';
+      this.refuse(queued, { kind, detail: `service "${request.service}"` });
     } else if (clock() + waitMs <= refusedAtMs) {
       this.scheduleSearch(waitMs);
     } else {
@@ -202,13 +211,18 @@
     eligible: readonly PlacedTarget[],
   ): void {
     const state = queued;
+    const { pool } = this.options;
+    if (queued.request.mayRelay && pool.isMostlySilent(queued.request.service)) {
+      this.refuse(queued, { kind: 'targetsUnreachable', detail: 'most targets do not answer' });
+      return;
+    }
     const nowMs = this.options.clock();
     const probed = (queued.searchRounds + 1) * placementLimits.maxProbes;
     const isNearFull = probed >= nearCount || queued.searchRounds >= NEAR_ROUNDS - 1;
     const isAllowed = nearCount === 0
       || (isNearFull && !queued.request.hasLargeBody && nowMs >= this.nextFarSearchMs);
     const far = isAllowed
-      ? eligible.filter((target) => !this.options.pool.isNear(target))
+      ? eligible.filter((target) => !pool.isNear(target))
       : [];
     this.probeAndAssign(queued, far, placementLimits.maxRemoteProbes, FAR_PROBE_WAIT_MS, () => {
       state.isSearching = false;
@@ -314,7 +328,8 @@
     let bestCost = maxCost;
     targets.forEach((target) => {
       const limit = this.speed.bestConcurrency(target.record.slots);
-      if (!eligible.has(target) || !hasFreeSlot(target, limit, nowMs)) return;
+      if (!eligible.has(target) || !isConfirmed(target)
+        || !hasFreeSlot(target, limit, nowMs)) return;
       const cost = estimateCost(target, this.speed.kneeSlowdown, nowMs);
       if (cost >= bestCost) return;
       best = target;
--- a/packages/gateway/src/PlacementRequest.ts
+++ b/packages/gateway/src/PlacementRequest.ts
@@ -16,6 +16,8 @@
   readonly hasLargeBody: boolean;
   /** Its deadline, in milliseconds of the monotonic clock. */
   readonly deadlineMs: number;
+  /** Whether another entry may be asked if targets cannot be reached, rather than waiting. */
+  readonly mayRelay: boolean;
   /**
    * Called with the selected target. A slot on it is held for the request until `release` is
    * called, which receives the duration in milliseconds if the request was answered.
--- a/packages/gateway/src/ReachabilityTracker.ts
+++ b/packages/gateway/src/ReachabilityTracker.ts
@@ -2,6 +2,7 @@
 
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import createServiceReachability from '@guavayard/core/reachability/createServiceReachability';
+import hasAnsweredSince from '@guavayard/core/reachability/hasAnsweredSince';
 import hasLostTargets from '@guavayard/core/reachability/hasLostTargets';
 import isSilentTarget from '@guavayard/core/reachability/isSilentTarget';
 import recordContactFailure from '@guavayard/core/reachability/recordContactFailure';
@@ -20,6 +21,8 @@
    * that arrived meanwhile.
    */
   readonly defer: (run: () => void) => void;
+  /** Called when a target turns out to be silent. */
+  readonly onSilence: () => void;
 }
 
 /** Keeps track of which services have targets that answer this entry. */
@@ -52,6 +55,7 @@
   /** Records that a connection to a target was refused or broken off. */
   recordFailure({ record: { id, service } }: PlacedTarget): void {
     recordContactFailure(this.stateOf(service), id, this.options.clock());
+    this.options.onSilence();
     this.examine(service);
   }
 
@@ -71,6 +75,16 @@
     return isSilentTarget(this.stateOf(service), id, this.options.clock());
   }
 
+  /** @returns whether a target of a service has answered within some time, in milliseconds */
+  hasAnsweredWithin(service: string, ms: number): boolean {
+    return this.options.clock() - this.stateOf(service).lastAnswerAtMs <= ms;
+  }
+
+  /** @returns whether the targets that were probed since a time have left it unanswered */
+  isUnansweredSince(service: string, sinceMs: number): boolean {
+    return !hasAnsweredSince(this.stateOf(service), sinceMs);
+  }
+
   private examine(service: string): void {
     if (this.suspected.has(service) || !this.isNewlyLost(service)) return;
     this.suspected.add(service);
--- a/packages/gateway/src/RequestLog.ts
+++ b/packages/gateway/src/RequestLog.ts
@@ -23,6 +23,13 @@
   readonly ms: number;
 }
 
+/** The part of a log line that describes the attempt of another entry. */
+interface RelayLine {
+  readonly entry: string;
+  readonly outcome: string;
+  readonly ms: number;
+}
+
 /** The log line of one request, from its arrival to its response. */
 interface RequestLine {
   readonly requestId: string | undefined;
@@ -30,6 +37,10 @@
   readonly service?: string;
   readonly version?: number;
   readonly attempts: readonly AttemptLine[];
+  /** The entry that was given the request, and how that ended. */
+  readonly relay?: RelayLine;
+  /** The entry that relayed the request to this one. */
+  readonly relayedBy?: string;
   readonly decision: string;
   readonly detail?: string;
   readonly status: number;
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -4,6 +4,8 @@
 import createPlacedTarget from '@guavayard/core/placement/createPlacedTarget';
 import maySendToColdTarget from '@guavayard/core/placement/maySendToColdTarget';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
+import selectCandidates from '@guavayard/core/placement/selectCandidates';
+import reachabilityLimits from '@guavayard/core/reachability/reachabilityLimits';
 import type Declaration from '@guavayard/core/registry/Declaration';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import type Clock from '@guavayard/core/types/Clock';
@@ -16,6 +18,12 @@
 /** Shortest remaining warm-up time that is logged, in milliseconds. */
 const MIN_LOGGED_COLD_MS = 100;
 
+/**
+ * Time without an answer after which a service is in doubt while another one cannot be reached, in
+ * milliseconds.
+ */
+const DOUBTFUL_AFTER_MS = 500;
+
 interface TargetPoolOptions {
   readonly clock: Clock;
   readonly log: Logger;
@@ -31,6 +39,8 @@
   readonly shareLimit: (notice: RequestLimitNotice) => void;
   /** Runs a function after pending network events. */
   readonly defer: (run: () => void) => void;
+  /** Called when a target turns out to be silent. */
+  readonly onSilence: () => void;
 }
 
 /** Table of the targets that this entry knows; selects those that may receive a request. */
@@ -63,6 +73,7 @@
       log: options.log,
       countTargets: (service) => this.countServing(service),
       defer: options.defer,
+      onSilence: options.onSilence,
     });
   }
 
@@ -148,7 +159,8 @@
       if (record.service !== service || record.state !== 'ready') return false;
       if (this.evacuated.has(record.dataCentre) || triedIds.includes(record.id)) return false;
       if (homeRegions !== undefined && !homeRegions.includes(region)) return false;
-      return target.ejectedUntilMs <= nowMs && this.isWithinColdLimit(target, nowMs);
+      if (target.ejectedUntilMs > nowMs || target.unreachableUntilMs > nowMs) return false;
+      return this.isWithinColdLimit(target, nowMs);
     });
   }
 
@@ -157,6 +169,7 @@
     const nowMs = this.options.clock();
     return [...this.targets.values()].filter((target) => this.isNear(target)
       && target.record.state === 'ready' && target.ejectedUntilMs <= nowMs
+      && target.unreachableUntilMs <= nowMs
       && !this.evacuated.has(target.record.dataCentre));
   }
 
@@ -184,6 +197,58 @@
     }
   }
 
+  /** Records that a target answered a request or a probe of this entry. */
+  recordAnswer(target: PlacedTarget): void {
+    const state = target;
+    state.unansweredProbes = 0;
+    state.lastAnswerAtMs = this.options.clock();
+    state.unreachableUntilMs = -Infinity;
+    this.reachability.recordAnswer(target);
+  }
+
+  /**
+   * Finds the targets to probe in order to learn whether the paths to them work: silent ones of
+   * services of which too many are silent, and, while a service cannot be reached at all, some of
+   * the services that have not been heard from lately.
+   *
+   * @returns the targets, none if all paths seem to work
+   */
+  findDoubtfulTargets(): PlacedTarget[] {
+    const byService = new Map<string, PlacedTarget[]>();
+    this.targets.forEach((target) => {
+      if (!this.isServing(target)) return;
+      const { service } = target.record;
+      byService.set(service, [...byService.get(service) ?? [], target]);
+    });
+    return [...byService].flatMap(([service, targets]) => {
+      if (this.isMostlySilent(service)) {
+        return targets.filter((target) => this.reachability.isSilent(target));
+      }
+      const isDoubtful = this.reachability.unreachableCount > 0
+        && !this.reachability.hasAnsweredWithin(service, DOUBTFUL_AFTER_MS);
+      if (!isDoubtful) return [];
+      const near = targets.filter((target) => this.isNear(target));
+      return selectCandidates(near, reachabilityLimits.minSilentTargets, 0);
+    });
+  }
+
+  /**
+   * Returns whether this entry cannot reach most of the targets that it would send requests of a
+   * service to, although the others may have no free slot.
+   *
+   * @param service - the service
+   * @returns true if most targets of the service in this region are silent, or none answers at all
+   */
+  isMostlySilent(service: string): boolean {
+    if (this.reachability.isUnreachable(service)) return true;
+    const serving = [...this.targets.values()]
+      .filter((target) => target.record.service === service && this.isServing(target));
+    const near = serving.filter((target) => this.isNear(target));
+    const inReach = near.length > 0 ? near : serving;
+    const silent = inReach.filter((target) => this.reachability.isSilent(target)).length;
+    return silent > 0 && silent >= reachabilityLimits.mostlySilentShare * inReach.length;
+  }
+
   /** @returns the number of targets that name a request limit */
   get limitedCount(): number {
     return [...this.targets.values()].filter(({ requestLimit }) => requestLimit !== undefined)
@@ -221,8 +286,12 @@
 
   /** Counts the targets of a service that would receive requests if all of them answered. */
   private countServing(service: string): number {
-    return [...this.targets.values()].filter(({ record }) => record.service === service
-      && record.state === 'ready' && !this.evacuated.has(record.dataCentre)).length;
+    return [...this.targets.values()]
+      .filter((target) => target.record.service === service && this.isServing(target)).length;
+  }
+
+  private isServing({ record }: PlacedTarget): boolean {
+    return record.state === 'ready' && !this.evacuated.has(record.dataCentre);
   }
 
   /** Updates what determines the shares of request limits, if it has changed. */
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -13,10 +13,14 @@
 
 /** Timeout of a probe, in milliseconds. */
 const PROBE_TIMEOUT_MS = 400;
-/** Ejection time of a target that could not be connected to, in milliseconds. */
-const UNREACHABLE_EJECTION_MS = 300;
+/** Time for which a target that could not be reached is not considered, in milliseconds. */
+const UNREACHABLE_MS = 300;
 /** Share of the limit on probes that the entries use. */
 const BUDGET_SHARE = 0.5;
+/** Interval at which targets are probed whose paths are in doubt, in milliseconds. */
+const VERIFY_INTERVAL_MS = 200;
+/** Such targets that are probed at a time. */
+const VERIFIED_TARGETS = 6;
 const CONNECTION_LIMIT = 16;
 const OK = 200;
 /** Maximum length of the response to a probe, in bytes; only its headers are used. */
@@ -38,6 +42,11 @@
   /** Number of probes sent since the start. */
   count = 0;
 
+  private verifyTimer: NodeJS.Timeout | undefined;
+
+  /** Position among those targets from which the next ones are probed. */
+  private verified = 0;
+
   constructor(private readonly options: TargetProberOptions) {}
 
   /**
@@ -88,6 +97,28 @@
       .forEach((target) => this.ensureProbe(target, nowMs));
   }
 
+  /**
+   * Probes targets whose paths are in doubt, until they answer or are in doubt no more.
+   */
+  private verifyPaths(): void {
+    const { pool, clock } = this.options;
+    const nowMs = clock();
+    this.refill(nowMs);
+    const targets = pool.findDoubtfulTargets();
+    this.verifyTimer = undefined;
+    if (targets.length === 0) return;
+    const start = this.verified % targets.length;
+    this.verified += VERIFIED_TARGETS;
+    [...targets.slice(start), ...targets.slice(0, start)].slice(0, VERIFIED_TARGETS)
+      .forEach((target) => this.ensureProbe(target, nowMs));
+    this.startVerifying();
+  }
+
+  /** Starts to probe targets whose paths are in doubt. */
+  startVerifying(): void {
+    this.verifyTimer ??= setTimeout(() => this.verifyPaths(), VERIFY_INTERVAL_MS);
+  }
+
   /** Starts a probe unless one is in flight, whose response serves this selection as well. */
   private ensureProbe(target: PlacedTarget, nowMs: number): boolean {
     if (target.probeWaiters !== undefined) return true;
@@ -109,6 +140,7 @@
     const sentAtMs = clock();
     this.count += 1;
     state.probeWaiters = [];
+    state.probeSentAtMs = sentAtMs;
     state.lastSentAtMs = sentAtMs;
     this.options.pool.reachability.recordProbe(target);
     let isDone = false;
@@ -120,6 +152,7 @@
       clearTimeout(timer);
       const waiters = state.probeWaiters ?? [];
       state.probeWaiters = undefined;
+      state.probeSentAtMs = undefined;
       waiters.forEach((wake) => wake());
     };
     const handler: AnswerHandler = {
@@ -135,7 +168,7 @@
         state.reading = undefined;
         state.unansweredProbes += 1;
         this.options.pool.reachability.recordFailure(target);
-        if (failure.kind === 'targetUnreachable') state.ejectedUntilMs = clock() + UNREACHABLE_EJECTION_MS;
+        if (failure.kind === 'targetUnreachable') state.unreachableUntilMs = clock() + UNREACHABLE_MS;
         finish();
       },
     };
@@ -159,8 +192,7 @@
   ): void {
     const { pool, clock, dialect } = this.options;
     const state = target;
-    state.unansweredProbes = 0;
-    pool.reachability.recordAnswer(target);
+    pool.recordAnswer(target);
     state.idleTimeoutMs = parseKeepAliveTimeout(headers['keep-alive']);
     const {
       targetId, load, coldLeftMs, requestLimit,
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -17,6 +17,7 @@
 import RequestLog from '../../src/RequestLog';
 import TargetPool from '../../src/TargetPool';
 import TargetProber from '../../src/TargetProber';
+import FakeRelay from './FakeRelay';
 import FakeSender from './FakeSender';
 import type FakeTarget from './FakeTarget';
 import FakeResponse from './FakeResponse';
@@ -70,6 +71,8 @@
 
   private readonly handler: GatewayHandler;
 
+  readonly relay = new FakeRelay();
+
   readonly responseBytes = new ByteBudget(1024 * 1024);
 
   private nowMs = 0;
@@ -92,9 +95,11 @@
       onTargetRemoved: () => undefined,
       shareLimit: (notice) => this.notices.push(notice),
       defer: (run) => setTimeout(run, 0),
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a probe
+      onSilence: () => prober.startVerifying(),
     });
     const { pool, sender } = this;
-    const prober = new TargetProber({
+    const prober: TargetProber = new TargetProber({
       clock, sender, dialect, pool, probesPerSecond: 1000,
     });
     const placement = new Placement({
@@ -120,6 +125,7 @@
       crashes,
       log: new RequestLog(log, clock),
       responseBytes: this.responseBytes,
+      relay: this.relay,
     }, () => this.declaration);
   }
 
--- a/packages/gateway/test/support/PlainDialect.ts
+++ b/packages/gateway/test/support/PlainDialect.ts
@@ -23,7 +23,7 @@
 
 /** Dialect for tests, whose headers are named after their content. */
 export default class PlainDialect implements Dialect {
-  readRequest(req: IncomingMessage): RequestMetadata {
+  readRequest(req: Pick<IncomingMessage, 'headers'>): RequestMetadata {
     const deadline = req.headers.remaining?.toString();
     return {
       requestId: req.headers.id?.toString(),
--- a/packages/metrics/src/GatewayMetrics.ts
+++ b/packages/metrics/src/GatewayMetrics.ts
@@ -22,6 +22,10 @@
   readonly decision: string;
   readonly ms: number;
   readonly attempts: readonly { readonly outcome: string }[];
+  /** The attempt of another entry, if one was given the request. */
+  readonly relay?: { readonly outcome: string };
+  /** The entry that relayed the request to this one. */
+  readonly relayedBy?: string;
 }
 
 /** Options that all kinds of metrics have in common. */
@@ -38,6 +42,7 @@
   readonly probes: number;
   readonly targets: number;
   readonly limitedTargets: number;
+  readonly unreachableServices: number;
   readonly version: number;
   readonly isCurrent: boolean;
   readonly errors: number;
@@ -56,6 +61,10 @@
 
   private readonly attempts: Counter;
 
+  private readonly relayed: Counter;
+
+  private readonly servedForEntries: Counter;
+
   private readonly latency: Histogram;
 
   /**
@@ -70,12 +79,15 @@
     });
     this.requests = new Counter(options('requests_total'));
     this.attempts = new Counter(options('attempts_total'));
+    this.relayed = new Counter(options('relayed_requests_total'));
+    this.servedForEntries = new Counter(options('served_for_entries_total'));
     this.latency = new Histogram({ ...options('request_seconds'), buckets: BUCKETS });
     const gaugeReaders: [keyof typeof gatewayMetricTable, (values: GaugeValues) => number][] = [
       ['waiting_requests', ({ waiting }) => waiting],
       ['probes_total', ({ probes }) => probes],
       ['targets', ({ targets }) => targets],
       ['limited_targets', ({ limitedTargets }) => limitedTargets],
+      ['unreachable_services', ({ unreachableServices }) => unreachableServices],
       ['declaration_version', ({ version }) => version],
       ['is_current', ({ isCurrent }) => Number(isCurrent)],
       ['unexpected_errors_total', ({ errors }) => errors],
@@ -105,10 +117,15 @@
   observe(request: ObservedRequest): void {
     const { service = UNKNOWN_SERVICE, decision } = request;
     this.requests.inc({ service, decision });
+    // Only the first word becomes a label: the detail after it has unbounded cardinality.
+    const firstWord = (outcome: string): string => outcome.split(' ')[0] ?? outcome;
     request.attempts.forEach(({ outcome }) => {
-      // Only the first word becomes a label: the detail after it has unbounded cardinality.
-      this.attempts.inc({ service, outcome: outcome.split(' ')[0] ?? outcome });
+      this.attempts.inc({ service, outcome: firstWord(outcome) });
     });
+    if (request.relay !== undefined) {
+      this.relayed.inc({ service, outcome: firstWord(request.relay.outcome) });
+    }
+    if (request.relayedBy !== undefined) this.servedForEntries.inc({ service });
     if (decision === 'answered') this.latency.observe({ service }, request.ms / MS_PER_SECOND);
   }
 }
--- a/packages/metrics/src/gatewayMetricTable.ts
+++ b/packages/metrics/src/gatewayMetricTable.ts
@@ -9,6 +9,15 @@
   attempts_total: {
     type: 'counter', tags: ['service', 'outcome'], meaning: 'attempts on targets by what came of them',
   },
+  relayed_requests_total: {
+    type: 'counter', tags: ['service', 'outcome'], meaning: 'requests given to other entries by what came of them',
+  },
+  served_for_entries_total: {
+    type: 'counter', tags: ['service'], meaning: 'requests that other entries relayed to this one',
+  },
+  unreachable_services: {
+    type: 'gauge', tags: [], meaning: 'services of which no target answers this VM',
+  },
   waiting_requests: {
     type: 'gauge', tags: [], meaning: 'requests that wait for a target',
   },
--- a/packages/metrics/test/gatewayMetrics.test.ts
+++ b/packages/metrics/test/gatewayMetrics.test.ts
@@ -7,7 +7,14 @@
 
 test('counters, latencies and gauges are served as text', async (t) => {
   const metrics = new GatewayMetrics(() => ({
-    waiting: 3, probes: 7, targets: 2, limitedTargets: 1, version: 26, isCurrent: true, errors: 0,
+    waiting: 3,
+    probes: 7,
+    targets: 2,
+    limitedTargets: 1,
+    unreachableServices: 2,
+    version: 26,
+    isCurrent: true,
+    errors: 0,
   }));
   metrics.server.listen(0, '127.0.0.1');
   await once(metrics.server, 'listening');
@@ -18,14 +25,20 @@
   metrics.observe({
     service: 'lots', decision: 'answered', ms: 250, attempts: [{ outcome: 'not-run 503' }, { outcome: 'answered 200' }],
   });
+  metrics.observe({
+    service: 'lots', decision: 'answered', ms: 250, attempts: [], relay: { outcome: 'answered 200' }, relayedBy: 'a',
+  });
   metrics.observe({ decision: 'noRoute', ms: 0, attempts: [] });
   const { port } = metrics.server.address() as AddressInfo;
   const text = await (await fetch(`http://127.0.0.1:${port}/metrics`)).text();
   [
-    'guavayard_requests_total{service="lots",decision="answered"} 1',
+    'guavayard_requests_total{service="lots",decision="answered"} 2',
+    'guavayard_relayed_requests_total{service="lots",outcome="answered"} 1',
+    'guavayard_served_for_entries_total{service="lots"} 1',
+    'guavayard_unreachable_services 2',
     'guavayard_requests_total{service="none",decision="noRoute"} 1',
     'guavayard_attempts_total{service="lots",outcome="not-run"} 1',
-    'guavayard_request_seconds_bucket{le="0.3",service="lots"} 1',
+    'guavayard_request_seconds_bucket{le="0.3",service="lots"} 2',
     'guavayard_waiting_requests 3',
     'guavayard_limited_targets 1',
     'guavayard_declaration_version 26',
--- a/packages/report/src/explainRequest.ts
+++ b/packages/report/src/explainRequest.ts
@@ -5,10 +5,14 @@
   load: z.number().optional(),
   slowness: z.number().optional(),
   loadAgeMs: z.number().optional(),
+  wasSilent: z.boolean().optional(),
   outcome: z.string(),
   ms: z.number(),
 });
 
+/** The attempt of another entry that was given the request. */
+const Relay = z.object({ entry: z.string(), outcome: z.string(), ms: z.number() });
+
 const RequestLine = z.object({
   vm: z.string(),
   time: z.string(),
@@ -17,6 +21,8 @@
   service: z.string().optional(),
   version: z.number().optional(),
   attempts: z.array(Attempt),
+  relay: Relay.optional(),
+  relayedBy: z.string().optional(),
   decision: z.string(),
   detail: z.string().optional(),
   status: z.number(),
@@ -36,24 +42,30 @@
 
 function describeAttempt(attempt: z.infer<typeof Attempt>, index: number): string {
   const {
-    target, load, slowness, loadAgeMs, outcome, ms,
+    target, load, slowness, loadAgeMs, wasSilent = false, outcome, ms,
   } = attempt;
   const loadReport = load === undefined
     ? 'load unknown'
     : `told ${load} requests and slowness ${slowness ?? 'unknown'} ${loadAgeMs ?? 0} ms before`;
-  return `  attempt ${index + 1}: ${target} (${loadReport}): ${outcome} after ${ms} ms`;
+  return `  attempt ${index + 1}: ${target} (${loadReport}${wasSilent ? ', a probe unanswered' : ''}): ${outcome} after ${ms} ms`;
+}
+
+function describeRelay({ entry, outcome, ms }: z.infer<typeof Relay>): string {
+  return `  other entry${entry === '' ? '' : ` ${entry}`}: ${outcome} after ${ms} ms`;
 }
 
 function describeLine(line: RequestLine): string[] {
   const {
     vm, time, route, service, version, decision, detail, status, retryAfterMs, ms,
+    relay, relayedBy,
   } = line;
   const routing = route === undefined ? 'no route' : `route ${route}, service ${service}, version ${version}`;
   const retryHint = retryAfterMs === undefined ? '' : `, to come back after ${retryAfterMs} ms`;
   const reason = detail === undefined || detail === '' ? '' : ` (${detail})`;
   return [
-    `${time} ${vm}: ${routing}`,
+    `${time} ${vm}: ${routing}${relayedBy === undefined ? '' : `, relayed by ${relayedBy}`}`,
     ...line.attempts.map(describeAttempt),
+    ...(relay === undefined ? [] : [describeRelay(relay)]),
     `  ${decision}${reason}: ${status === 0 ? 'no answer' : `answered ${status}`} after ${ms} ms${retryHint}`,
   ];
 }
--- a/packages/report/test/explain.test.ts
+++ b/packages/report/test/explain.test.ts
@@ -29,6 +29,21 @@
   ]);
 });
 
+test('a request that another entry served is followed over both', () => {
+  const lines = [
+    '{"vm":"entry-2","requestId":"r-4","route":"buy","service":"ledger","version":7,"attempts":[{"target":"t-1","load":0,"slowness":1,"loadAgeMs":2,"outcome":"answered 200","ms":210}],"relayedBy":"10.0.0.1","decision":"answered","status":200,"ms":214,"time":"2026-10-09T07:00:01.300Z"}',
+    '{"vm":"entry-1","requestId":"r-4","route":"buy","service":"ledger","version":7,"attempts":[],"relay":{"entry":"10.0.0.2","outcome":"answered 200","ms":218},"decision":"answered","status":200,"ms":220,"time":"2026-10-09T07:00:01.301Z"}',
+  ];
+  assert.deepEqual(explainRequest(lines, 'r-4'), [
+    '2026-10-09T07:00:01.300Z entry-2: route buy, service ledger, version 7, relayed by 10.0.0.1',
+    '  attempt 1: t-1 (told 0 requests and slowness 1 2 ms before): answered 200 after 210 ms',
+    '  answered: answered 200 after 214 ms',
+    '2026-10-09T07:00:01.301Z entry-1: route buy, service ledger, version 7',
+    '  other entry 10.0.0.2: answered 200 after 218 ms',
+    '  answered: answered 200 after 220 ms',
+  ]);
+});
+
 test('an unknown request id gives no lines', () => {
   assert.deepEqual(explainRequest(LINES, 'r-9'), []);
 });
--- a/packages/target/src/UndiciTargetSender.ts
+++ b/packages/target/src/UndiciTargetSender.ts
@@ -19,6 +19,8 @@
 interface SenderOptions {
   /** Keep-alive timeout if the response of the target does not specify one, in milliseconds. */
   readonly keepAliveTimeoutMs: number;
+  /** Address from which connections are opened; undefined if the system chooses. */
+  readonly localAddress?: string | undefined;
 }
 
 const connect = createConnector({ timeout: CONNECT_TIMEOUT_MS });
@@ -75,10 +77,12 @@
   private getPool(target: SendAddress): Pool {
     const existing = this.pools.get(target.address);
     if (existing !== undefined) return existing;
+    const { localAddress } = this.options;
     const pool = new Pool(`http://${target.address}`, {
       connections: Math.min(target.connectionLimit, MAX_CONNECTIONS_PER_TARGET),
       pipelining: 1,
       connect: connectToTarget,
+      ...(localAddress === undefined ? {} : { localAddress }),
       keepAliveTimeout: this.options.keepAliveTimeoutMs,
       headersTimeout: 0,
       bodyTimeout: 0,
--- a/packages/vm/src/messages/VmMessage.ts
+++ b/packages/vm/src/messages/VmMessage.ts
@@ -6,6 +6,7 @@
 import leaseMessages from './leaseMessages';
 import loadMessages from './loadMessages';
 import registryMessages from './registryMessages';
+import relayMessages from './relayMessages';
 import reportMessages from './reportMessages';
 import sessionMessages from './sessionMessages';
 
@@ -18,6 +19,7 @@
   ...loadMessages,
   ...sessionMessages,
   ...registryMessages,
+  ...relayMessages,
   ...reportMessages,
 ]);
 type VmMessage = z.infer<typeof VmMessage>;
--- /dev/null
+++ b/packages/vm/src/relay/PeerSessions.ts
@@ -0,0 +1,95 @@
+import relayLimits from '@guavayard/core/relay/relayLimits';
+import type Clock from '@guavayard/core/types/Clock';
+
+import type VmLocation from '../registry/VmLocation';
+import type SessionHandler from '../session/SessionHandler';
+import type VmHub from '../session/VmHub';
+import type VmIdentity from '../session/VmIdentity';
+import type VmSession from '../session/VmSession';
+
+/** Interval at which unused sessions are looked for while there are any, in milliseconds. */
+const CHECK_INTERVAL_MS = 2000;
+
+interface OpenedSession {
+  readonly address: string;
+  usedAtMs: number;
+}
+
+/** Sessions with other entries, opened on demand and closed when nothing has used them for long. */
+export default class PeerSessions implements SessionHandler {
+  private readonly open = new Map<string, VmSession>();
+
+  /** Sessions that this entry maintains, by name of the peer. */
+  private readonly opened = new Map<string, OpenedSession>();
+
+  private readonly waiters = new Map<string, ((session: VmSession) => void)[]>();
+
+  private checkTimer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly hub: VmHub, private readonly clock: Clock) {}
+
+  /**
+   * @param name - name of an entry
+   * @returns the open session with it; undefined if there is none
+   */
+  find(name: string): VmSession | undefined {
+    return this.open.get(name);
+  }
+
+  /**
+   * Uses the session with an entry, and opens it if there is none.
+   *
+   * @param peer - the entry
+   * @param onOpen - called with the session, now or once it is open; not called if it never opens
+   */
+  use(peer: VmLocation, onOpen: (session: VmSession) => void): void {
+    const opened = this.opened.get(peer.name);
+    if (opened !== undefined) opened.usedAtMs = this.clock();
+    const session = this.open.get(peer.name);
+    if (session !== undefined) {
+      onOpen(session);
+      return;
+    }
+    this.waiters.set(peer.name, [...this.waiters.get(peer.name) ?? [], onOpen]);
+    if (opened !== undefined) return;
+    this.opened.set(peer.name, { address: peer.address, usedAtMs: this.clock() });
+    this.hub.connect(peer.address);
+    this.checkTimer ??= setInterval(() => this.closeUnused(), CHECK_INTERVAL_MS);
+  }
+
+  /** Stops looking for unused sessions. */
+  close(): void {
+    clearInterval(this.checkTimer);
+  }
+
+  onOpen(session: VmSession, peer: VmIdentity): void {
+    if (!peer.roles.includes('entry')) return;
+    this.open.set(peer.name, session);
+    const waiters = this.waiters.get(peer.name) ?? [];
+    this.waiters.delete(peer.name);
+    waiters.forEach((run) => run(session));
+  }
+
+  onMessage(session: VmSession): void {
+    const opened = this.opened.get(session.peer?.name ?? '');
+    if (opened !== undefined) opened.usedAtMs = this.clock();
+  }
+
+  onClose(session: VmSession): void {
+    const name = session.peer?.name ?? '';
+    if (this.open.get(name) === session) this.open.delete(name);
+  }
+
+  private closeUnused(): void {
+    const since = this.clock() - relayLimits.idleSessionMs;
+    this.opened.forEach(({ address, usedAtMs }, name) => {
+      if (usedAtMs >= since) return;
+      this.opened.delete(name);
+      this.waiters.delete(name);
+      this.hub.disconnect(address);
+    });
+    if (this.opened.size > 0) return;
+    clearInterval(this.checkTimer);
+    this.checkTimer = undefined;
+  }
+}
