Take no request for one that crashes targets when the path to them breaks

What callers saw: after four breaks of the path, each while a request of the same caller and path was under way, the entry refused that request for five minutes as one that crashes targets; the count was also told to all other entries.

Cause: a broken-off request and one unanswered probe of its target counted as a crash. In a cut both are certain. Class of fault: silence taken for evidence about the other side alone.

Why this works: other targets of the region are probed at the same moment. Only if one of them answers is the silence that of the target. A system with a single target keeps the old rule, as nothing else can be asked.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -107,6 +107,7 @@
   const crashes = new CrashWatch({
     clock,
     log,
+    pool,
     prober,
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a crash
     report: (fingerprint) => subscription.reportCrash(fingerprint),
--- a/packages/gateway/src/CrashWatch.ts
+++ b/packages/gateway/src/CrashWatch.ts
@@ -4,6 +4,7 @@
 import CrashHistory from '@guavayard/core/quarantine/CrashHistory';
 import type Clock from '@guavayard/core/types/Clock';
 
+import type TargetPool from './TargetPool';
 import type TargetProber from './TargetProber';
 
 /**
@@ -11,10 +12,13 @@
  * moment to complete.
  */
 const PROBE_DELAY_MS = 100;
+/** Other targets that are probed, to tell a crash from a broken path. */
+const WITNESSES = 3;
 
 interface CrashWatchOptions {
   readonly clock: Clock;
   readonly log: Logger;
+  readonly pool: TargetPool;
   readonly prober: TargetProber;
   /** Notifies the other entries of a crash. */
   readonly report: (fingerprint: string) => void;
@@ -22,7 +26,8 @@
 
 /**
  * Detects which requests crash targets. A target that breaks off a request and does not answer a
- * probe afterwards has crashed; one that answers the probe has only lost a connection.
+ * probe afterwards has crashed, if other targets do answer; one that answers the probe has only
+ * lost a connection.
  */
 export default class CrashWatch {
   private readonly history = new CrashHistory();
@@ -37,9 +42,16 @@
    * @param target - the target that ran the request
    */
   checkForCrash(fingerprint: string, target: PlacedTarget): void {
+    const { clock, pool, prober } = this.options;
+    const brokenAtMs = clock();
     setTimeout(() => {
-      this.options.prober.probe([target], () => {
-        if (target.unansweredProbes === 0) return;
+      const witnesses = pool.findWitnesses(target, WITNESSES);
+      prober.probe([target, ...witnesses], (left) => {
+        if (left > 0 || target.unansweredProbes === 0) return;
+        // Silence of all of them is a broken path.
+        const hasWitness = witnesses.length === 0
+          || witnesses.some(({ lastAnswerAtMs }) => lastAnswerAtMs >= brokenAtMs);
+        if (!hasWitness) return;
         this.recordCrash(fingerprint, target.record.id);
         this.options.report(fingerprint);
       });
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -2,6 +2,7 @@
 
 import type ColdRateLimit from '@guavayard/core/placement/ColdRateLimit';
 import createPlacedTarget from '@guavayard/core/placement/createPlacedTarget';
+import isConfirmed from '@guavayard/core/placement/isConfirmed';
 import maySendToColdTarget from '@guavayard/core/placement/maySendToColdTarget';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import selectCandidates from '@guavayard/core/placement/selectCandidates';
@@ -173,6 +174,20 @@
       && !this.evacuated.has(target.record.dataCentre));
   }
 
+  /**
+   * Finds targets that show whether the path to a target works as far as others use it, too.
+   *
+   * @param target - the target
+   * @param count - most targets to return
+   * @returns other targets of its region, of any service
+   */
+  findWitnesses(target: PlacedTarget, count: number): PlacedTarget[] {
+    const others = [...this.targets.values()].filter((other) => other !== target
+      && other.region === target.region && this.isServing(other));
+    const confirmed = others.filter(isConfirmed);
+    return selectCandidates(confirmed.length > 0 ? confirmed : others, count, 0).slice(0, count);
+  }
+
   /** @returns whether a target is in the region of this entry */
   isNear(target: PlacedTarget): boolean {
     return target.region === this.options.location.region;
--- a/packages/gateway/test/crashes.test.ts
+++ b/packages/gateway/test/crashes.test.ts
@@ -84,3 +84,20 @@
   rig.run(1000);
   assert.equal(res.status, 200);
 });
+
+test('requests that a broken path cuts off are not taken for ones that crash targets', (t) => {
+  const rig = new GatewayRig(t, { isIdempotent: false });
+  Array.from({ length: 8 }, (_, index) => rig.addTarget(`t${index}`));
+  for (let round = 0; round < 5; round += 1) {
+    rig.request();
+    rig.run(100);
+    rig.targets.forEach((target) => Object.assign(target, { mode: 'silent' }));
+    rig.run(CRASH_CHECK_MS + 400);
+    rig.targets.forEach((target) => Object.assign(target, { mode: 'answers' }));
+    rig.run(2000);
+  }
+  assert.deepEqual(rig.reports, []);
+  const res = rig.request();
+  rig.run(400);
+  assert.equal(res.status, 200);
+});
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -112,7 +112,7 @@
       retryWindowMs: 10_000,
     });
     this.crashes = new CrashWatch({
-      clock, log, prober, report: (fingerprint) => this.reports.push(fingerprint),
+      clock, log, pool, prober, report: (fingerprint) => this.reports.push(fingerprint),
     });
     const { crashes } = this;
     this.handler = new GatewayHandler({
