--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -18,6 +18,7 @@
 import describeAttempt from './describeAttempt';
 import type GatewayRequest from './GatewayRequest';
 import type ExchangeDependencies from './ExchangeDependencies';
+import isRefusalStatus from './isRefusalStatus';
 import isNotRunStatus from './isNotRunStatus';
 import classifyResponse from './classifyResponse';
 import type PlacementRequest from './PlacementRequest';
@@ -282,6 +283,11 @@
         const verdict = classifyResponse(status, metadata, this.request.requestId);
         state.verdict = isFramed || verdict === 'not-run' ? verdict : 'spoiled';
         this.recordLoad(state, metadata);
+        if (isRefusalStatus(status) && metadata.restMs !== undefined) {
+          this.dependencies.log.logEvent({
+            target: target.record.id, restMs: metadata.restMs, source: 'request',
+          }, 'target asks for time');
+        }
         if (state.verdict !== 'spoiled') {
           this.dependencies.pool.limits.recordResponse(target, metadata.requestLimit, 'request');
         }
--- a/packages/gateway/src/ResponseMetadata.ts
+++ b/packages/gateway/src/ResponseMetadata.ts
@@ -13,6 +13,8 @@
   readonly load: LoadFigures | undefined;
   /** Requests per second that the target takes from all entries; undefined if it names no limit. */
   readonly requestLimit: number | undefined;
+  /** Time for which the target wants no requests, in milliseconds; undefined if it names none. */
+  readonly restMs: number | undefined;
 }
 
 export default ResponseMetadata;
--- a/packages/gateway/test/support/PlainDialect.ts
+++ b/packages/gateway/test/support/PlainDialect.ts
@@ -44,6 +44,7 @@
       isEncoded: headers['content-encoding'] !== undefined,
       load: readLoad(headers),
       requestLimit: readLimit(headers),
+      restMs: headers.rest === undefined ? undefined : Number(headers.rest),
     };
   }
 
@@ -53,6 +54,7 @@
       load: readLoad(headers),
       coldLeftMs: headers.cold === undefined ? undefined : Number(headers.cold),
       requestLimit: readLimit(headers),
+      restMs: headers.rest === undefined ? undefined : Number(headers.rest),
     };
   }
 
