Leave a target alone for the time that it asks for

Cause: nothing read the header; a refusal with a time was a refusal like any other. Ruled out: requests that were placed before (the excess lasts to the end of the time), probes alone (requests go on, too).

If nothing is left to send to, callers are refused at once and told when the first target returns. Afterwards one request at a time until one is served.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -80,6 +80,7 @@
   const dialect = new PlatformDialect();
   const pool = new TargetPool({
     clock,
+    random: Math.random,
     log,
     location: { name: identity.name, region: identity.region },
     regionOf: (dataCentre) => regions[dataCentre] ?? '',
--- a/packages/core/src/placement/PlacedTarget.ts
+++ b/packages/core/src/placement/PlacedTarget.ts
@@ -1,4 +1,5 @@
 import type RequestLimit from '../requestLimit/RequestLimit';
+import type TargetRest from '../rest/TargetRest';
 import type RegisteredTarget from '../registry/RegisteredTarget';
 import type LoadReading from './LoadReading';
 
@@ -27,6 +28,8 @@
   rejectShareAtMs: number;
   /** Limit on requests that the target has named; undefined without one. */
   requestLimit: RequestLimit | undefined;
+  /** The time for which the target wants to be left alone; undefined if it has asked for none. */
+  rest: TargetRest | undefined;
   /** Whether the target reports itself as unable to serve. */
   isUnhealthy: boolean;
   /** Consecutive probes without a response. */
--- a/packages/core/src/placement/createPlacedTarget.ts
+++ b/packages/core/src/placement/createPlacedTarget.ts
@@ -30,6 +30,7 @@
     rejectShare: 0,
     rejectShareAtMs: 0,
     requestLimit: undefined,
+    rest: undefined,
     isUnhealthy: false,
     unansweredProbes: 0,
     probeSentAtMs: undefined,
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -283,13 +283,9 @@
         const verdict = classifyResponse(status, metadata, this.request.requestId);
         state.verdict = isFramed || verdict === 'not-run' ? verdict : 'spoiled';
         this.recordLoad(state, metadata);
-        if (isRefusalStatus(status) && metadata.restMs !== undefined) {
-          this.dependencies.log.logEvent({
-            target: target.record.id, restMs: metadata.restMs, source: 'request',
-          }, 'target asks for time');
-        }
         if (state.verdict !== 'spoiled') {
           this.dependencies.pool.limits.recordResponse(target, metadata.requestLimit, 'request');
+          this.recordRest(state, status, metadata);
         }
         // Any further data on this connection may belong to another request.
         if (state.verdict === 'spoiled') {
@@ -302,6 +298,12 @@
     };
   }
 
+  private recordRest({ target }: Attempt, status: number, { restMs }: ResponseMetadata): void {
+    const { pool } = this.dependencies;
+    if (!isRefusalStatus(status)) pool.recordReturn(target);
+    else if (restMs !== undefined) pool.recordRest(target, restMs, 'request');
+  }
+
   private recordLoad({ target, startedAtMs }: Attempt, { load }: ResponseMetadata): void {
     if (load === undefined) return;
     const state = target;
@@ -411,10 +413,19 @@
       }
     }
     if (verdict === 'failed' && !isNotRunStatus(attempt.status ?? 0)) this.forwardResponse(attempt, undefined);
-    else if (verdict === 'not-run') this.fail({ kind: 'overloaded', detail: 'the target did not run it' }, REJECTED_RETRY_AFTER_MS * (1 + Math.random()));
+    else if (verdict === 'not-run') this.fail({ kind: 'overloaded', detail: 'the target did not run it' }, this.estimateReturn());
     else this.fail({ kind: 'targetFailed', detail: verdict }, undefined);
   }
 
+  /** Returns when a caller may return whose request targets refused, in milliseconds. */
+  private estimateReturn(): number {
+    const { pool } = this.dependencies;
+    const { service, route: { homeRegions } } = this.request;
+    const soonMs = REJECTED_RETRY_AFTER_MS * (1 + Math.random());
+    if (pool.findEligible(service, homeRegions, []).length > 0) return soonMs;
+    return pool.estimateWaitMs(service, homeRegions, [], 0) ?? soonMs;
+  }
+
   /** Forwards the target's response to the caller. */
   private forwardResponse(attempt: Attempt, failure: Failure | undefined): void {
     const status = attempt.status ?? 0;
--- a/packages/gateway/src/PlacementQueue.ts
+++ b/packages/gateway/src/PlacementQueue.ts
@@ -181,15 +181,15 @@
   }
 
   /**
-   * Keeps a request queued if the limit of a target allows one in time, and refuses it otherwise,
-   * also if there is no target at all.
+   * Keeps a request queued if the limit or the end of the rest of a target allows one in time, and
+   * refuses it otherwise, also if there is no target at all.
    */
   private awaitLimit(queued: QueuedRequest): void {
     const { pool, clock } = this.options;
     const { request, refusedAtMs } = queued;
     const ahead = Math.max(0, this.queue.indexOf(queued));
     const waitMs = pool
-      .estimateLimitWaitMs(request.service, request.homeRegions, request.triedIds, ahead);
+      .estimateWaitMs(request.service, request.homeRegions, request.triedIds, ahead);
     if (waitMs === undefined) {
       const kind = pool.isMostlySilent(request.service) ? 'targetsUnreachable' : 'noTarget';
       this.refuse(queued, { kind, detail: `service "${request.service}"` });
@@ -197,7 +197,8 @@
       this.scheduleSearch(waitMs);
     } else {
       pool.limits.recordReturn(waitMs);
-      this.refuse(queued, { kind: 'overloaded', detail: 'the targets have reached their limits' }, waitMs);
+      const detail = 'the targets have reached their limits or asked for time';
+      this.refuse(queued, { kind: 'overloaded', detail }, waitMs);
     }
   }
 
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -10,6 +10,12 @@
 import type Declaration from '@guavayard/core/registry/Declaration';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import type Clock from '@guavayard/core/types/Clock';
+import estimateRestWait from '@guavayard/core/rest/estimateRestWait';
+import grantRest from '@guavayard/core/rest/grantRest';
+import isResting from '@guavayard/core/rest/isResting';
+import mayReturn from '@guavayard/core/rest/mayReturn';
+import restLimits from '@guavayard/core/rest/restLimits';
+import type Random from '@guavayard/core/types/Random';
 import type RequestLimitNotice from '@guavayard/core/requestLimit/RequestLimitNotice';
 
 import type EntryLocation from './EntryLocation';
@@ -27,6 +33,7 @@
 
 interface TargetPoolOptions {
   readonly clock: Clock;
+  readonly random: Random;
   readonly log: Logger;
   /** This entry. */
   readonly location: EntryLocation;
@@ -126,29 +133,37 @@
     homeRegions: readonly string[] | undefined,
     triedIds: readonly string[],
   ): PlacedTarget[] {
+    const nowMs = this.options.clock();
     return this.findUsable(service, homeRegions, triedIds)
-      .filter((target) => this.limits.allows(target));
+      .filter((target) => mayReturn(target, nowMs) && this.limits.allows(target));
   }
 
   /**
-   * Estimates when a request may be sent to one of the targets that have reached their limits.
+   * Estimates when a request may be sent to one of the targets that have reached their limits or
+   * have asked for time.
    *
    * @param service - the service
    * @param homeRegions - the only regions that may serve it; undefined if every region may
    * @param triedIds - ids of the targets of earlier attempts
    * @param ahead - queued requests that are served first
-   * @returns the time until then in milliseconds, undefined if no target has a limit
+   * @returns the time until then in milliseconds, undefined if no target has a limit or rests
    */
-  estimateLimitWaitMs(
+  estimateWaitMs(
     service: string,
     homeRegions: readonly string[] | undefined,
     triedIds: readonly string[],
     ahead: number,
   ): number | undefined {
-    return this.limits.estimateWaitMs(this.findUsable(service, homeRegions, triedIds), ahead);
+    const nowMs = this.options.clock();
+    const usable = this.findUsable(service, homeRegions, triedIds);
+    const awake = usable.filter((target) => !isResting(target, nowMs));
+    const limitWaitMs = this.limits.estimateWaitMs(awake, ahead) ?? Infinity;
+    const restWaitMs = estimateRestWait(usable, ahead, nowMs) ?? Infinity;
+    if (limitWaitMs <= restWaitMs) return limitWaitMs === Infinity ? undefined : limitWaitMs;
+    return restWaitMs * (1 + restLimits.callerSpreadShare * this.options.random());
   }
 
-  /** Finds the targets that may receive a request as far as their request limits allow it. */
+  /** Finds the targets that may receive a request as far as limits and rest allow it. */
   private findUsable(
     service: string,
     homeRegions: readonly string[] | undefined,
@@ -212,6 +227,33 @@
     }
   }
 
+  /**
+   * Records that a target asked to be left alone.
+   *
+   * @param target - the target
+   * @param restMs - for how long, in milliseconds
+   * @param source - kind of the response that says so
+   */
+  recordRest(target: PlacedTarget, restMs: number, source: 'request' | 'probe'): void {
+    const { clock, random, log } = this.options;
+    const nowMs = clock();
+    const wasResting = isResting(target, nowMs);
+    grantRest(target, restMs, random(), nowMs);
+    // Refusals of requests that were under way already repeat the same wish.
+    if (wasResting) return;
+    log.info({
+      target: target.record.id, service: target.record.service, restMs, source,
+    }, 'target asks for time');
+  }
+
+  /** Records that a target that had asked for time serves requests again. */
+  recordReturn(target: PlacedTarget): void {
+    if (target.rest?.isReturning !== true || isResting(target, this.options.clock())) return;
+    const state = target;
+    state.rest = undefined;
+    this.options.log.info({ target: target.record.id }, 'target serves again');
+  }
+
   /** Records that a target answered a request or a probe of this entry. */
   recordAnswer(target: PlacedTarget): void {
     const state = target;
@@ -264,6 +306,12 @@
     return silent > 0 && silent >= reachabilityLimits.mostlySilentShare * inReach.length;
   }
 
+  /** @returns the number of targets that rest at their own request */
+  get restingCount(): number {
+    const nowMs = this.options.clock();
+    return [...this.targets.values()].filter((target) => isResting(target, nowMs)).length;
+  }
+
   /** @returns the number of targets that name a request limit */
   get limitedCount(): number {
     return [...this.targets.values()].filter(({ requestLimit }) => requestLimit !== undefined)
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -6,9 +6,11 @@
 import placementLimits from '@guavayard/core/placement/placementLimits';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import selectKeepAliveTargets from '@guavayard/core/placement/selectKeepAliveTargets';
+import isResting from '@guavayard/core/rest/isResting';
 import type Clock from '@guavayard/core/types/Clock';
 
 import type Dialect from './Dialect';
+import isRefusalStatus from './isRefusalStatus';
 import type TargetPool from './TargetPool';
 
 /** Timeout of a probe, in milliseconds. */
@@ -122,6 +124,7 @@
   /** Starts a probe unless one is in flight, whose response serves this selection as well. */
   private ensureProbe(target: PlacedTarget, nowMs: number): boolean {
     if (target.probeWaiters !== undefined) return true;
+    if (isResting(target, nowMs)) return false;
     const path = this.options.pool.healthPathOf(target.record.service);
     if (path === undefined || !this.bucket.tryTake(1, nowMs)) return false;
     this.sendProbe(target, path);
@@ -195,7 +198,7 @@
     pool.recordAnswer(target);
     state.idleTimeoutMs = parseKeepAliveTimeout(headers['keep-alive']);
     const {
-      targetId, load, coldLeftMs, requestLimit,
+      targetId, load, coldLeftMs, requestLimit, restMs,
     } = dialect.readProbe(headers);
     if (targetId !== undefined && targetId !== target.record.id) {
       // Another target has the address; the update from control will follow.
@@ -204,6 +207,7 @@
       return;
     }
     state.isUnhealthy = status !== OK;
+    if (isRefusalStatus(status) && restMs !== undefined) pool.recordRest(target, restMs, 'probe');
     pool.limits.recordResponse(target, requestLimit, 'probe');
     if (coldLeftMs !== undefined) pool.recordColdLeft(target, coldLeftMs);
     const figures = load ?? {
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -128,6 +128,7 @@
     if (target.mode !== 'unframed') headers['content-length'] = String(body.length);
     if (target.mode !== 'unsigned') headers.signed = 'yes';
     if (target.mode === 'not-run') headers['not-run'] = '1';
+    if (target.mode === 'not-run' && target.restMs !== undefined) headers.rest = String(target.restMs);
     handler.onHeaders(STATUSES[target.mode] ?? 200, headers);
     for (let start = 0; start < body.length && !isOver(); start += CHUNK_BYTES) {
       handler.onData(Buffer.from(body.slice(start, start + CHUNK_BYTES)));
--- a/packages/gateway/test/support/FakeTarget.ts
+++ b/packages/gateway/test/support/FakeTarget.ts
@@ -11,6 +11,8 @@
   coldLeftMs: number;
   /** Requests per second that it says it takes; undefined without a limit. */
   limit?: number;
+  /** Time that it asks for when it refuses a request, in milliseconds. */
+  restMs?: number;
   /** Length to which its response body is padded, in bytes; its id alone by default. */
   bodyBytes?: number;
   /**
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -87,6 +87,7 @@
     const dialect = new PlainDialect();
     this.pool = new TargetPool({
       clock,
+      random: () => this.random(),
       log,
       location: { name: 'entry-1', region: 'near' },
       regionOf: (dataCentre) => dataCentre,
