Ask slow and busy entries again soon, and wait a moment for them

An entry that is busy or silent is now asked last for 0.3 s rather than not at all for 1 s; one with a queue says so before it takes a request; and a request that is within its longest wait asks again after 50 ms unless the others are cut off, too.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -154,7 +154,7 @@
   }, () => subscription.declaration);
   const caller = new CallerListener(handler, { onError: (err) => errors.report(err, 'request') });
   const admission = new RelayAdmission({
-    pool, prober, version: () => subscription.declaration?.version,
+    pool, prober, placement, version: () => subscription.declaration?.version,
   });
   const relayServer = new RelayServer({
     hub,
--- a/packages/core/src/relay/rankPeers.ts
+++ b/packages/core/src/relay/rankPeers.ts
@@ -1,4 +1,5 @@
 import rankMember from '../ownership/rankMember';
+import type AvoidedPeer from './AvoidedPeer';
 import type EntryPeer from './EntryPeer';
 import relayLimits from './relayLimits';
 
@@ -7,8 +8,8 @@
   readonly own: EntryPeer;
   /** The only regions to which the request may be sent; undefined if every region may get it. */
   readonly homeRegions: readonly string[] | undefined;
-  /** Until when entries that refused or did not answer are left out, in ms, by name. */
-  readonly avoidedUntilMs: ReadonlyMap<string, number>;
+  /** Entries that have not taken a request lately, by name. */
+  readonly avoided: ReadonlyMap<string, AvoidedPeer>;
   /** Relayed requests of this entry in progress, by name of the entry that serves them. */
   readonly inProgress: ReadonlyMap<string, number>;
   readonly nowMs: number;
@@ -33,16 +34,25 @@
   context: PeerContext,
 ): Peer[] {
   const {
-    own, homeRegions, avoidedUntilMs, inProgress, nowMs,
+    own, homeRegions, avoided, inProgress, nowMs,
   } = context;
+  const findAvoided = ({ name }: EntryPeer): AvoidedPeer | undefined => {
+    const known = avoided.get(name);
+    return known !== undefined && known.untilMs > nowMs ? known : undefined;
+  };
+  const isDoubtful = (peer: EntryPeer): number => Number(findAvoided(peer) !== undefined);
   const ranked = entries
-    .filter(({ name, region }) => name !== own.name
-      && (homeRegions === undefined || homeRegions.includes(region))
-      && (avoidedUntilMs.get(name) ?? -Infinity) <= nowMs)
+    .filter((peer) => peer.name !== own.name
+      && (homeRegions === undefined || homeRegions.includes(peer.region))
+      && findAvoided(peer)?.isFirm !== true)
     .map((peer) => ({
-      peer, distance: distance(own, peer), rank: rankMember(peer.name, own.name),
+      peer,
+      isDoubtful: isDoubtful(peer),
+      distance: distance(own, peer),
+      rank: rankMember(peer.name, own.name),
     }))
-    .sort((a, b) => a.distance - b.distance || b.rank - a.rank);
+    .sort((a, b) => (
+      a.isDoubtful - b.isDoubtful || a.distance - b.distance || b.rank - a.rank));
   const { preferredPerDataCentre, askedPerDataCentre, maxAsked } = relayLimits;
   const byDataCentre = new Map<string, Peer[]>();
   ranked.forEach(({ peer }) => {
@@ -52,6 +62,9 @@
   });
   const load = ({ name }: Peer): number => inProgress.get(name) ?? 0;
   return [...byDataCentre.values()]
-    .flatMap((peers) => peers.sort((a, b) => load(a) - load(b)).slice(0, askedPerDataCentre))
+    .flatMap((peers) => peers
+      .sort((a, b) => isDoubtful(a) - isDoubtful(b) || load(a) - load(b))
+      .slice(0, askedPerDataCentre))
+    .sort((a, b) => isDoubtful(a) - isDoubtful(b))
     .slice(0, maxAsked);
 }
--- a/packages/core/src/relay/relayLimits.ts
+++ b/packages/core/src/relay/relayLimits.ts
@@ -12,8 +12,14 @@
   farAskMs: 120,
   /** Added to these waits while the session is not open yet, in milliseconds. */
   connectMs: 100,
-  /** Time for which an entry that refused or did not answer is not asked again, in ms. */
-  avoidMs: 1000,
+  /** Time for which an entry that cannot take requests is not asked again, in ms. */
+  firmAvoidMs: 1000,
+  /** Time for which an entry that was busy or did not answer is asked last, in ms. */
+  briefAvoidMs: 300,
+  /** Pause before the entries are asked again for a request that can still wait, in ms. */
+  askAgainMs: 50,
+  /** Queued requests of a service from which an entry takes no further ones of others. */
+  busyQueue: 4,
   /** Time without a relayed request after which the session to an entry is closed, in ms. */
   idleSessionMs: 10_000,
   /** Least remaining time with which a request is relayed, in milliseconds. */
--- a/packages/core/test/relay.test.ts
+++ b/packages/core/test/relay.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
+import avoidPeer from '../src/relay/avoidPeer';
 import type EntryPeer from '../src/relay/EntryPeer';
 import rankPeers from '../src/relay/rankPeers';
 import relayLimits from '../src/relay/relayLimits';
@@ -21,7 +22,7 @@
   return {
     own,
     homeRegions: undefined,
-    avoidedUntilMs: new Map(),
+    avoided: new Map(),
     inProgress: new Map(),
     nowMs: 0,
     ...change,
@@ -45,11 +46,22 @@
 
 test('an entry that refused is left out until its time is over', () => {
   const [first] = rankPeers(entries, createContext(own)) as [EntryPeer];
-  const avoidedUntilMs = new Map([[first.name, 1000]]);
+  const avoided = new Map([[first.name, avoidPeer('unreachable', 0)]]);
   const names = (nowMs: number): string[] => (
-    rankPeers(entries, createContext(own, { avoidedUntilMs, nowMs })).map(({ name }) => name));
-  assert.ok(!names(999).includes(first.name));
-  assert.ok(names(1000).includes(first.name));
+    rankPeers(entries, createContext(own, { avoided, nowMs })).map(({ name }) => name));
+  assert.ok(!names(relayLimits.firmAvoidMs - 1).includes(first.name));
+  assert.ok(names(relayLimits.firmAvoidMs).includes(first.name));
+});
+
+test('an entry that was busy or silent is asked only if no other is left', () => {
+  const [first, second] = rankPeers(entries, createContext(own)) as [EntryPeer, EntryPeer];
+  const avoided = new Map([
+    [first.name, avoidPeer('busy', 0)], [second.name, avoidPeer('no answer', 0)],
+  ]);
+  const names = rankPeers(entries, createContext(own, { avoided })).map(({ name }) => name);
+  assert.ok(!names.includes(first.name) && !names.includes(second.name));
+  const alone = [own, first];
+  assert.deepEqual(rankPeers(alone, createContext(own, { avoided })), [first]);
 });
 
 test('of the preferred entries, the one with the fewest requests is asked first', () => {
@@ -62,10 +74,10 @@
 test('the entries of a data centre that is cut off as a whole spread over the others', () => {
   const large = createEntries(35);
   const cut = large.filter(({ dataCentre }) => dataCentre === 'cork');
-  const avoidedUntilMs = new Map(cut.map(({ name }) => [name, 1000]));
+  const avoided = new Map(cut.map(({ name }) => [name, avoidPeer('unreachable', 0)]));
   const counts = new Map<string, number>();
   cut.forEach((entry) => {
-    const [first] = rankPeers(large, createContext(entry, { avoidedUntilMs }));
+    const [first] = rankPeers(large, createContext(entry, { avoided }));
     counts.set(first?.name ?? '', (counts.get(first?.name ?? '') ?? 0) + 1);
     assert.equal(first?.dataCentre, 'yard');
   });
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -6,6 +6,7 @@
 import type Failure from '@guavayard/core/errors/Failure';
 import isFramedResponse from '@guavayard/core/http/isFramedResponse';
 import selectAnswerHeaders from '@guavayard/core/http/selectAnswerHeaders';
+import AdmissionControl from '@guavayard/core/placement/AdmissionControl';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import recordOutcome from '@guavayard/core/placement/recordOutcome';
 import recordRejection from '@guavayard/core/placement/recordRejection';
@@ -78,6 +79,8 @@
 
   private relays = 0;
 
+  private askTimer: NodeJS.Timeout | undefined;
+
   private timer: NodeJS.Timeout | undefined;
 
   private watchdog: NodeJS.Timeout | undefined;
@@ -150,6 +153,15 @@
     relayAttempt.start();
   }
 
+  /** Whether the request may wait for another entry that was busy or did not answer. */
+  private get mayWaitForEntry(): boolean {
+    const { route: { targetLatencyMs }, arrivedAtMs, deadlineMs } = this.request;
+    const nowMs = this.dependencies.clock();
+    const waitMs = AdmissionControl
+      .longestWaitMs({ targetLatencyMs, remainingMs: deadlineMs - arrivedAtMs });
+    return nowMs + relayLimits.askAgainMs <= arrivedAtMs + waitMs;
+  }
+
   private endRelay(outcome: string): void {
     this.relayLine = this.relayAttempt?.describe(outcome);
     this.relayAttempt = undefined;
@@ -158,9 +170,15 @@
   private handleRelayRefusal(reason: string): void {
     this.endRelay(`refused ${reason}`);
     if (this.isEnded) return;
-    this.relays = MAX_RELAYS;
     const { pool, placement } = this.dependencies;
-    if (pool.reachability.isUnreachable(this.request.service)) {
+    const isUnreachable = pool.reachability.isUnreachable(this.request.service);
+    if (isUnreachable && reason !== 'unreachable' && this.mayWaitForEntry) {
+      this.relays -= 1;
+      this.askTimer = setTimeout(() => this.findTarget(), relayLimits.askAgainMs);
+      return;
+    }
+    this.relays = MAX_RELAYS;
+    if (isUnreachable) {
       const retryAfterMs = UNREACHABLE_RETRY_AFTER_MS * (1 + Math.random());
       this.fail({ kind: 'targetsUnreachable', detail: `other entries: ${reason}` }, retryAfterMs);
       return;
@@ -488,6 +506,7 @@
     this.isEnded = true;
     clearTimeout(this.timer);
     clearTimeout(this.watchdog);
+    clearTimeout(this.askTimer);
     this.leaveQueue?.();
     this.leaveQueue = undefined;
     this.body.discard();
--- a/packages/gateway/src/Placement.ts
+++ b/packages/gateway/src/Placement.ts
@@ -30,6 +30,11 @@
     return [...this.queues.values()].reduce((sum, { length }) => sum + length, 0);
   }
 
+  /** @returns the number of requests of a service that wait for a target in this entry */
+  waitingFor(service: string): number {
+    return this.queues.get(service)?.length ?? 0;
+  }
+
   /**
    * Finds a target for an attempt of a request.
    *
--- a/packages/gateway/src/RelayAdmission.ts
+++ b/packages/gateway/src/RelayAdmission.ts
@@ -1,6 +1,8 @@
 import selectCandidates from '@guavayard/core/placement/selectCandidates';
+import relayLimits from '@guavayard/core/relay/relayLimits';
 import type RelayRefusal from '@guavayard/core/relay/RelayRefusal';
 
+import type Placement from './Placement';
 import type TargetPool from './TargetPool';
 import type TargetProber from './TargetProber';
 
@@ -16,6 +18,7 @@
 interface RelayAdmissionOptions {
   readonly pool: TargetPool;
   readonly prober: TargetProber;
+  readonly placement: Placement;
   /** Returns the version of the declaration in force, undefined if there is none. */
   readonly version: () => number | undefined;
 }
@@ -41,9 +44,10 @@
     version: number,
     respond: (refusal: RelayRefusal | undefined) => void,
   ): void {
-    const { pool } = this.options;
+    const { pool, placement } = this.options;
     if (this.options.version() !== version) respond('version');
     else if (pool.isMostlySilent(service)) respond('unreachable');
+    else if (placement.waitingFor(service) >= relayLimits.busyQueue) respond('busy');
     else if (pool.reachability.hasAnsweredWithin(service, RECENT_ANSWER_MS)) respond(undefined);
     else this.probe(service, respond);
   }
--- a/packages/gateway/test/cutOff.test.ts
+++ b/packages/gateway/test/cutOff.test.ts
@@ -82,6 +82,24 @@
   assert.equal(countSent(rig), before);
 });
 
+test('a request waits a moment for entries that are busy or start', (t) => {
+  const rig = createRig(t);
+  cut(rig);
+  rig.request();
+  rig.run(NOTICED_MS);
+  Object.assign(rig.relay, { mode: 'refuses', reason: 'no answer' });
+  const res = rig.request();
+  rig.run(100);
+  assert.equal(res.status, undefined);
+  rig.relay.mode = 'serves';
+  rig.run(300);
+  assert.equal(res.status, 200);
+  rig.relay.mode = 'refuses';
+  const late = rig.request();
+  rig.run(0.35 * 600);
+  assert.equal(late.status, 503);
+});
+
 test('the refusal of the other entry reaches the caller with its time to return', (t) => {
   const rig = createRig(t, false);
   rig.relay.mode = 'overloaded';
--- a/packages/gateway/test/support/FakeRelay.ts
+++ b/packages/gateway/test/support/FakeRelay.ts
@@ -12,6 +12,9 @@
 
   aborts = 0;
 
+  /** Why the other entries refuse a request. */
+  reason = 'unreachable';
+
   /** What the other entries do with a request. */
   mode: 'serves' | 'refuses' | 'fails' | 'overloaded' = 'serves';
 
@@ -23,7 +26,7 @@
       isOver = true;
       run();
     };
-    if (this.mode === 'refuses') end(() => handler.onRefused('unreachable'));
+    if (this.mode === 'refuses') end(() => handler.onRefused(this.reason));
     else {
       handler.onGranted('entry-2');
       setTimeout(() => end(() => this.finish(handler)), SERVICE_MS);
--- a/packages/vm/src/relay/OutgoingRelay.ts
+++ b/packages/vm/src/relay/OutgoingRelay.ts
@@ -2,6 +2,7 @@
 
 import type Dispatch from '@guavayard/core/dispatch/Dispatch';
 import type Failure from '@guavayard/core/errors/Failure';
+import type avoidPeer from '@guavayard/core/relay/avoidPeer';
 import relayLimits from '@guavayard/core/relay/relayLimits';
 import type RelayHandler from '@guavayard/core/relay/RelayHandler';
 import type RelayRequest from '@guavayard/core/relay/RelayRequest';
@@ -13,7 +14,7 @@
 import type PeerSessions from './PeerSessions';
 
 /** Why an entry was not given a request. */
-type RefusalReason = Extract<VmMessage, { kind: 'relayRefusal' }>['reason'] | 'no answer' | 'session lost';
+type RefusalReason = Parameters<typeof avoidPeer>[0];
 
 interface OutgoingRelayOptions {
   readonly clock: Clock;
--- a/packages/vm/src/relay/RelayClient.ts
+++ b/packages/vm/src/relay/RelayClient.ts
@@ -1,7 +1,8 @@
 import type Dispatch from '@guavayard/core/dispatch/Dispatch';
+import avoidPeer from '@guavayard/core/relay/avoidPeer';
+import type AvoidedPeer from '@guavayard/core/relay/AvoidedPeer';
 import rankPeers from '@guavayard/core/relay/rankPeers';
 import type RelayHandler from '@guavayard/core/relay/RelayHandler';
-import relayLimits from '@guavayard/core/relay/relayLimits';
 import type RelayRequest from '@guavayard/core/relay/RelayRequest';
 import type RequestRelay from '@guavayard/core/relay/RequestRelay';
 import type Clock from '@guavayard/core/types/Clock';
@@ -31,7 +32,7 @@
 
   private readonly relays = new Map<number, OutgoingRelay>();
 
-  private readonly avoidedUntilMs = new Map<string, number>();
+  private readonly avoided = new Map<string, AvoidedPeer>();
 
   private nextId = 0;
 
@@ -51,12 +52,12 @@
       peers: rankPeers(this.options.entries(), {
         own: identity,
         homeRegions: request.homeRegions,
-        avoidedUntilMs: this.avoidedUntilMs,
+        avoided: this.avoided,
         inProgress: this.countInProgress(),
         nowMs: clock(),
       }),
       onRefusal: (peer, reason) => {
-        this.avoidedUntilMs.set(peer.name, clock() + relayLimits.avoidMs);
+        this.avoided.set(peer.name, avoidPeer(reason, clock()));
         this.options.onRefusal(peer.name, reason);
       },
       onEnd: () => this.relays.delete(id),
