Let a relayed request bring a part of the share in request limits

With a request that is handed over, the entry gives up one request of its share in the limit of a target, and names that target; the other entry may send this request there beyond its own share. The sum over all entries stays the same, so LIMIT needs no new argument. Nothing is taken before the other entry has agreed.

--- a/packages/core/src/relay/RelayRequest.ts
+++ b/packages/core/src/relay/RelayRequest.ts
@@ -4,7 +4,9 @@
 
 /** A request that is to be relayed to another entry. */
 interface RelayRequest {
-  readonly head: Omit<RelayedHead, 'remainingMs'>;
+  readonly head: Omit<RelayedHead, 'remainingMs' | 'permittedIds'>;
+  /** Takes one request of the shares of request limits, once another entry has agreed. */
+  readonly takePermits: () => string[];
   /** Version of the declaration by which the request was matched. */
   readonly version: number;
   /** Its deadline, in milliseconds of the monotonic clock. */
--- a/packages/core/src/relay/RelayedHead.ts
+++ b/packages/core/src/relay/RelayedHead.ts
@@ -18,6 +18,11 @@
   remainingMs: z.number(),
   /** Targets that earlier attempts were sent to. */
   triedIds: z.array(z.string().max(128)).max(64),
+  /**
+   * Targets that name a request limit, of which the entry that relays the request gives up one
+   * request of its share.
+   */
+  permittedIds: z.array(z.string().max(128)).max(8),
 });
 type RelayedHead = z.infer<typeof RelayedHead>;
 
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -134,12 +134,14 @@
   }
 
   private startRelay(): void {
-    const { clock, relay } = this.dependencies;
+    const { clock, relay, pool } = this.dependencies;
     const { request, body, reply } = this;
+    const { service, route: { homeRegions } } = request;
+    const takePermits = (): string[] => pool.takePermits(service, homeRegions, this.triedIds);
     this.leaveQueue = undefined;
     this.relays += 1;
     const relayAttempt = new RelayAttempt({
-      clock, relay, request, triedIds: this.triedIds, body, reply,
+      clock, relay, request, triedIds: this.triedIds, takePermits, body, reply,
     }, {
       onRefused: (reason) => this.handleRelayRefusal(reason),
       onFailed: (failure, retryAfterMs) => this.handleRelayFailure(failure, retryAfterMs),
@@ -216,6 +218,7 @@
       service: request.service,
       homeRegions: route.homeRegions,
       triedIds: this.triedIds,
+      permittedIds: request.permittedIds,
       priority: route.priority,
       targetLatencyMs: route.targetLatencyMs,
       hasLargeBody: this.hasLargeBody,
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -157,6 +157,7 @@
       deadlineMs,
       relayedBy: relayed?.from,
       triedIds: relayed?.head.triedIds ?? [],
+      permittedIds: relayed?.head.permittedIds ?? [],
     });
   }
 }
--- a/packages/gateway/src/GatewayRequest.ts
+++ b/packages/gateway/src/GatewayRequest.ts
@@ -23,6 +23,8 @@
   readonly relayedBy: string | undefined;
   /** Targets that the entry which relayed the request has sent it to. */
   readonly triedIds: readonly string[];
+  /** Targets of whose request limit that entry has given up one request for this one. */
+  readonly permittedIds: readonly string[];
 }
 
 export default GatewayRequest;
--- a/packages/gateway/src/PlacementQueue.ts
+++ b/packages/gateway/src/PlacementQueue.ts
@@ -161,8 +161,10 @@
       .forEach((queued) => this.search(queued));
   }
 
-  private findEligible({ service, homeRegions, triedIds }: PlacementRequest): PlacedTarget[] {
-    return this.options.pool.findEligible(service, homeRegions, triedIds);
+  private findEligible({
+    service, homeRegions, triedIds, permittedIds,
+  }: PlacementRequest): PlacedTarget[] {
+    return this.options.pool.findEligible(service, homeRegions, triedIds, permittedIds);
   }
 
   private search(queued: QueuedRequest): void {
@@ -352,7 +354,7 @@
     this.remove(queued);
     this.admission.recordDispatch(attempt.sentAtMs);
     target.inFlight.add(attempt);
-    pool.recordSend(target);
+    pool.recordSend(target, queued.request.permittedIds);
     queued.request.onPlaced(target, (durationMs) => {
       if (!target.inFlight.delete(attempt)) return;
       if (durationMs !== undefined) this.speed.record(durationMs, slowness, used);
--- a/packages/gateway/src/PlacementRequest.ts
+++ b/packages/gateway/src/PlacementRequest.ts
@@ -8,6 +8,8 @@
   readonly homeRegions: readonly string[] | undefined;
   /** Ids of the targets of earlier attempts. */
   readonly triedIds: readonly string[];
+  /** Targets that it may be sent to beyond the share of this entry in their request limits. */
+  readonly permittedIds: readonly string[];
   /** Priority; lower values are served first, starting at 0. */
   readonly priority: number;
   /** Time within which a response has its full value for the caller, in milliseconds. */
--- a/packages/gateway/src/RelayAttempt.ts
+++ b/packages/gateway/src/RelayAttempt.ts
@@ -23,6 +23,8 @@
   readonly relay: RequestRelay;
   readonly request: GatewayRequest;
   readonly triedIds: readonly string[];
+  /** Takes one request of the shares of this entry in the request limits of targets. */
+  readonly takePermits: () => string[];
   readonly body: ReplayableBody;
   readonly reply: CallerReply;
 }
@@ -51,7 +53,7 @@
   /** Starts to ask other entries. */
   start(): void {
     const {
-      clock, relay, request, triedIds, body,
+      clock, relay, request, triedIds, takePermits, body,
     } = this.options;
     const { req, route } = request;
     this.startedAtMs = clock();
@@ -66,6 +68,7 @@
         service: request.service,
         triedIds: [...triedIds],
       },
+      takePermits,
       version: request.version,
       deadlineMs: request.deadlineMs,
       homeRegions: route.homeRegions,
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -31,6 +31,9 @@
  */
 const DOUBTFUL_AFTER_MS = 500;
 
+/** Targets for which a part of the share is given up with one request. */
+const MAX_PERMITS = 1;
+
 interface TargetPoolOptions {
   readonly clock: Clock;
   readonly random: Random;
@@ -126,16 +129,19 @@
    * @param service - the service
    * @param homeRegions - the only regions that may serve it; undefined if every region may
    * @param triedIds - ids of the targets of earlier attempts
+   * @param permittedIds - ids of targets whose request limits allow the request anyway
    * @returns the targets, those of this entry's region first
    */
   findEligible(
     service: string,
     homeRegions: readonly string[] | undefined,
     triedIds: readonly string[],
+    permittedIds: readonly string[] = [],
   ): PlacedTarget[] {
     const nowMs = this.options.clock();
     return this.findUsable(service, homeRegions, triedIds)
-      .filter((target) => mayReturn(target, nowMs) && this.limits.allows(target));
+      .filter((target) => mayReturn(target, nowMs)
+        && (permittedIds.includes(target.record.id) || this.limits.allows(target)));
   }
 
   /**
@@ -318,14 +324,49 @@
       .length;
   }
 
-  /** Records that a request is sent to a target. */
-  recordSend(target: PlacedTarget): void {
+  /**
+   * Records that a request is sent to a target.
+   *
+   * @param target - the target
+   * @param permittedIds - ids of targets for which another entry has given up a part of its share
+   */
+  recordSend(target: PlacedTarget, permittedIds: readonly string[]): void {
     const state = target;
     const nowMs = this.options.clock();
     state.lastSentAtMs = nowMs;
     state.lastAskedAtMs = nowMs;
     if (target.coldUntilMs > nowMs) target.coldSends.push(nowMs);
-    target.requestLimit?.allowance?.take(1);
+    if (!permittedIds.includes(target.record.id)) target.requestLimit?.allowance?.take(1);
+  }
+
+  /**
+   * Takes one request of the share of this entry in request limits, which another entry may use:
+   * the sum over all entries stays the same.
+   *
+   * @param service - the service of the request
+   * @param homeRegions - the only regions that may serve it; undefined if every region may
+   * @param triedIds - ids of the targets of earlier attempts
+   * @returns the ids of the targets, none if no limited target allows a request now
+   */
+  takePermits(
+    service: string,
+    homeRegions: readonly string[] | undefined,
+    triedIds: readonly string[],
+  ): string[] {
+    const nowMs = this.options.clock();
+    const limited = [...this.targets.values()].filter((target) => target.requestLimit !== undefined
+      && target.record.service === service && this.isServing(target)
+      && !triedIds.includes(target.record.id)
+      && (homeRegions === undefined || homeRegions.includes(target.region))
+      && this.limits.allows(target));
+    const available = ({ requestLimit }: PlacedTarget): number => (
+      requestLimit?.allowance?.available(nowMs) ?? 0);
+    return limited.sort((a, b) => available(b) - available(a))
+      .slice(0, MAX_PERMITS)
+      .map((target) => {
+        target.requestLimit?.allowance?.take(1);
+        return target.record.id;
+      });
   }
 
   /** @returns the declared path for probes of a service */
--- a/packages/gateway/test/requestLimits.test.ts
+++ b/packages/gateway/test/requestLimits.test.ts
@@ -104,3 +104,34 @@
   sendFor(rig, 9000);
   assert.equal(rig.notices.length, 2);
 });
+
+test('an entry without a path to targets gives up its share with the requests that it relays', (t) => {
+  const rig = createRig(t);
+  rig.addTarget('limited', { limit: 2 });
+  rig.request();
+  rig.run(2000);
+  Object.assign(rig.targets[0] ?? {}, { mode: 'silent' });
+  rig.request();
+  rig.run(1500);
+  rig.request();
+  const take = (): string[] => rig.relay.sent.at(-1)?.takePermits() ?? [];
+  assert.deepEqual(take(), ['limited']);
+  let taken = 1;
+  while (taken < 100 && take().length === 1) taken += 1;
+  // Allowed in 4 s: one and a half times the limit, and 5.
+  assert.ok(taken <= 1.5 * 2 * 4 + 5, `${taken}`);
+});
+
+test('a request that brings a part of a share uses that one', (t) => {
+  const rig = createRig(t);
+  rig.addTarget('limited', { limit: 0.1 });
+  rig.pool.recordLimitNotices([{ targetId: 'limited', bornAtMs: 1, requestsPerSecond: 0.1 }]);
+  const ids = (permitted: string[]): string[] => (
+    rig.pool.findEligible('lots', undefined, [], permitted).map(({ record }) => record.id));
+  assert.deepEqual(ids([]), []);
+  const [target] = rig.pool.findEligible('lots', undefined, [], ['limited']);
+  assert.ok(target !== undefined);
+  const before = target.requestLimit?.allowance?.available(0);
+  rig.pool.recordSend(target, ['limited']);
+  assert.equal(target.requestLimit?.allowance?.available(0), before);
+});
