--- a/packages/vm/src/relay/OutgoingRelay.ts
+++ b/packages/vm/src/relay/OutgoingRelay.ts
@@ -51,7 +51,8 @@
 
   private isPaused = false;
 
-  private lastReason: RefusalReason | 'no entry' = 'no entry';
+  /** Why no entry has taken the request so far. */
+  private reason: RefusalReason | 'no entry' = 'no entry';
 
   constructor(
     private readonly id: number,
@@ -69,7 +70,7 @@
     this.session = undefined;
     if (peer === undefined || this.remainingMs < relayLimits.minRemainingMs) {
       this.end();
-      this.handler.onRefused(this.lastReason);
+      this.handler.onRefused(this.reason);
       return;
     }
     const { nearAskMs, farAskMs, connectMs } = relayLimits;
@@ -160,7 +161,8 @@
 
   private refuse(reason: RefusalReason): void {
     if (this.isOver || this.peer === undefined) return;
-    this.lastReason = reason;
+    // Other reasons pass sooner, so they decide whether the request should wait.
+    if (reason !== 'unreachable' || this.reason === 'no entry') this.reason = reason;
     this.options.onRefusal(this.peer, reason);
     this.askNext();
   }
