Refuse announcements that no target can have sent

What was seen: no process ends and nobody stops following, but 19 of 35 odd announcements were acknowledged and taken for targets (ports 0 and 99999, the address 999.1.1.1, 1.5 slots, a start in 2033, an unknown data centre, ids that cannot be read), and the sound target whose id they took served 0 of 10 requests: it went on announcing itself, got 200 each time, and received nothing.

Cause: the decoder checks types, not ranges; a stale announcement was acknowledged without effect. Now control names the mistake and refuses, so that nobody is displaced; what is acknowledged is in force. The schema of stored records stays as it is, since logs may hold odd ones; entries ignore those.

--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -55,6 +55,8 @@
     random: Math.random,
     requiredVoters: 2 * bounds.lostVms + 1,
     targetTimeoutMs: MAX_MISSED_HEARTBEATS * bounds.targetHeartbeatSeconds * MS_PER_SECOND,
+    dataCentres: new Set(Object.keys(settings.regions)),
+    timeOfDay: Date.now,
     onFailure: (err) => {
       log.fatal({ err }, 'the replica has failed; exiting to replay its log');
       task.close();
--- a/packages/core/src/errors/errorTable.ts
+++ b/packages/core/src/errors/errorTable.ts
@@ -183,6 +183,13 @@
     retryable: false,
     text: 'the entry that the request was relayed to did not complete it',
   },
+  staleAnnouncement: {
+    code: 33,
+    status: 409,
+    outcome: 'not-run',
+    retryable: false,
+    text: 'a later announcement of the target, or of another one at its address, is in force',
+  },
 } as const satisfies Readonly<Record<string, ErrorDefinition>>;
 
 export default errorTable;
--- a/packages/core/src/registry/applyRegistryChange.ts
+++ b/packages/core/src/registry/applyRegistryChange.ts
@@ -1,3 +1,4 @@
+import findTarget from './findTarget';
 import isStaleAnnouncement from './isStaleAnnouncement';
 import type RegisteredTarget from './RegisteredTarget';
 import type RegistryChange from './RegistryChange';
@@ -25,7 +26,7 @@
 }
 
 function withdraw(state: RegistryState, id: string): void {
-  const known = state.targets[id];
+  const known = findTarget(state, id);
   if (known === undefined) return;
   endIncarnation(state, id, known.bornAtMs);
   delete state.targets[id];
@@ -57,7 +58,7 @@
       withdraw(state, change.targetId);
       break;
     default: {
-      const known = state.targets[change.targetId];
+      const known = findTarget(state, change.targetId);
       const isSame = known?.bornAtMs === change.bornAtMs && known.sequence === change.sequence;
       if (isSame) delete state.targets[change.targetId];
     }
--- a/packages/core/src/registry/isRedundantAnnouncement.ts
+++ b/packages/core/src/registry/isRedundantAnnouncement.ts
@@ -1,3 +1,4 @@
+import findTarget from './findTarget';
 import type RegisteredTarget from './RegisteredTarget';
 import type RegistryState from './RegistryState';
 
@@ -18,7 +19,7 @@
   target: RegisteredTarget,
   coldLeftMs: number,
 ): boolean {
-  const known = state.targets[target.id];
+  const known = findTarget(state, target.id);
   if (known === undefined) return false;
   if (target.coldLeftMs > coldLeftMs + MIN_COLD_CHANGE_MS) return false;
   return known.bornAtMs === target.bornAtMs
--- a/packages/core/src/registry/isStaleAnnouncement.ts
+++ b/packages/core/src/registry/isStaleAnnouncement.ts
@@ -1,3 +1,4 @@
+import findTarget from './findTarget';
 import type RegisteredTarget from './RegisteredTarget';
 import type RegistryState from './RegistryState';
 
@@ -14,9 +15,9 @@
   state: RegistryState,
   target: RegisteredTarget,
 ): boolean {
-  const endedBornAtMs = state.ended[target.id];
+  const endedBornAtMs = Object.hasOwn(state.ended, target.id) ? state.ended[target.id] : undefined;
   if (endedBornAtMs !== undefined && target.bornAtMs <= endedBornAtMs) return true;
-  const known = state.targets[target.id];
+  const known = findTarget(state, target.id);
   if (known !== undefined) {
     if (target.bornAtMs < known.bornAtMs) return true;
     if (target.bornAtMs === known.bornAtMs && target.sequence < known.sequence) return true;
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -8,6 +8,7 @@
 import selectCandidates from '@guavayard/core/placement/selectCandidates';
 import reachabilityLimits from '@guavayard/core/reachability/reachabilityLimits';
 import type Declaration from '@guavayard/core/registry/Declaration';
+import findAnnouncementMistake from '@guavayard/core/registry/findAnnouncementMistake';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import type Clock from '@guavayard/core/types/Clock';
 import estimateRestWait from '@guavayard/core/rest/estimateRestWait';
@@ -418,10 +419,17 @@
 
   private upsert(record: RegisteredTarget): void {
     const known = this.targets.get(record.id);
+    if (known?.record === record) return;
+    // An older control VM may have registered what nothing can be sent to.
+    const mistake = findAnnouncementMistake(record, { dataCentres: undefined, nowMs: Infinity });
+    if (mistake !== undefined) {
+      this.options.log.warn({ target: record.id, mistake }, 'target ignored');
+      this.remove(record.id);
+      return;
+    }
     const isSameIncarnation = known?.record.bornAtMs === record.bornAtMs
       && known.record.address === record.address;
     if (known !== undefined && isSameIncarnation) {
-      if (known.record === record) return;
       known.record = record;
       if (record.coldLeftMs > 0) this.recordColdLeft(known, record.coldLeftMs);
       return;
--- a/packages/vm/src/registry/RegistryStore.ts
+++ b/packages/vm/src/registry/RegistryStore.ts
@@ -1,5 +1,6 @@
 import applyRegistryChange from '@guavayard/core/registry/applyRegistryChange';
 import createRegistryState from '@guavayard/core/registry/createRegistryState';
+import findTarget from '@guavayard/core/registry/findTarget';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import type RegistryChange from '@guavayard/core/registry/RegistryChange';
 import type RegistryState from '@guavayard/core/registry/RegistryState';
@@ -60,7 +61,7 @@
     if (change.kind === 'withdraw' || change.kind === 'expire') this.dirtyIds.add(change.targetId);
     // An announcement may have ended another incarnation at the same address.
     known.forEach((id) => {
-      if (!(id in this.registry.targets)) this.dirtyIds.add(id);
+      if (!Object.hasOwn(this.registry.targets, id)) this.dirtyIds.add(id);
     });
   }
 
@@ -101,7 +102,7 @@
       ...(this.isDeclarationDirty ? { declaration: this.createEntryDeclaration() } : {}),
       ...(this.areEvacuationsDirty ? { evacuated: [...this.registry.evacuated] } : {}),
       targets: ids.flatMap((id) => {
-        const target = this.registry.targets[id];
+        const target = findTarget(this.registry, id);
         return target === undefined ? [] : [this.withColdLeft(target)];
       }),
       removedIds: ids.filter((id) => !(id in this.registry.targets)),
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -6,6 +6,7 @@
 import type Failure from '@guavayard/core/errors/Failure';
 import fail from '@guavayard/core/errors/fail';
 import type Declaration from '@guavayard/core/registry/Declaration';
+import findAnnouncementMistake from '@guavayard/core/registry/findAnnouncementMistake';
 import findDeclarationMistakes from '@guavayard/core/registry/findDeclarationMistakes';
 import isRedundantAnnouncement from '@guavayard/core/registry/isRedundantAnnouncement';
 import isStaleAnnouncement from '@guavayard/core/registry/isStaleAnnouncement';
@@ -205,14 +206,19 @@
    * Registers a target or updates its registration.
    *
    * @param target - the announcement of the target
-   * @returns nothing once every entry that follows control will receive it, or `noQuorum`
+   * @returns nothing once every entry that follows control will receive it, `noQuorum`,
+   *   `invalidAnnouncement` if no target can have sent it, or `staleAnnouncement` if it has no effect
    */
   async announce(target: RegisteredTarget): Promise<Result<undefined, Failure>> {
     if (!this.isCurrent) return fail('noQuorum', 'this VM does not hear the leader');
+    const { dataCentres, timeOfDay } = this.options;
+    const mistake = findAnnouncementMistake(target, { dataCentres, nowMs: timeOfDay() });
+    if (mistake !== undefined) return fail('invalidAnnouncement', mistake);
     const { state } = this.store;
     const isRedundant = isRedundantAnnouncement(state, target, this.store.coldLeftMs(target.id));
     if (isRedundant) this.announcedIds.add(target.id);
-    if (isRedundant || isStaleAnnouncement(state, target)) return Ok(undefined);
+    if (isRedundant) return Ok(undefined);
+    if (isStaleAnnouncement(state, target)) return fail('staleAnnouncement');
     const { id, state: announced, coldLeftMs } = target;
     const accepted = await this.submitChange({ kind: 'announce', target });
     this.announcedIds.add(id);
--- a/packages/vm/src/registry/RegistryTaskOptions.ts
+++ b/packages/vm/src/registry/RegistryTaskOptions.ts
@@ -25,6 +25,10 @@
   readonly requiredVoters: number;
   /** Time without an announcement after which a target is expired, in milliseconds. */
   readonly targetTimeoutMs: number;
+  /** Names of the data centres of the system; undefined if any name is taken. */
+  readonly dataCentres: ReadonlySet<string> | undefined;
+  /** Time of day, in milliseconds since 1970. */
+  readonly timeOfDay: () => number;
   readonly onFailure: (err: Error) => void;
 }
 
--- a/packages/vm/src/registry/RequestLimitBoard.ts
+++ b/packages/vm/src/registry/RequestLimitBoard.ts
@@ -1,3 +1,4 @@
+import findTarget from '@guavayard/core/registry/findTarget';
 import type RequestLimitNotice from '@guavayard/core/requestLimit/RequestLimitNotice';
 
 import type RegistryStore from './RegistryStore';
@@ -53,6 +54,6 @@
   }
 
   private isRegistered({ targetId, bornAtMs }: RequestLimitNotice): boolean {
-    return this.store.state.targets[targetId]?.bornAtMs === bornAtMs;
+    return findTarget(this.store.state, targetId)?.bornAtMs === bornAtMs;
   }
 }
--- a/packages/vm/test/support/RegistryGroup.ts
+++ b/packages/vm/test/support/RegistryGroup.ts
@@ -153,6 +153,8 @@
       random: Math.random,
       seeds: this.seeds,
       requiredVoters,
+      dataCentres: undefined,
+      timeOfDay: Date.now,
       targetTimeoutMs: 60_000,
       onFailure: (err) => {
         throw err;
