Send nothing more to a target that says in its responses that it leaves

The state stands with the target in the entry and binds it at once, for that incarnation: a target which cannot reach control goes on to count as ready there. So the entry also tells control, which registers the target as draining under the same sequence; all other entries learn it with the next update, without a message of a new kind to them, so that older entries understand it. A target that says it wrongly and goes on announcing itself is not sent anything until its next start: its own loss, and safer than a request to one that is gone. Only a probe without the header withdraws what a probe has said.

An entry of this build closes no session with older control VMs before a target leaves; then they refuse the message. Upgrade control first.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -89,6 +89,8 @@
     onTargetRemoved: (address) => sender.closeConnections(address),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a response
     shareLimit: (notice) => subscription.shareLimit(notice),
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a response
+    reportLeaving: (targetId, bornAtMs) => subscription.reportLeaving(targetId, bornAtMs),
     defer: setImmediate,
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a probe
     onSilence: () => prober.startVerifying(),
--- a/packages/core/src/placement/PlacedTarget.ts
+++ b/packages/core/src/placement/PlacedTarget.ts
@@ -30,6 +30,11 @@
   requestLimit: RequestLimit | undefined;
   /** The time for which the target wants to be left alone; undefined if it has asked for none. */
   rest: TargetRest | undefined;
+  /**
+   * How the target says that it is about to leave; undefined if it does not. It holds for this
+   * incarnation, unless a probe withdraws what an earlier one has said.
+   */
+  leaving: { isInProbes: boolean } | undefined;
   /** Whether the target reports itself as unable to serve. */
   isUnhealthy: boolean;
   /** Consecutive probes without a response. */
--- a/packages/core/src/placement/createPlacedTarget.ts
+++ b/packages/core/src/placement/createPlacedTarget.ts
@@ -31,6 +31,7 @@
     rejectShareAtMs: 0,
     requestLimit: undefined,
     rest: undefined,
+    leaving: undefined,
     isUnhealthy: false,
     unansweredProbes: 0,
     probeSentAtMs: undefined,
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -307,6 +307,7 @@
         if (state.verdict !== 'spoiled') {
           this.dependencies.pool.limits.recordResponse(target, metadata.requestLimit, 'request');
           this.recordRest(state, status, metadata);
+          this.dependencies.pool.recordLeaving(target, metadata.isLeaving, 'request');
         }
         // Any further data on this connection may belong to another request.
         if (state.verdict === 'spoiled') {
--- a/packages/gateway/src/ProbeMetadata.ts
+++ b/packages/gateway/src/ProbeMetadata.ts
@@ -11,6 +11,8 @@
   readonly requestLimit: number | undefined;
   /** Time for which the target wants no requests, in milliseconds; undefined if it names none. */
   readonly restMs: number | undefined;
+  /** Whether the target says that it is about to leave. */
+  readonly isLeaving: boolean;
 }
 
 export default ProbeMetadata;
--- a/packages/gateway/src/ResponseMetadata.ts
+++ b/packages/gateway/src/ResponseMetadata.ts
@@ -15,6 +15,8 @@
   readonly requestLimit: number | undefined;
   /** Time for which the target wants no requests, in milliseconds; undefined if it names none. */
   readonly restMs: number | undefined;
+  /** Whether the target says that it is about to leave. */
+  readonly isLeaving: boolean;
 }
 
 export default ResponseMetadata;
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -49,6 +49,8 @@
   readonly onTargetRemoved: (address: string) => void;
   /** Tells the other entries of the request limit of a target. */
   readonly shareLimit: (notice: RequestLimitNotice) => void;
+  /** Tells control that an incarnation of a target is about to leave. */
+  readonly reportLeaving: (targetId: string, bornAtMs: number) => void;
   /** Runs a function after pending network events. */
   readonly defer: (run: () => void) => void;
   /** Called when a target turns out to be silent. */
@@ -179,8 +181,8 @@
     const nowMs = this.options.clock();
     return [...this.targets.values()].filter((target) => {
       const { record, region } = target;
-      if (record.service !== service || record.state !== 'ready') return false;
-      if (this.evacuated.has(record.dataCentre) || triedIds.includes(record.id)) return false;
+      if (record.service !== service || !this.isServing(target)) return false;
+      if (triedIds.includes(record.id)) return false;
       if (homeRegions !== undefined && !homeRegions.includes(region)) return false;
       if (target.ejectedUntilMs > nowMs || target.unreachableUntilMs > nowMs) return false;
       return this.isWithinColdLimit(target, nowMs);
@@ -191,9 +193,8 @@
   findNearTargets(): PlacedTarget[] {
     const nowMs = this.options.clock();
     return [...this.targets.values()].filter((target) => this.isNear(target)
-      && target.record.state === 'ready' && target.ejectedUntilMs <= nowMs
-      && target.unreachableUntilMs <= nowMs
-      && !this.evacuated.has(target.record.dataCentre));
+      && this.isServing(target) && target.ejectedUntilMs <= nowMs
+      && target.unreachableUntilMs <= nowMs);
   }
 
   /**
@@ -261,6 +262,30 @@
     this.options.log.info({ target: target.record.id }, 'target serves again');
   }
 
+  /**
+   * Records whether a target says in a response that it is about to leave. It receives no further
+   * requests, also if it goes on announcing itself as ready: it may not reach control.
+   *
+   * @param target - the target
+   * @param isLeaving - what the response says
+   * @param source - kind of the response
+   */
+  recordLeaving(target: PlacedTarget, isLeaving: boolean, source: 'request' | 'probe'): void {
+    const state = target;
+    const { id, service, bornAtMs } = target.record;
+    if (!isLeaving) {
+      if (source !== 'probe' || target.leaving?.isInProbes !== true) return;
+      state.leaving = undefined;
+      this.options.log.info({ target: id, service }, 'target does not leave after all');
+      return;
+    }
+    const isNew = target.leaving === undefined;
+    state.leaving = { isInProbes: source === 'probe' || target.leaving?.isInProbes === true };
+    if (!isNew) return;
+    this.options.log.info({ target: id, service, source }, 'target is about to leave');
+    this.options.reportLeaving(id, bornAtMs);
+  }
+
   /** Records that a target answered a request or a probe of this entry. */
   recordAnswer(target: PlacedTarget): void {
     const state = target;
@@ -395,8 +420,9 @@
       .filter((target) => target.record.service === service && this.isServing(target)).length;
   }
 
-  private isServing({ record }: PlacedTarget): boolean {
-    return record.state === 'ready' && !this.evacuated.has(record.dataCentre);
+  private isServing({ record, leaving }: PlacedTarget): boolean {
+    return record.state === 'ready' && leaving === undefined
+      && !this.evacuated.has(record.dataCentre);
   }
 
   /** Updates what determines the shares of request limits, if it has changed. */
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -198,7 +198,7 @@
     pool.recordAnswer(target);
     state.idleTimeoutMs = parseKeepAliveTimeout(headers['keep-alive']);
     const {
-      targetId, load, coldLeftMs, requestLimit, restMs,
+      targetId, load, coldLeftMs, requestLimit, restMs, isLeaving,
     } = dialect.readProbe(headers);
     if (targetId !== undefined && targetId !== target.record.id) {
       // Another target has the address; the update from control will follow.
@@ -209,6 +209,7 @@
     state.isUnhealthy = status !== OK;
     if (isRefusalStatus(status) && restMs !== undefined) pool.recordRest(target, restMs, 'probe');
     pool.limits.recordResponse(target, requestLimit, 'probe');
+    pool.recordLeaving(target, isLeaving, 'probe');
     if (coldLeftMs !== undefined) pool.recordColdLeft(target, coldLeftMs);
     const figures = load ?? {
       running: target.inFlight.size, waiting: 0, slots: target.record.slots, slowness: 1,
--- a/packages/gateway/test/rest.test.ts
+++ b/packages/gateway/test/rest.test.ts
@@ -89,3 +89,32 @@
   rig.run(400);
   assert.equal(res.status, 200);
 });
+
+test('a target that is about to leave gets no more requests, and control is told once', (t) => {
+  (['requests', 'all'] as const).forEach((leaving) => {
+    const rig = new GatewayRig(t);
+    const target = rig.addTarget('leaving', { leaving });
+    rig.addTarget('other');
+    const responses = send(rig, 3000, 100);
+    rig.run(1000);
+    assert.ok(responses.every(({ status }) => status === 200));
+    assert.ok(rig.sender.sent.filter((sent) => sent.target === target).length <= 2);
+    assert.deepEqual(rig.leavingIds, ['leaving']);
+    t.mock.timers.reset();
+  });
+});
+
+test('only a probe withdraws what probes have said about leaving', (t) => {
+  const rig = new GatewayRig(t);
+  rig.addTarget('leaving');
+  const [target] = rig.pool.findEligible('lots', undefined, []);
+  assert.ok(target !== undefined);
+  rig.pool.recordLeaving(target, true, 'request');
+  rig.pool.recordLeaving(target, false, 'probe');
+  assert.equal(rig.pool.findEligible('lots', undefined, []).length, 0);
+  rig.pool.recordLeaving(target, true, 'probe');
+  rig.pool.recordLeaving(target, false, 'request');
+  assert.equal(rig.pool.findEligible('lots', undefined, []).length, 0);
+  rig.pool.recordLeaving(target, false, 'probe');
+  assert.equal(rig.pool.findEligible('lots', undefined, []).length, 1);
+});
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -75,6 +75,7 @@
         load: FakeSender.describeLoad(target),
         cold: String(target.coldLeftMs),
         ...FakeSender.describeLimit(target),
+        ...(target.leaving === 'all' ? { leaving: '1' } : {}),
       });
       handler.onEnd();
     }), PROBE_MS);
@@ -124,6 +125,7 @@
       id: id ?? '',
       load: FakeSender.describeLoad(target),
       ...FakeSender.describeLimit(target),
+      ...(target.leaving === undefined ? {} : { leaving: '1' }),
     };
     if (target.mode !== 'unframed') headers['content-length'] = String(body.length);
     if (target.mode !== 'unsigned') headers.signed = 'yes';
--- a/packages/gateway/test/support/FakeTarget.ts
+++ b/packages/gateway/test/support/FakeTarget.ts
@@ -11,6 +11,8 @@
   coldLeftMs: number;
   /** Requests per second that it says it takes; undefined without a limit. */
   limit?: number;
+  /** Whether its responses say that it is about to leave: those to requests only, or all. */
+  leaving?: 'requests' | 'all' | undefined;
   /** Time that it asks for when it refuses a request, in milliseconds. */
   restMs?: number;
   /** Length to which its response body is padded, in bytes; its id alone by default. */
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -66,6 +66,9 @@
   /** Fingerprints of the crashes that were reported to the other entries. */
   readonly reports: string[] = [];
 
+  /** Ids of the targets of which control was told that they are about to leave. */
+  readonly leavingIds: string[] = [];
+
   /** Request limits that were shared with the other entries. */
   readonly notices: RequestLimitNotice[] = [];
 
@@ -95,6 +98,7 @@
       coldSlack: 5,
       onTargetRemoved: () => undefined,
       shareLimit: (notice) => this.notices.push(notice),
+      reportLeaving: (id) => this.leavingIds.push(id),
       defer: (run) => setTimeout(run, 0),
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a probe
       onSilence: () => prober.startVerifying(),
--- a/packages/gateway/test/support/PlainDialect.ts
+++ b/packages/gateway/test/support/PlainDialect.ts
@@ -45,6 +45,7 @@
       load: readLoad(headers),
       requestLimit: readLimit(headers),
       restMs: headers.rest === undefined ? undefined : Number(headers.rest),
+      isLeaving: headers.leaving !== undefined,
     };
   }
 
@@ -55,6 +56,7 @@
       coldLeftMs: headers.cold === undefined ? undefined : Number(headers.cold),
       requestLimit: readLimit(headers),
       restMs: headers.rest === undefined ? undefined : Number(headers.rest),
+      isLeaving: headers.leaving !== undefined,
     };
   }
 
--- a/packages/vm/src/messages/registryMessages.ts
+++ b/packages/vm/src/messages/registryMessages.ts
@@ -47,6 +47,13 @@
   z.strictObject({
     kind: z.literal('crashReport'), fingerprint: z.string(), isRelayed: z.boolean(),
   }),
+  /**
+   * An incarnation of a target says in its responses that it is about to leave. An entry tells the
+   * control VM that it follows, which registers the target as draining.
+   */
+  z.strictObject({
+    kind: z.literal('targetLeaving'), targetId: z.string().min(1).max(128), bornAtMs: z.number(),
+  }),
   /**
    * Limits that targets name on the requests of all entries together. An entry tells the control VM
    * that it follows, which relays them to the other control VMs; each control VM sends them to its
--- a/packages/vm/src/registry/RegistrySubscription.ts
+++ b/packages/vm/src/registry/RegistrySubscription.ts
@@ -94,6 +94,11 @@
     this.source?.send({ kind: 'crashReport', fingerprint, isRelayed: false });
   }
 
+  /** Tells control that an incarnation of a target is about to leave, if there is a source. */
+  reportLeaving(targetId: string, bornAtMs: number): void {
+    this.source?.send({ kind: 'targetLeaving', targetId, bornAtMs });
+  }
+
   /** Tells the other entries of the request limit of a target, if there is a source. */
   shareLimit(notice: RequestLimitNotice): void {
     this.source?.send({ kind: 'requestLimits', notices: [notice], isRelayed: false });
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -8,6 +8,7 @@
 import type Declaration from '@guavayard/core/registry/Declaration';
 import findAnnouncementMistake from '@guavayard/core/registry/findAnnouncementMistake';
 import findDeclarationMistakes from '@guavayard/core/registry/findDeclarationMistakes';
+import findTarget from '@guavayard/core/registry/findTarget';
 import isRedundantAnnouncement from '@guavayard/core/registry/isRedundantAnnouncement';
 import isStaleAnnouncement from '@guavayard/core/registry/isStaleAnnouncement';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
@@ -158,6 +159,7 @@
   onMessage(_session: VmSession, message: VmMessage): void {
     if (message.kind === 'presence') this.presence.recordContact(message.targetIds, message.entries);
     if (message.kind === 'roster') this.publisher.setRoster(message);
+    if (message.kind === 'targetLeaving') this.drain(message.targetId, message.bornAtMs);
   }
 
   onClose(): void {}
@@ -308,6 +310,16 @@
     this.publishRoster();
   }
 
+  /** Registers a target as draining that says so to entries, as it may not reach control itself. */
+  private drain(targetId: string, bornAtMs: number): void {
+    const known = findTarget(this.store.state, targetId);
+    if (known?.bornAtMs !== bornAtMs || known.state !== 'ready') return;
+    const { log } = this.options;
+    this.submitChange({ kind: 'announce', target: { ...known, state: 'draining' } }).then((result) => {
+      log.info({ target: targetId, outcome: result.ok ? 'accepted' : result.val.kind }, 'target drained on report of an entry');
+    }, (err: Error) => log.error({ err }, 'failed to drain target'));
+  }
+
   private expireSilentTargets(): void {
     this.presence.findExpiredTargets(this.store.state).forEach((targetId) => {
       const known = this.store.state.targets[targetId];
