Hold the ports of tests until their process ends

Ports are now held at a loopback address of their own until the process that asked ends; a VM may listen on them, another test process gets other ones. Nothing is tried again in the product: a VM that cannot listen exits with its reason.

--- a/packages/emulator/src/reservePort.ts
+++ b/packages/emulator/src/reservePort.ts
@@ -4,27 +4,43 @@
 /** Below the ephemeral range, so that no outgoing connection can take the port before its use. */
 const FIRST_PORT = 12_000;
 const PORT_COUNT = 18_000;
+/** Loopback address at which a port is held; no VM and no target listens there. */
+const HOLD_ADDRESS = '127.255.255.1';
 
-async function isFree(port: number): Promise<boolean> {
+/** Listens on an address if nothing else does. @returns the server, undefined if the port is taken */
+async function tryListen(
+  port: number,
+  address: string,
+): Promise<ReturnType<typeof createServer> | undefined> {
   const server = createServer();
-  server.listen(port, '127.0.0.1');
+  server.listen(port, address);
   try {
     await once(server, 'listening');
   } catch {
-    return false;
+    return undefined;
   }
-  server.close();
-  await once(server, 'close');
-  return true;
+  return server;
 }
 
 /**
- * Picks random ports until one is free. The port is not held: it is only outside the range from
- * which the operating system assigns ports.
+ * Picks random ports until one is free, and holds it until this process ends: other processes that
+ * reserve ports get other ones. It is held at an address of its own, so that the VMs of a test may
+ * listen on it.
  *
- * @returns a port of the loopback address that has just been found free
+ * @param random - picks the ports, from 0 to 1
+ * @returns a port that is free on the loopback address
  */
-export default async function reservePort(): Promise<number> {
-  const port = FIRST_PORT + Math.floor(Math.random() * PORT_COUNT);
-  return await isFree(port) ? port : reservePort();
+export default async function reservePort(random: () => number = Math.random): Promise<number> {
+  const port = FIRST_PORT + Math.floor(random() * PORT_COUNT);
+  const held = await tryListen(port, HOLD_ADDRESS);
+  if (held === undefined) return reservePort(random);
+  held.unref();
+  const probe = await tryListen(port, '127.0.0.1');
+  if (probe === undefined) {
+    held.close();
+    return reservePort(random);
+  }
+  probe.close();
+  await once(probe, 'close');
+  return port;
 }
