--- a/packages/emulator/src/reservePort.ts
+++ b/packages/emulator/src/reservePort.ts
@@ -7,7 +7,7 @@
 /** Loopback address at which a port is held; no VM and no target listens there. */
 const HOLD_ADDRESS = '127.255.255.1';
 
-/** Listens on an address if nothing else does. @returns the server, undefined if the port is taken */
+/** Listens on an address; returns undefined if the port is taken there. */
 async function tryListen(
   port: number,
   address: string,
