Let a relayed request bring a part of the share in probes

Requests waited for slots that were free: about 20 a second 'no slot was free in time'.

With a relayed request the entry gives up three probes of its share; the sum over all entries stays the same.

--- a/packages/core/src/relay/RelayRequest.ts
+++ b/packages/core/src/relay/RelayRequest.ts
@@ -1,12 +1,13 @@
 import type { Readable } from 'node:stream';
 
+import type RelayAllowance from './RelayAllowance';
 import type RelayedHead from './RelayedHead';
 
 /** A request that is to be relayed to another entry. */
 interface RelayRequest {
-  readonly head: Omit<RelayedHead, 'remainingMs' | 'permittedIds'>;
-  /** Takes one request of the shares of request limits, once another entry has agreed. */
-  readonly takePermits: () => string[];
+  readonly head: Omit<RelayedHead, 'remainingMs' | keyof RelayAllowance>;
+  /** Takes what this entry gives up for the request, once another entry has agreed. */
+  readonly takeAllowance: () => RelayAllowance;
   /** Version of the declaration by which the request was matched. */
   readonly version: number;
   /** Its deadline, in milliseconds of the monotonic clock. */
--- a/packages/core/src/relay/RelayedHead.ts
+++ b/packages/core/src/relay/RelayedHead.ts
@@ -23,6 +23,8 @@
    * request of its share.
    */
   permittedIds: z.array(z.string().max(128)).max(8),
+  /** Probes that it gives up of its share of the limit on probes. */
+  probes: z.int().min(0).max(16),
 });
 type RelayedHead = z.infer<typeof RelayedHead>;
 
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -8,8 +8,10 @@
 import selectAnswerHeaders from '@guavayard/core/http/selectAnswerHeaders';
 import AdmissionControl from '@guavayard/core/placement/AdmissionControl';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
+import placementLimits from '@guavayard/core/placement/placementLimits';
 import recordOutcome from '@guavayard/core/placement/recordOutcome';
 import recordRejection from '@guavayard/core/placement/recordRejection';
+import type RelayAllowance from '@guavayard/core/relay/RelayAllowance';
 import relayLimits from '@guavayard/core/relay/relayLimits';
 
 import type ResponseMetadata from './ResponseMetadata';
@@ -134,14 +136,19 @@
   }
 
   private startRelay(): void {
-    const { clock, relay, pool } = this.dependencies;
+    const {
+      clock, relay, pool, prober,
+    } = this.dependencies;
     const { request, body, reply } = this;
     const { service, route: { homeRegions } } = request;
-    const takePermits = (): string[] => pool.takePermits(service, homeRegions, this.triedIds);
+    const takeAllowance = (): RelayAllowance => ({
+      permittedIds: pool.takePermits(service, homeRegions, this.triedIds),
+      probes: prober.giveUp(placementLimits.firstProbes),
+    });
     this.leaveQueue = undefined;
     this.relays += 1;
     const relayAttempt = new RelayAttempt({
-      clock, relay, request, triedIds: this.triedIds, takePermits, body, reply,
+      clock, relay, request, triedIds: this.triedIds, takeAllowance, body, reply,
     }, {
       onRefused: (reason) => this.handleRelayRefusal(reason),
       onFailed: (failure, retryAfterMs) => this.handleRelayFailure(failure, retryAfterMs),
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -84,6 +84,7 @@
    * @param relayed - the request, the response and the name of the other entry
    */
   handleRelayed({ req, reply, ...relayed }: RelayedRequest): void {
+    this.dependencies.prober.addBudget(relayed.head.probes);
     this.serve(req, reply, relayed);
   }
 
--- a/packages/gateway/src/RelayAttempt.ts
+++ b/packages/gateway/src/RelayAttempt.ts
@@ -3,6 +3,7 @@
 import type CallerReply from '@guavayard/core/dispatch/CallerReply';
 import type Dispatch from '@guavayard/core/dispatch/Dispatch';
 import type Failure from '@guavayard/core/errors/Failure';
+import type RelayAllowance from '@guavayard/core/relay/RelayAllowance';
 import type RelayHandler from '@guavayard/core/relay/RelayHandler';
 import type RequestRelay from '@guavayard/core/relay/RequestRelay';
 import type Clock from '@guavayard/core/types/Clock';
@@ -23,8 +24,8 @@
   readonly relay: RequestRelay;
   readonly request: GatewayRequest;
   readonly triedIds: readonly string[];
-  /** Takes one request of the shares of this entry in the request limits of targets. */
-  readonly takePermits: () => string[];
+  /** Takes what this entry gives up of its shares for the request. */
+  readonly takeAllowance: () => RelayAllowance;
   readonly body: ReplayableBody;
   readonly reply: CallerReply;
 }
@@ -53,7 +54,7 @@
   /** Starts to ask other entries. */
   start(): void {
     const {
-      clock, relay, request, triedIds, takePermits, body,
+      clock, relay, request, triedIds, takeAllowance, body,
     } = this.options;
     const { req, route } = request;
     this.startedAtMs = clock();
@@ -68,7 +69,7 @@
         service: request.service,
         triedIds: [...triedIds],
       },
-      takePermits,
+      takeAllowance,
       version: request.version,
       deadlineMs: request.deadlineMs,
       homeRegions: route.homeRegions,
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -81,6 +81,25 @@
     return pending;
   }
 
+  /**
+   * Gives up a part of the budget, which another entry may use.
+   *
+   * @param count - probes to give up
+   * @returns the probes that the budget allowed to give up
+   */
+  giveUp(count: number): number {
+    const nowMs = this.options.clock();
+    this.refill(nowMs);
+    const given = Math.min(count, Math.max(0, Math.floor(this.bucket.available(nowMs))));
+    this.bucket.take(given);
+    return given;
+  }
+
+  /** Adds what another entry has given up of its budget. */
+  addBudget(probes: number): void {
+    this.bucket.take(-probes);
+  }
+
   /** Probes targets in use whose idle connections would otherwise expire. */
   keepConnectionsAlive(): void {
     const { pool, clock } = this.options;
--- a/packages/gateway/test/cutOff.test.ts
+++ b/packages/gateway/test/cutOff.test.ts
@@ -183,3 +183,17 @@
   // Those on their way to a target when the path breaks are lost: they may have run.
   assert.ok(served(responses) >= 0.8 * responses.length, `${served(responses)} of ${responses.length}`);
 });
+
+test('an entry gives up as many probes with relayed requests as its budget holds', (t) => {
+  const rig = createRig(t);
+  cut(rig);
+  rig.request();
+  rig.run(1500);
+  rig.request();
+  const [sent] = rig.relay.sent.slice(-1);
+  const taken: number[] = [];
+  for (let index = 0; index < 2000; index += 1) taken.push(sent?.takeAllowance().probes ?? 0);
+  const all = taken.reduce((sum, probes) => sum + probes, 0);
+  // The limit of the rig is 1000 probes a second to each of six targets, of which half is used.
+  assert.ok(taken[0] === 3 && taken.at(-1) === 0 && all <= 3000, `${all}`);
+});
--- a/packages/gateway/test/requestLimits.test.ts
+++ b/packages/gateway/test/requestLimits.test.ts
@@ -114,7 +114,7 @@
   rig.request();
   rig.run(1500);
   rig.request();
-  const take = (): string[] => rig.relay.sent.at(-1)?.takePermits() ?? [];
+  const take = (): string[] => rig.relay.sent.at(-1)?.takeAllowance().permittedIds ?? [];
   assert.deepEqual(take(), ['limited']);
   let taken = 1;
   while (taken < 100 && take().length === 1) taken += 1;
--- a/packages/vm/src/relay/OutgoingRelay.ts
+++ b/packages/vm/src/relay/OutgoingRelay.ts
@@ -173,11 +173,11 @@
     this.handler.onGranted(this.peer?.name ?? '');
     if (this.isOver) return;
     const remainingMs = Math.max(1, Math.floor(this.remainingMs - relayLimits.marginMs));
-    const { head, takePermits } = this.request;
+    const { head, takeAllowance } = this.request;
     this.send({
       kind: 'relayRequest',
       relayId: this.id,
-      head: { ...head, remainingMs, permittedIds: takePermits() },
+      head: { ...head, remainingMs, ...takeAllowance() },
     });
     this.body = this.request.openBody();
     this.body?.on('data', (chunk: Buffer) => this.sendBody(chunk));
--- a/packages/vm/test/relay.test.ts
+++ b/packages/vm/test/relay.test.ts
@@ -117,7 +117,7 @@
           service: 'lots',
           triedIds: ['t-1'],
         },
-        takePermits: () => ['t-2'],
+        takeAllowance: () => ({ permittedIds: ['t-2'], probes: 3 }),
         version: 3,
         deadlineMs: performance.now() + 5000,
         homeRegions: undefined,
@@ -147,7 +147,7 @@
   await retryUntil(() => assert.equal(peer.served.length, 1));
   const [{ req, reply, head }] = peer.served as [Served];
   assert.deepEqual([req.method, req.url, req.headers['x-a']], ['POST', '/lots/1?a=b', '1, 2']);
-  assert.deepEqual([head.triedIds, head.permittedIds], [['t-1'], ['t-2']]);
+  assert.deepEqual([head.triedIds, head.permittedIds, head.probes], [['t-1'], ['t-2'], 3]);
   assert.ok((await readAll(req)).equals(body));
   reply.start(200, { 'x-test': 'yes' });
   reply.write(answer);
