Wait longer for entries that are being restarted than for busy ones

A request now waits up to a third of its time for entries that do not answer or stop; for busy ones as long as for a slot; not at all if the others hear from no target either.

--- a/packages/core/src/relay/relayLimits.ts
+++ b/packages/core/src/relay/relayLimits.ts
@@ -18,6 +18,8 @@
   briefAvoidMs: 300,
   /** Pause before the entries are asked again for a request that can still wait, in ms. */
   askAgainMs: 50,
+  /** Share of its time that a request may wait for entries that are silent or stopping. */
+  waitShare: 1 / 3,
   /** Queued requests of a service from which an entry takes no further ones of others. */
   busyQueue: 4,
   /** Time without a relayed request after which the session to an entry is closed, in ms. */
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -6,11 +6,11 @@
 import type Failure from '@guavayard/core/errors/Failure';
 import isFramedResponse from '@guavayard/core/http/isFramedResponse';
 import selectAnswerHeaders from '@guavayard/core/http/selectAnswerHeaders';
-import AdmissionControl from '@guavayard/core/placement/AdmissionControl';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import placementLimits from '@guavayard/core/placement/placementLimits';
 import recordOutcome from '@guavayard/core/placement/recordOutcome';
 import recordRejection from '@guavayard/core/placement/recordRejection';
+import findEntryWait from '@guavayard/core/relay/findEntryWait';
 import type RelayAllowance from '@guavayard/core/relay/RelayAllowance';
 import relayLimits from '@guavayard/core/relay/relayLimits';
 
@@ -162,13 +162,12 @@
     relayAttempt.start();
   }
 
-  /** Whether the request may wait for another entry that was busy or did not answer. */
-  private get mayWaitForEntry(): boolean {
+  /** Whether the request may wait for another entry, by the reason why none has taken it. */
+  private mayWaitForEntry(reason: string): boolean {
     const { route: { targetLatencyMs }, arrivedAtMs, deadlineMs } = this.request;
-    const nowMs = this.dependencies.clock();
-    const waitMs = AdmissionControl
-      .longestWaitMs({ targetLatencyMs, remainingMs: deadlineMs - arrivedAtMs });
-    return nowMs + relayLimits.askAgainMs <= arrivedAtMs + waitMs;
+    const remainingMs = deadlineMs - arrivedAtMs;
+    const waitMs = findEntryWait(reason, targetLatencyMs, remainingMs);
+    return this.dependencies.clock() + relayLimits.askAgainMs <= arrivedAtMs + waitMs;
   }
 
   private endRelay(outcome: string): void {
@@ -181,7 +180,7 @@
     if (this.isEnded) return;
     const { pool, placement } = this.dependencies;
     const isUnreachable = pool.reachability.isUnreachable(this.request.service);
-    if (isUnreachable && reason !== 'unreachable' && this.mayWaitForEntry) {
+    if (isUnreachable && this.mayWaitForEntry(reason)) {
       this.relays -= 1;
       this.askTimer = setTimeout(() => this.findTarget(), relayLimits.askAgainMs);
       return;
--- a/packages/gateway/test/cutOff.test.ts
+++ b/packages/gateway/test/cutOff.test.ts
@@ -94,10 +94,16 @@
   rig.relay.mode = 'serves';
   rig.run(300);
   assert.equal(res.status, 200);
-  rig.relay.mode = 'refuses';
+  Object.assign(rig.relay, { mode: 'refuses', reason: 'busy' });
   const late = rig.request();
   rig.run(0.35 * 600);
   assert.equal(late.status, 503);
+  Object.assign(rig.relay, { reason: 'no answer' });
+  const last = rig.request({ remainingMs: 1200 });
+  rig.run(300);
+  assert.equal(last.status, undefined);
+  rig.run(100);
+  assert.equal(last.status, 503);
 });
 
 test('the refusal of the other entry reaches the caller with its time to return', (t) => {
