Avoid an entry for the service that it cannot serve, not for all

Found by reading: an entry that hears from no target of one service refused requests of it, and was then not asked for any service. If all targets of one service are down, a cut entry would have found nobody for the others. What concerns one service is now kept for that service; with no entry left to ask, the reason of the last ones decides whether a request waits, and without any other entry it is refused at once.

--- a/packages/core/src/relay/AvoidedPeer.ts
+++ b/packages/core/src/relay/AvoidedPeer.ts
@@ -4,6 +4,8 @@
   readonly untilMs: number;
   /** Whether it cannot take requests, rather than being slow or busy. */
   readonly isFirm: boolean;
+  /** Why it has not taken the request. */
+  readonly reason: string;
 }
 
 export default AvoidedPeer;
--- a/packages/core/src/relay/findEntryWait.ts
+++ b/packages/core/src/relay/findEntryWait.ts
@@ -19,7 +19,9 @@
   targetLatencyMs: number,
   remainingMs: number,
 ): number {
-  if (reason === 'unreachable') return 0;
-  if (reason === 'busy') return AdmissionControl.longestWaitMs({ targetLatencyMs, remainingMs });
+  if (reason === 'unreachable' || reason === 'no entry') return 0;
+  if (reason === 'busy' || reason === 'version') {
+    return AdmissionControl.longestWaitMs({ targetLatencyMs, remainingMs });
+  }
   return remainingMs * relayLimits.waitShare;
 }
--- a/packages/vm/src/relay/OutgoingRelay.ts
+++ b/packages/vm/src/relay/OutgoingRelay.ts
@@ -23,6 +23,8 @@
   readonly region: string;
   /** Entries to ask, in order. */
   readonly peers: VmLocation[];
+  /** Why no entry takes the request, if there is none to ask. */
+  readonly reason: string;
   /** Called with an entry that has not taken the request. */
   readonly onRefusal: (peer: VmLocation, reason: RefusalReason) => void;
   /** Called once it is over. */
@@ -52,7 +54,7 @@
   private isPaused = false;
 
   /** Why no entry has taken the request so far. */
-  private reason: RefusalReason | 'no entry' = 'no entry';
+  private reason: string | undefined;
 
   constructor(
     private readonly id: number,
@@ -70,7 +72,7 @@
     this.session = undefined;
     if (peer === undefined || this.remainingMs < relayLimits.minRemainingMs) {
       this.end();
-      this.handler.onRefused(this.reason);
+      this.handler.onRefused(this.reason ?? this.options.reason);
       return;
     }
     const { nearAskMs, farAskMs, connectMs } = relayLimits;
@@ -162,7 +164,8 @@
   private refuse(reason: RefusalReason): void {
     if (this.isOver || this.peer === undefined) return;
     // Other reasons pass sooner, so they decide whether the request should wait.
-    if (reason !== 'unreachable' || this.reason === 'no entry') this.reason = reason;
+    if (reason !== 'unreachable') this.reason = reason;
+    this.reason ??= reason;
     this.options.onRefusal(this.peer, reason);
     this.askNext();
   }
--- a/packages/vm/src/relay/RelayClient.ts
+++ b/packages/vm/src/relay/RelayClient.ts
@@ -1,6 +1,5 @@
 import type Dispatch from '@guavayard/core/dispatch/Dispatch';
-import avoidPeer from '@guavayard/core/relay/avoidPeer';
-import type AvoidedPeer from '@guavayard/core/relay/AvoidedPeer';
+import AvoidedPeers from '@guavayard/core/relay/AvoidedPeers';
 import rankPeers from '@guavayard/core/relay/rankPeers';
 import type RelayHandler from '@guavayard/core/relay/RelayHandler';
 import type RelayRequest from '@guavayard/core/relay/RelayRequest';
@@ -32,7 +31,7 @@
 
   private readonly relays = new Map<number, OutgoingRelay>();
 
-  private readonly avoided = new Map<string, AvoidedPeer>();
+  private readonly avoided = new AvoidedPeers();
 
   private nextId = 0;
 
@@ -44,6 +43,8 @@
   send(request: RelayRequest, handler: RelayHandler): Dispatch {
     const { clock, identity } = this.options;
     const id = this.nextId;
+    const { service } = request.head;
+    const avoided = this.avoided.list(service, clock());
     this.nextId += 1;
     const relay = new OutgoingRelay(id, request, handler, {
       clock,
@@ -52,12 +53,14 @@
       peers: rankPeers(this.options.entries(), {
         own: identity,
         homeRegions: request.homeRegions,
-        avoided: this.avoided,
+        avoided,
         inProgress: this.countInProgress(),
         nowMs: clock(),
       }),
+      // With no entry left to ask, what the last ones said decides.
+      reason: [...avoided.values()].find(({ isFirm }) => isFirm)?.reason ?? 'no entry',
       onRefusal: (peer, reason) => {
-        this.avoided.set(peer.name, avoidPeer(reason, clock()));
+        this.avoided.record(peer.name, service, reason, clock());
         this.options.onRefusal(peer.name, reason);
       },
       onEnd: () => this.relays.delete(id),
