Move the handover to other entries out of the exchange

Behaviour stays, but that the log line of a request that ends while another entry has it names that entry.

--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -7,15 +7,11 @@
 import isFramedResponse from '@guavayard/core/http/isFramedResponse';
 import selectAnswerHeaders from '@guavayard/core/http/selectAnswerHeaders';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
-import placementLimits from '@guavayard/core/placement/placementLimits';
 import recordOutcome from '@guavayard/core/placement/recordOutcome';
 import recordRejection from '@guavayard/core/placement/recordRejection';
-import findEntryWait from '@guavayard/core/relay/findEntryWait';
-import type RelayAllowance from '@guavayard/core/relay/RelayAllowance';
-import relayLimits from '@guavayard/core/relay/relayLimits';
 
 import type ResponseMetadata from './ResponseMetadata';
-import RelayAttempt from './RelayAttempt';
+import RelayHandover from './RelayHandover';
 import type Attempt from './Attempt';
 import createAttempt from './createAttempt';
 import describeAttempt from './describeAttempt';
@@ -31,20 +27,12 @@
 const MAX_BUFFERED_BYTES = 256 * 1024;
 /** Retry delay for a caller whose deadline passed before its request was sent, in milliseconds. */
 const RETRY_AFTER_MS = 250;
-const FIRST_FAILURE_STATUS = 300;
 /**
  * Retry delay for a caller whose request was refused by a target with a free slot, in milliseconds.
  * It is short because another entry selects another target, so there is nothing to wait for; random
  * jitter of up to the same length spreads the retries.
  */
 const REJECTED_RETRY_AFTER_MS = 30;
-/**
- * Retry delay for a caller whose request could be sent neither to a target nor to another entry, in
- * milliseconds, with jitter as above.
- */
-const UNREACHABLE_RETRY_AFTER_MS = 250;
-/** Times that one request is given to another entry. */
-const MAX_RELAYS = 2;
 const CONNECTION_LIMIT = 16;
 /** Body length in bytes above which a request stays in its region while a target there is alive. */
 const LARGE_BODY_BYTES = 16 * 1024;
@@ -75,13 +63,7 @@
 
   private leaveQueue: (() => void) | undefined;
 
-  private relayAttempt: RelayAttempt | undefined;
-
-  private relayLine: ReturnType<RelayAttempt['describe']> | undefined;
-
-  private relays = 0;
-
-  private askTimer: NodeJS.Timeout | undefined;
+  private readonly handover: RelayHandover;
 
   private timer: NodeJS.Timeout | undefined;
 
@@ -99,6 +81,17 @@
   ) {
     this.body = new ReplayableBody(request.req, true);
     this.triedIds = [...request.triedIds];
+    const { body, triedIds } = this;
+    this.handover = new RelayHandover({
+      dependencies, request, body, reply, triedIds,
+    }, {
+      onPlace: () => this.findTarget(),
+      onMayHaveRun: () => {
+        this.mayHaveRun = true;
+      },
+      onFailed: (failure, retryAfterMs) => this.fail(failure, retryAfterMs),
+      onAnswered: (decision, status) => this.finish(decision, status),
+    });
   }
 
   /** Starts the exchange. The response is eventually finished or destroyed in all cases. */
@@ -108,7 +101,7 @@
     this.reply.onClose(() => this.handleCallerClose());
     this.reply.onDrain(() => {
       this.dispatch?.resume();
-      this.relayAttempt?.resume();
+      this.handover.resume();
     });
     // The entry that relays a request has recorded it.
     if (this.request.relayedBy === undefined) placement.recordFirst(this.request.service);
@@ -117,106 +110,17 @@
 
   /** Finds a target for the next attempt, or another entry if no target can be reached. */
   private findTarget(): void {
-    const { placement, pool } = this.dependencies;
-    if (this.mayRelay && pool.reachability.isUnreachable(this.request.service)) {
-      this.startRelay();
+    if (this.handover.isAllowed && this.handover.isNeeded) {
+      this.leaveQueue = undefined;
+      this.handover.start();
       return;
     }
     const { attempt } = this;
-    const leaveQueue = placement.place(this.createPlacementRequest());
+    const leaveQueue = this.dependencies.placement.place(this.createPlacementRequest());
     // `place` may have assigned and sent the request synchronously.
     if (this.attempt === attempt) this.leaveQueue = leaveQueue;
   }
 
-  /** Whether another entry may be asked to serve the request. Relayed requests go no further. */
-  private get mayRelay(): boolean {
-    const { relayedBy, deadlineMs } = this.request;
-    return relayedBy === undefined && this.relays < MAX_RELAYS && this.body.isReplayable
-      && deadlineMs - this.dependencies.clock() >= relayLimits.minRemainingMs;
-  }
-
-  private startRelay(): void {
-    const {
-      clock, relay, pool, prober,
-    } = this.dependencies;
-    const { request, body, reply } = this;
-    const { service, route: { homeRegions } } = request;
-    const takeAllowance = (): RelayAllowance => ({
-      permittedIds: pool.takePermits(service, homeRegions, this.triedIds),
-      probes: prober.giveUp(placementLimits.firstProbes),
-    });
-    this.leaveQueue = undefined;
-    this.relays += 1;
-    const relayAttempt = new RelayAttempt({
-      clock, relay, request, triedIds: this.triedIds, takeAllowance, body, reply,
-    }, {
-      onRefused: (reason) => this.handleRelayRefusal(reason),
-      onFailed: (failure, retryAfterMs) => this.handleRelayFailure(failure, retryAfterMs),
-      onAnswered: (status) => {
-        const outcome = status < FIRST_FAILURE_STATUS ? 'answered' : 'target failed';
-        this.endRelay(`${outcome} ${status}`);
-        this.finish(outcome, status);
-      },
-    });
-    this.relayAttempt = relayAttempt;
-    relayAttempt.start();
-  }
-
-  /** Whether the request may wait for another entry, by the reason why none has taken it. */
-  private mayWaitForEntry(reason: string): boolean {
-    const { route: { targetLatencyMs }, arrivedAtMs, deadlineMs } = this.request;
-    const remainingMs = deadlineMs - arrivedAtMs;
-    const waitMs = findEntryWait(reason, targetLatencyMs, remainingMs);
-    return this.dependencies.clock() + relayLimits.askAgainMs <= arrivedAtMs + waitMs;
-  }
-
-  private endRelay(outcome: string): void {
-    this.relayLine = this.relayAttempt?.describe(outcome);
-    this.relayAttempt = undefined;
-  }
-
-  private handleRelayRefusal(reason: string): void {
-    this.endRelay(`refused ${reason}`);
-    if (this.isEnded) return;
-    const { pool, placement } = this.dependencies;
-    const isUnreachable = pool.reachability.isUnreachable(this.request.service);
-    if (isUnreachable && this.mayWaitForEntry(reason)) {
-      this.relays -= 1;
-      this.askTimer = setTimeout(() => this.findTarget(), relayLimits.askAgainMs);
-      return;
-    }
-    this.relays = MAX_RELAYS;
-    if (isUnreachable) {
-      const retryAfterMs = UNREACHABLE_RETRY_AFTER_MS * (1 + Math.random());
-      this.fail({ kind: 'targetsUnreachable', detail: `other entries: ${reason}` }, retryAfterMs);
-      return;
-    }
-    const { attempt } = this;
-    const leaveQueue = placement.place(this.createPlacementRequest());
-    if (this.attempt === attempt) this.leaveQueue = leaveQueue;
-  }
-
-  private handleRelayFailure(failure: Failure, retryAfterMs: number | undefined): void {
-    const isNotRun = errorTable[failure.kind].outcome === 'not-run';
-    this.endRelay(`${isNotRun ? 'not-run' : 'failed'} ${failure.kind}`);
-    if (this.isEnded) return;
-    if (!isNotRun) this.mayHaveRun = true;
-    // That entry has lost its targets, too; others may have some.
-    if (failure.kind === 'targetsUnreachable' && this.mayRelay) {
-      this.body.close();
-      this.startRelay();
-      return;
-    }
-    const { request: { service, route }, dependencies: { placement } } = this;
-    const mayRetry = !isNotRun && route.isIdempotent && !this.reply.isStarted && this.mayRelay;
-    if (mayRetry && placement.takeRetry(service)) {
-      this.body.close();
-      this.findTarget();
-      return;
-    }
-    this.fail(failure, retryAfterMs);
-  }
-
   private createPlacementRequest(): PlacementRequest {
     const { request } = this;
     const { route } = request;
@@ -229,10 +133,11 @@
       targetLatencyMs: route.targetLatencyMs,
       hasLargeBody: this.hasLargeBody,
       deadlineMs: request.deadlineMs,
-      mayRelay: this.mayRelay,
+      mayRelay: this.handover.isAllowed,
       onPlaced: (target, release) => this.send(target, release),
       onRefused: (failure, retryAfterMs) => {
-        if (failure.kind === 'targetsUnreachable' && this.mayRelay) this.startRelay();
+        this.leaveQueue = undefined;
+        if (failure.kind === 'targetsUnreachable' && this.handover.isAllowed) this.handover.start();
         else this.fail(failure, retryAfterMs);
       },
     };
@@ -492,7 +397,7 @@
   private expire(): void {
     if (this.isEnded) return;
     const isSent = (this.attempt !== undefined && !this.attempt.isOver)
-      || this.relayAttempt?.mayHaveRun === true;
+      || this.handover.isSent;
     const kind = isSent || this.mayHaveRun ? 'deadlineExceeded' : 'deadlineBeforeDispatch';
     this.mayHaveRun ||= isSent;
     const attempt = isSent ? this.attempt : undefined;
@@ -501,14 +406,14 @@
       recordOutcome(attempt.target, true, this.dependencies.clock());
     }
     this.dispatch?.abort({ kind: 'deadlineExceeded', detail: '' });
-    this.relayAttempt?.abort({ kind: 'deadlineExceeded', detail: '' });
+    this.handover.end({ kind: 'deadlineExceeded', detail: '' });
   }
 
   private handleCallerClose(): void {
     if (this.isEnded) return;
     this.finish('caller gone', 0);
     this.dispatch?.abort({ kind: 'callerGone', detail: '' });
-    this.relayAttempt?.abort({ kind: 'callerGone', detail: '' });
+    this.handover.end({ kind: 'callerGone', detail: '' });
   }
 
   private finish(decision: string, status: number, detail?: string, retryAfterMs?: number): void {
@@ -516,7 +421,7 @@
     this.isEnded = true;
     clearTimeout(this.timer);
     clearTimeout(this.watchdog);
-    clearTimeout(this.askTimer);
+    this.handover.end();
     this.leaveQueue?.();
     this.leaveQueue = undefined;
     this.body.discard();
@@ -526,7 +431,7 @@
       service: request.service,
       version: request.version,
       attempts: this.attemptLines,
-      ...(this.relayLine === undefined ? {} : { relay: this.relayLine }),
+      ...(this.handover.line === undefined ? {} : { relay: this.handover.line }),
       ...(request.relayedBy === undefined ? {} : { relayedBy: request.relayedBy }),
       decision,
       ...(detail === undefined || detail === '' ? {} : { detail }),
