Ask other entries under the version that is in force, not the one of the arrival

A request that waits went on asking under the version of its arrival, which no entry has in force any more, and waited no longer than for a busy entry.

It now asks under the version in force, so that entries agree as soon as both have the update, and waits for that as for an entry that restarts. If the route has changed meanwhile, the entry that serves the request chooses the service by its own version.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -153,6 +153,7 @@
     log: requestLog,
     responseBytes: new ByteBudget(RESPONSE_BUFFER_BYTES),
     relay,
+    version: () => subscription.declaration?.version ?? 0,
   }, () => subscription.declaration);
   const caller = new CallerListener(handler, { onError: (err) => errors.report(err, 'request') });
   const admission = new RelayAdmission({
--- a/packages/core/src/relay/RelayRequest.ts
+++ b/packages/core/src/relay/RelayRequest.ts
@@ -8,8 +8,8 @@
   readonly head: Omit<RelayedHead, 'remainingMs' | keyof RelayAllowance>;
   /** Takes what this entry gives up for the request, once another entry has agreed. */
   readonly takeAllowance: () => RelayAllowance;
-  /** Version of the declaration by which the request was matched. */
-  readonly version: number;
+  /** Returns the version of the declaration that is in force at this entry. */
+  readonly version: () => number;
   /** Its deadline, in milliseconds of the monotonic clock. */
   readonly deadlineMs: number;
   /** The only regions to which the request may be sent; undefined if every region may get it. */
--- a/packages/core/src/relay/findEntryWait.ts
+++ b/packages/core/src/relay/findEntryWait.ts
@@ -6,7 +6,8 @@
  *
  * Load pattern: most entries have lost their targets, and those that have not are being restarted.
  * A caller that is refused reaches a cut entry again as often as not, while the others are back
- * within a second. Entries that are busy are overloaded, and one that hears from no target either
+ * within a second, and agree on a new version within that time. Entries that are busy are
+ * overloaded, and one that hears from no target either
  * shows that it is not this entry alone: then waiting helps nobody.
  *
  * @param reason - why the entries have not taken it
@@ -20,8 +21,6 @@
   remainingMs: number,
 ): number {
   if (reason === 'unreachable' || reason === 'no entry') return 0;
-  if (reason === 'busy' || reason === 'version') {
-    return AdmissionControl.longestWaitMs({ targetLatencyMs, remainingMs });
-  }
+  if (reason === 'busy') return AdmissionControl.longestWaitMs({ targetLatencyMs, remainingMs });
   return remainingMs * relayLimits.waitShare;
 }
--- a/packages/gateway/src/ExchangeDependencies.ts
+++ b/packages/gateway/src/ExchangeDependencies.ts
@@ -24,6 +24,8 @@
   readonly responseBytes: ByteBudget;
   /** Relays requests whose targets cannot be reached to other entries. */
   readonly relay: RequestRelay;
+  /** Returns the version of the declaration in force, 0 if there is none. */
+  readonly version: () => number;
 }
 
 export default ExchangeDependencies;
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -16,6 +16,7 @@
 import type RelayedHead from '@guavayard/core/relay/RelayedHead';
 import createFingerprint from '@guavayard/core/quarantine/createFingerprint';
 import type Declaration from '@guavayard/core/registry/Declaration';
+import type DeclaredRoute from '@guavayard/core/registry/DeclaredRoute';
 
 import DirectReply from './DirectReply';
 import GatewayExchange from './GatewayExchange';
@@ -114,6 +115,15 @@
     this.stop = stop;
   }
 
+  /** Chooses the service of a request; the entry that relays it has chosen one of the route. */
+  private chooseService(routeName: string, route: DeclaredRoute, relayed?: RelayOrigin): string {
+    const chosen = route.backends.find(({ service }) => service === relayed?.head.service);
+    // The route may have changed since the other entry matched the request.
+    return chosen !== undefined && chosen.weight > 0
+      ? chosen.service
+      : this.split.next(routeName, route.backends);
+  }
+
   private accept(req: InboundRequest, relayed?: RelayOrigin): Result<GatewayRequest, Failure> {
     const declaration = this.declaration();
     if (declaration === undefined) return fail('noConfiguration');
@@ -151,7 +161,7 @@
       path,
       routeName,
       route,
-      service: relayed?.head.service ?? this.split.next(routeName, route.backends),
+      service: this.chooseService(routeName, route, relayed),
       version: declaration.version,
       arrivedAtMs,
       callerDeadlineMs,
--- a/packages/gateway/src/RelayAttempt.ts
+++ b/packages/gateway/src/RelayAttempt.ts
@@ -26,6 +26,8 @@
   readonly triedIds: readonly string[];
   /** Takes what this entry gives up of its shares for the request. */
   readonly takeAllowance: () => RelayAllowance;
+  /** Returns the version of the declaration that is in force at this entry. */
+  readonly version: () => number;
   readonly body: ReplayableBody;
   readonly reply: CallerReply;
 }
@@ -54,7 +56,7 @@
   /** Starts to ask other entries. */
   start(): void {
     const {
-      clock, relay, request, triedIds, takeAllowance, body,
+      clock, relay, request, triedIds, takeAllowance, version, body,
     } = this.options;
     const { req, route } = request;
     this.startedAtMs = clock();
@@ -70,7 +72,7 @@
         triedIds: [...triedIds],
       },
       takeAllowance,
-      version: request.version,
+      version,
       deadlineMs: request.deadlineMs,
       homeRegions: route.homeRegions,
       openBody: () => body.open(),
--- a/packages/gateway/src/RelayHandover.ts
+++ b/packages/gateway/src/RelayHandover.ts
@@ -84,7 +84,7 @@
   start(): void {
     const {
       dependencies: {
-        clock, relay, pool, prober,
+        clock, relay, pool, prober, version,
       },
       request, body, reply, triedIds,
     } = this.options;
@@ -95,7 +95,7 @@
     });
     this.relays += 1;
     const attempt = new RelayAttempt({
-      clock, relay, request, triedIds, takeAllowance, body, reply,
+      clock, relay, request, triedIds, takeAllowance, version, body, reply,
     }, {
       onRefused: (reason) => this.handleRefusal(reason),
       onFailed: (failure, retryAfterMs) => this.handleFailure(failure, retryAfterMs),
--- a/packages/gateway/test/cutOff.test.ts
+++ b/packages/gateway/test/cutOff.test.ts
@@ -203,3 +203,18 @@
   // The limit of the rig is 1000 probes a second to each of six targets, of which half is used.
   assert.ok(taken[0] === 3 && taken.at(-1) === 0 && all <= 3000, `${all}`);
 });
+
+test('a request that waits is relayed under the version that is in force by then', (t) => {
+  const rig = createRig(t);
+  cut(rig);
+  rig.request();
+  rig.run(NOTICED_MS);
+  Object.assign(rig.relay, { mode: 'refuses', reason: 'version' });
+  const res = rig.request();
+  assert.equal(rig.relay.sent.at(-1)?.version(), 1);
+  rig.run(300);
+  rig.version = 2;
+  rig.relay.mode = 'serves';
+  rig.run(400);
+  assert.deepEqual([res.status, rig.relay.sent.at(-1)?.version()], [200, 2]);
+});
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -51,6 +51,9 @@
     backends: [{ service: 'lots', weight: 1 }],
   };
 
+  /** Version of the declaration in force. */
+  version = 1;
+
   evacuated = new Set<string>();
 
   /** Random numbers that the entry uses, from 0 to 1. */
@@ -131,12 +134,13 @@
       log: new RequestLog(log, clock),
       responseBytes: this.responseBytes,
       relay: this.relay,
+      version: () => this.version,
     }, () => this.declaration);
   }
 
   private get declaration(): Declaration {
     return {
-      version: 1,
+      version: this.version,
       routes: { lots: this.route },
       services: {
         lots: {
--- a/packages/vm/src/relay/OutgoingRelay.ts
+++ b/packages/vm/src/relay/OutgoingRelay.ts
@@ -85,7 +85,7 @@
       if (this.isOver || this.peer !== peer) return;
       this.session = session;
       session.send({
-        kind: 'relayAsk', relayId: this.id, service, version,
+        kind: 'relayAsk', relayId: this.id, service, version: version(),
       });
     });
   }
--- a/packages/vm/test/relay.test.ts
+++ b/packages/vm/test/relay.test.ts
@@ -123,7 +123,7 @@
           triedIds: ['t-1'],
         },
         takeAllowance: () => ({ permittedIds: ['t-2'], probes: 3 }),
-        version: 3,
+        version: () => 3,
         deadlineMs: performance.now() + 5000,
         homeRegions: undefined,
         openBody: () => (body === undefined
