--- a/packages/core/src/relay/findEntryWait.ts
+++ b/packages/core/src/relay/findEntryWait.ts
@@ -7,8 +7,8 @@
  * Load pattern: most entries have lost their targets, and those that have not are being restarted.
  * A caller that is refused reaches a cut entry again as often as not, while the others are back
  * within a second, and agree on a new version within that time. Entries that are busy are
- * overloaded, and one that hears from no target either
- * shows that it is not this entry alone: then waiting helps nobody.
+ * overloaded, and one that hears from no target either shows that it is not this entry alone: then
+ * waiting helps nobody.
  *
  * @param reason - why the entries have not taken it
  * @param targetLatencyMs - latency up to which a response has its full value, in milliseconds
