--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -338,12 +338,6 @@
     return silent > 0 && silent >= reachabilityLimits.mostlySilentShare * inReach.length;
   }
 
-  /** @returns the number of targets that rest at their own request */
-  get restingCount(): number {
-    const nowMs = this.options.clock();
-    return [...this.targets.values()].filter((target) => isResting(target, nowMs)).length;
-  }
-
   /** @returns the number of targets that name a request limit */
   get limitedCount(): number {
     return [...this.targets.values()].filter(({ requestLimit }) => requestLimit !== undefined)
