Send requests on connections that have proved to work

Callers saw: at entries that could open no new connections to targets, while open ones lived on, up to half of the requests failed; those that may not be repeated got 502, others waited 350 ms and got 503 although a third entry had all targets.

Cause: the pool of the HTTP client chose the connection, so a request that may not be repeated tried out the path; an answer on an open connection wiped out what the entry knew of new ones; and requests refused on arrival never reached the question of a handover.

Why it works: the entry counts the connections that have carried a response and remembers what came of each new one. A target that refuses gets requests on proven connections only, probes try new ones, and what proven connections cannot carry goes to another entry at once.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -76,9 +76,11 @@
   const sender = new UndiciTargetSender({
     keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
     localAddress: settings.vm.bindsToIp ? settings.vm.ip : undefined,
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a request
+    onOpened: (address, isWorking) => pool.connections.record(address, isWorking),
   });
   const dialect = new PlatformDialect();
-  const pool = new TargetPool({
+  const pool: TargetPool = new TargetPool({
     clock,
     random: Math.random,
     log,
@@ -94,6 +96,7 @@
     defer: setImmediate,
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a probe
     onSilence: () => prober.startVerifying(),
+    countReady: (address) => sender.countReady(address),
   });
   const prober = new TargetProber({
     clock, sender, dialect, pool, probesPerSecond: bounds.probesPerSecond,
--- a/packages/core/src/dispatch/TargetSender.ts
+++ b/packages/core/src/dispatch/TargetSender.ts
@@ -14,6 +14,14 @@
    * @returns a handle to resume or abort the exchange
    */
   send: (target: SendAddress, req: TargetRequest, handler: AnswerHandler) => Dispatch;
+  /**
+   * Counts the open connections to a target that have carried a response and can take a request at
+   * once.
+   *
+   * @param address - address of the target
+   * @returns the number of connections
+   */
+  countReady: (address: string) => number;
 }
 
 export default TargetSender;
--- /dev/null
+++ b/packages/gateway/src/ConnectionTracker.ts
@@ -0,0 +1,65 @@
+import type Logger from 'bunyan';
+
+import areConnectionsRefused from '@guavayard/core/connections/areConnectionsRefused';
+import createConnectionEvidence from '@guavayard/core/connections/createConnectionEvidence';
+import needsProvenConnection from '@guavayard/core/connections/needsProvenConnection';
+import recordConnection from '@guavayard/core/connections/recordConnection';
+import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
+import type Clock from '@guavayard/core/types/Clock';
+
+interface ConnectionTrackerOptions {
+  readonly clock: Clock;
+  readonly log: Logger;
+  /** Counts the open connections to an address that can take a request at once. */
+  readonly countReady: (address: string) => number;
+  /** Called when new connections turn out to be refused. */
+  readonly onRefused: () => void;
+}
+
+/** Keeps track of which targets can be sent a request without risking it on a new connection. */
+export default class ConnectionTracker {
+  private readonly evidence = createConnectionEvidence();
+
+  /** Since when new connections are refused, as logged, in milliseconds. */
+  private loggedSinceMs: number | undefined;
+
+  constructor(private readonly options: ConnectionTrackerOptions) {}
+
+  /** Whether this entry seems unable to open connections to any target. */
+  get areRefused(): boolean {
+    return areConnectionsRefused(this.evidence, this.options.clock());
+  }
+
+  /** Records that a new connection has carried a response, or failed. */
+  record(address: string, isWorking: boolean): void {
+    const nowMs = this.options.clock();
+    recordConnection(this.evidence, address, isWorking, nowMs);
+    if (!isWorking) this.options.onRefused();
+    this.logChange(nowMs);
+  }
+
+  /** Forgets an address that no target has any more. */
+  forget(address: string): void {
+    this.evidence.refusing.delete(address);
+    this.evidence.refusedInARow.delete(address);
+  }
+
+  /** @returns whether a request may be sent to a target now */
+  maySend(target: PlacedTarget): boolean {
+    const { clock, countReady } = this.options;
+    const { address } = target.record;
+    return !needsProvenConnection(this.evidence, address, clock()) || countReady(address) > 0;
+  }
+
+  private logChange(nowMs: number): void {
+    const { log } = this.options;
+    const isRefused = this.areRefused;
+    if (isRefused === (this.loggedSinceMs !== undefined)) return;
+    if (isRefused) {
+      log.warn({ refusing: this.evidence.refusing.size }, 'targets refuse new connections');
+    } else {
+      log.info({ forMs: Math.round(nowMs - (this.loggedSinceMs ?? nowMs)) }, 'targets take new connections again');
+    }
+    this.loggedSinceMs = isRefused ? nowMs : undefined;
+  }
+}
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -296,7 +296,9 @@
       state.release();
       return;
     }
-    const isPathLost = this.dependencies.pool.reachability.isUnreachable(this.request.service);
+    const { pool } = this.dependencies;
+    const isPathLost = pool.connections.areRefused
+      || pool.reachability.isUnreachable(this.request.service);
     if (!isPathLost && recordOutcome(state.target, hasFailed, nowMs)) {
       log.logEvent({ target: state.target.record.id, forMs: state.target.ejectedUntilMs - nowMs }, 'target ejected');
     }
--- a/packages/gateway/src/PlacementQueue.ts
+++ b/packages/gateway/src/PlacementQueue.ts
@@ -102,7 +102,9 @@
     };
     const ahead = this.queue.filter((other) => other.request.priority <= priority).length;
     if (!this.admission.mayWait({ targetLatencyMs, remainingMs, ahead }, nowMs)) {
-      this.refuse(queued, { kind: 'overloaded', detail: `${ahead} requests wait` });
+      const kind = request.mayRelay && this.options.pool.isCutOff(request.service)
+        ? 'targetsUnreachable' : 'overloaded';
+      this.refuse(queued, { kind, detail: `${ahead} requests wait` });
       return () => undefined;
     }
     queued.timer = setTimeout(() => {
@@ -147,7 +149,7 @@
 
   private explainTimeout({ request: { service }, arrivedAtMs }: QueuedRequest): Failure {
     const { pool } = this.options;
-    return pool.reachability.isUnansweredSince(service, arrivedAtMs) || pool.isMostlySilent(service)
+    return pool.reachability.isUnansweredSince(service, arrivedAtMs) || pool.isCutOff(service)
       ? { kind: 'targetsUnreachable', detail: 'no target answered in time' }
       : { kind: 'overloaded', detail: 'no slot was free in time' };
   }
@@ -193,7 +195,7 @@
     const waitMs = pool
       .estimateWaitMs(request.service, request.homeRegions, request.triedIds, ahead);
     if (waitMs === undefined) {
-      const kind = pool.isMostlySilent(request.service) ? 'targetsUnreachable' : 'noTarget';
+      const kind = pool.isCutOff(request.service) ? 'targetsUnreachable' : 'noTarget';
       this.refuse(queued, { kind, detail: `service "${request.service}"` });
     } else if (clock() + waitMs <= refusedAtMs) {
       this.scheduleSearch(waitMs);
@@ -215,8 +217,8 @@
   ): void {
     const state = queued;
     const { pool } = this.options;
-    if (queued.request.mayRelay && pool.isMostlySilent(queued.request.service)) {
-      this.refuse(queued, { kind: 'targetsUnreachable', detail: 'most targets do not answer' });
+    if (queued.request.mayRelay && pool.isCutOff(queued.request.service)) {
+      this.refuse(queued, { kind: 'targetsUnreachable', detail: 'most targets cannot be reached' });
       return;
     }
     const nowMs = this.options.clock();
@@ -323,7 +325,7 @@
     targets: readonly PlacedTarget[],
     maxCost: number,
   ): boolean {
-    const { clock } = this.options;
+    const { clock, pool: { connections } } = this.options;
     const { request } = queued;
     const nowMs = clock();
     const eligible = new Set(this.findEligible(request));
@@ -331,7 +333,7 @@
     let bestCost = maxCost;
     targets.forEach((target) => {
       const limit = this.speed.bestConcurrency(target.record.slots);
-      if (!eligible.has(target) || !isConfirmed(target)
+      if (!eligible.has(target) || !isConfirmed(target) || !connections.maySend(target)
         || !hasFreeSlot(target, limit, nowMs)) return;
       const cost = estimateCost(target, this.speed.kneeSlowdown, nowMs);
       if (cost >= bestCost) return;
--- a/packages/gateway/src/RelayAdmission.ts
+++ b/packages/gateway/src/RelayAdmission.ts
@@ -46,7 +46,7 @@
   ): void {
     const { pool, placement } = this.options;
     if (this.options.version() !== version) respond('version');
-    else if (pool.isMostlySilent(service)) respond('unreachable');
+    else if (pool.isCutOff(service)) respond('unreachable');
     else if (placement.waitingFor(service) >= relayLimits.busyQueue) respond('busy');
     else if (pool.reachability.hasAnsweredWithin(service, RECENT_ANSWER_MS)) respond(undefined);
     else this.probe(service, respond);
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -19,6 +19,7 @@
 import type Random from '@guavayard/core/types/Random';
 import type RequestLimitNotice from '@guavayard/core/requestLimit/RequestLimitNotice';
 
+import ConnectionTracker from './ConnectionTracker';
 import type EntryLocation from './EntryLocation';
 import ReachabilityTracker from './ReachabilityTracker';
 import RequestLimitTracker from './RequestLimitTracker';
@@ -53,8 +54,10 @@
   readonly reportLeaving: (targetId: string, bornAtMs: number) => void;
   /** Runs a function after pending network events. */
   readonly defer: (run: () => void) => void;
-  /** Called when a target turns out to be silent. */
+  /** Called when a target turns out to be silent or to refuse connections. */
   readonly onSilence: () => void;
+  /** Counts the open connections to an address that can take a request at once. */
+  readonly countReady: (address: string) => number;
 }
 
 /** Table of the targets that this entry knows; selects those that may receive a request. */
@@ -73,6 +76,9 @@
   /** Which services have targets that answer this entry. */
   readonly reachability: ReachabilityTracker;
 
+  /** Which targets a request may be sent to without risking it on a new connection. */
+  readonly connections: ConnectionTracker;
+
   private limitContext = '';
 
   constructor(private readonly options: TargetPoolOptions) {
@@ -89,6 +95,12 @@
       defer: options.defer,
       onSilence: options.onSilence,
     });
+    this.connections = new ConnectionTracker({
+      clock: options.clock,
+      log: options.log,
+      countReady: options.countReady,
+      onRefused: options.onSilence,
+    });
   }
 
   /** Number of entries that are known to serve, including this one. */
@@ -297,8 +309,9 @@
 
   /**
    * Finds the targets to probe in order to learn whether the paths to them work: silent ones of
-   * services of which too many are silent, and, while a service cannot be reached at all, some of
-   * the services that have not been heard from lately.
+   * services of which too many are silent, those to which only a new connection would lead while
+   * targets refuse new ones, and, while a service cannot be reached at all, some of the services
+   * that have not been heard from lately.
    *
    * @returns the targets, none if all paths seem to work
    */
@@ -313,6 +326,9 @@
       if (this.isMostlySilent(service)) {
         return targets.filter((target) => this.reachability.isSilent(target));
       }
+      if (this.connections.areRefused) {
+        return targets.filter((target) => !this.connections.maySend(target));
+      }
       const isDoubtful = this.reachability.unreachableCount > 0
         && !this.reachability.hasAnsweredWithin(service, DOUBTFUL_AFTER_MS);
       if (!isDoubtful) return [];
@@ -338,6 +354,16 @@
     return silent > 0 && silent >= reachabilityLimits.mostlySilentShare * inReach.length;
   }
 
+  /**
+   * Returns whether another entry should serve the requests for which this one finds no target.
+   *
+   * @param service - the service
+   * @returns true if most targets in reach are silent, or none takes a new connection
+   */
+  isCutOff(service: string): boolean {
+    return this.connections.areRefused || this.isMostlySilent(service);
+  }
+
   /** @returns the number of targets that name a request limit */
   get limitedCount(): number {
     return [...this.targets.values()].filter(({ requestLimit }) => requestLimit !== undefined)
@@ -469,6 +495,7 @@
     this.targets.delete(id);
     if (known === undefined) return;
     this.reachability.forget(known);
+    this.connections.forget(known.record.address);
     this.options.onTargetRemoved(known.record.address);
   }
 }
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -52,7 +52,8 @@
   constructor(private readonly options: TargetProberOptions) {}
 
   /**
-   * Probes targets without a fresh load reading.
+   * Probes targets without a fresh load reading, and those to which a new connection is needed that
+   * may fail.
    *
    * @param targets - the targets that are considered for a request
    * @param onUpdate - called after each probe that was answered or failed, with the number of
@@ -62,8 +63,10 @@
   probe(targets: readonly PlacedTarget[], onUpdate: (pending: number) => void): number {
     const nowMs = this.options.clock();
     this.refill(nowMs);
+    // A probe finds out whether a new connection works.
     const due = targets.filter((target) => (
       nowMs - (target.reading?.atMs ?? -Infinity) > placementLimits.freshReadingMs
+        || !this.options.pool.connections.maySend(target)
     ));
     let pending = 0;
     targets.forEach((target) => {
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -8,6 +8,7 @@
 import type FakeTarget from './FakeTarget';
 
 const PROBE_MS = 2;
+const CONNECT_MS = 1;
 const HEALTH_PATH = '/health';
 const CHUNK_BYTES = 64 * 1024;
 const FAILURES: Partial<Record<FakeTarget['mode'], Failure>> = {
@@ -26,6 +27,15 @@
   readonly headers: readonly string[];
 }
 
+/** The ways in which one exchange ends. */
+interface FakeExchange {
+  /** Ends it with its connection. */
+  readonly end: (run: () => void) => void;
+  /** Ends it with a complete response, after which the connection is free. */
+  readonly complete: (run: () => void) => void;
+  readonly isOver: () => boolean;
+}
+
 /** Simulates the connections to fake targets without sockets. */
 export default class FakeSender implements TargetSender {
   /** Requests that were sent, excluding probes. */
@@ -38,6 +48,12 @@
 
   aborts = 0;
 
+  /** Called with whether a new connection to an address has carried a response, or failed. */
+  onOpened: (address: string, isWorking: boolean) => void = () => undefined;
+
+  /** Open connections without a request, by address. */
+  private readonly ready = new Map<string, number>();
+
   constructor(private readonly targets: readonly FakeTarget[]) {}
 
   send(address: SendAddress, req: TargetRequest, handler: AnswerHandler): Dispatch {
@@ -45,11 +61,25 @@
     if (target === undefined) throw new Error(`no target at ${address.address}`);
     this.addresses.add(address.address);
     let isOver = false;
+    const isNew = this.countReady(target.address) === 0;
+    if (!isNew) this.ready.set(target.address, this.countReady(target.address) - 1);
     const end = (run: () => void): void => {
       if (isOver) return;
       isOver = true;
       run();
     };
+    if (isNew && target.refusesConnections === true) {
+      setTimeout(() => end(() => {
+        this.onOpened(target.address, false);
+        handler.onFailure({ kind: 'targetFailed', detail: 'reset' });
+      }), CONNECT_MS);
+      return { resume: () => undefined, abort: (failure) => end(() => handler.onFailure(failure)) };
+    }
+    const complete = (run: () => void): void => end(() => {
+      if (isNew) this.onOpened(target.address, true);
+      this.ready.set(target.address, this.countReady(target.address) + 1);
+      run();
+    });
     const dispatch: Dispatch = {
       resume: () => undefined,
       abort: (failure) => {
@@ -57,19 +87,23 @@
         end(() => handler.onFailure(failure));
       },
     };
-    if (req.path === HEALTH_PATH) this.probe(target, handler, end);
-    else this.run(target, req, handler, end, () => isOver);
+    if (req.path === HEALTH_PATH) this.probe(target, handler, complete);
+    else this.run(target, req, handler, { end, complete, isOver: () => isOver });
     return dispatch;
   }
 
+  countReady(address: string): number {
+    return this.ready.get(address) ?? 0;
+  }
+
   private probe(
     target: FakeTarget,
     handler: AnswerHandler,
-    end: (run: () => void) => void,
+    complete: (run: () => void) => void,
   ): void {
     this.probes += 1;
     if (target.mode === 'silent') return;
-    setTimeout(() => end(() => {
+    setTimeout(() => complete(() => {
       handler.onHeaders(200, {
         target: target.id,
         load: FakeSender.describeLoad(target),
@@ -85,9 +119,9 @@
     target: FakeTarget,
     req: TargetRequest,
     handler: AnswerHandler,
-    end: (run: () => void) => void,
-    isOver: () => boolean,
+    exchange: FakeExchange,
   ): void {
+    const { end, isOver } = exchange;
     const state = target;
     const { slowness } = target;
     this.sent.push({ target, slowness, headers: req.headers });
@@ -103,7 +137,7 @@
       }
       // The response to another request does not end this one.
       if (target.mode === 'foreign' && !isOver()) handler.onHeaders(200, FOREIGN_HEADERS);
-      else if (!isOver()) FakeSender.respond(target, req, handler, end, isOver);
+      else if (!isOver()) FakeSender.respond(target, req, handler, exchange);
     }, target.workMs * slowness);
   }
 
@@ -111,8 +145,7 @@
     target: FakeTarget,
     req: TargetRequest,
     handler: AnswerHandler,
-    end: (run: () => void) => void,
-    isOver: () => boolean,
+    { end, complete, isOver }: FakeExchange,
   ): void {
     const failure = FAILURES[target.mode];
     if (failure !== undefined) {
@@ -135,7 +168,7 @@
     for (let start = 0; start < body.length && !isOver(); start += CHUNK_BYTES) {
       handler.onData(Buffer.from(body.slice(start, start + CHUNK_BYTES)));
     }
-    end(() => handler.onEnd());
+    complete(() => handler.onEnd());
   }
 
   private static describeLimit({ limit }: FakeTarget): Record<string, string> {
--- a/packages/gateway/test/support/FakeTarget.ts
+++ b/packages/gateway/test/support/FakeTarget.ts
@@ -15,6 +15,8 @@
   leaving?: 'requests' | 'all' | undefined;
   /** Time that it asks for when it refuses a request, in milliseconds. */
   restMs?: number;
+  /** Whether new connections are reset once they have been accepted; open ones live on. */
+  refusesConnections?: boolean;
   /** Length to which its response body is padded, in bytes; its id alone by default. */
   bodyBytes?: number;
   /**
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -105,8 +105,10 @@
       defer: (run) => setTimeout(run, 0),
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a probe
       onSilence: () => prober.startVerifying(),
+      countReady: (address) => this.sender.countReady(address),
     });
     const { pool, sender } = this;
+    sender.onOpened = (address, isWorking) => pool.connections.record(address, isWorking);
     const prober: TargetProber = new TargetProber({
       clock, sender, dialect, pool, probesPerSecond: 1000,
     });
--- a/packages/target/src/UndiciDispatch.ts
+++ b/packages/target/src/UndiciDispatch.ts
@@ -10,6 +10,16 @@
 /** Number of informational responses (1xx) before the final one. */
 const MAX_INFORMATIONAL_RESPONSES = 16;
 
+/** Learns what happens to the connection of a dispatch. */
+interface ConnectionListener {
+  /** Called when the request is written. */
+  readonly onStart: () => void;
+  /** Called when a response starts, informational ones included. */
+  readonly onResponse: () => void;
+  /** Called when this VM aborts the request, which closes the connection. */
+  readonly onAbort: () => void;
+}
+
 /** Adapts one undici dispatch to the interfaces of `core`. */
 export default class UndiciDispatch implements Dispatch, Dispatcher.DispatchHandler {
   private controller: Dispatcher.DispatchController | undefined;
@@ -18,7 +28,10 @@
 
   private informationalCount = 0;
 
-  constructor(private readonly handler: AnswerHandler) {}
+  constructor(
+    private readonly handler: AnswerHandler,
+    private readonly connection: ConnectionListener,
+  ) {}
 
   resume(): void {
     if (!this.isFinished) this.controller?.resume();
@@ -28,6 +41,7 @@
     if (this.isFinished) return;
     // undici may still be waiting for a connection; fail the request without waiting for it.
     this.isFinished = true;
+    if (this.controller !== undefined) this.connection.onAbort();
     this.controller?.abort(new Error(reason.kind));
     this.handler.onFailure(reason);
   }
@@ -36,6 +50,7 @@
     // Throwing before any byte is written drops the request and keeps the connection.
     if (this.isFinished) throw new Error('the request was aborted before it was sent');
     this.controller = controller;
+    this.connection.onStart();
     this.handler.onConnected();
   }
 
@@ -44,6 +59,7 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
+    this.connection.onResponse();
     if (this.isFinished) return;
     if (status < FIRST_FINAL_STATUS) {
       this.countInformational();
--- a/packages/target/src/UndiciTargetSender.ts
+++ b/packages/target/src/UndiciTargetSender.ts
@@ -1,7 +1,6 @@
 import type { buildConnector } from 'undici';
-// Importing only these modules: loading all of undici more than doubles its startup cost.
+// Importing only this module: loading all of undici more than doubles its startup cost.
 import createConnector from 'undici/lib/core/connect';
-import Pool from 'undici/lib/dispatcher/pool';
 
 import type AnswerHandler from '@guavayard/core/dispatch/AnswerHandler';
 import type Dispatch from '@guavayard/core/dispatch/Dispatch';
@@ -9,7 +8,8 @@
 import type TargetSender from '@guavayard/core/dispatch/TargetSender';
 import type SendAddress from '@guavayard/core/types/SendAddress';
 
-import UndiciDispatch from './UndiciDispatch';
+import TargetConnection from './TargetConnection';
+import TargetConnections from './TargetConnections';
 
 const CONNECT_TIMEOUT_MS = 1000;
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
@@ -21,6 +21,11 @@
   readonly keepAliveTimeoutMs: number;
   /** Address from which connections are opened; undefined if the system chooses. */
   readonly localAddress?: string | undefined;
+  /**
+   * Called with whether a new connection to an address has carried a response, or could not be
+   * opened or ended without one.
+   */
+  readonly onOpened?: (address: string, isWorking: boolean) => void;
 }
 
 const connect = createConnector({ timeout: CONNECT_TIMEOUT_MS });
@@ -38,23 +43,22 @@
   });
 };
 
-/** Sends requests over pools of keep-alive connections, one pool per target address. */
+/** Sends requests over keep-alive connections. */
 export default class UndiciTargetSender implements TargetSender {
-  private readonly pools = new Map<string, Pool>();
+  /** Connections by the address of their target. */
+  private readonly connections = new Map<string, TargetConnections>();
 
   constructor(
     private readonly options: SenderOptions = { keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS },
   ) {}
 
   send(target: SendAddress, req: TargetRequest, handler: AnswerHandler): Dispatch {
-    const dispatch = new UndiciDispatch(handler);
-    this.getPool(target).dispatch({
-      method: req.method,
-      path: req.path,
-      headers: req.headers as string[],
-      body: req.body,
-    }, dispatch);
-    return dispatch;
+    const limit = Math.min(target.connectionLimit, MAX_CONNECTIONS_PER_TARGET);
+    return this.connectionsTo(target.address).send(req, handler, limit);
+  }
+
+  countReady(address: string): number {
+    return this.connections.get(address)?.readyCount ?? 0;
   }
 
   /**
@@ -63,31 +67,29 @@
    * @param address - host and port of the target
    */
   closeConnections(address: string): void {
-    const pool = this.pools.get(address);
-    this.pools.delete(address);
-    // Each failed request notifies its own handler, so the error of the pool can be ignored.
-    pool?.close().catch(() => undefined);
+    const known = this.connections.get(address);
+    this.connections.delete(address);
+    // Each failed request notifies its own handler, so the error of a connection can be ignored.
+    known?.close().catch(() => undefined);
   }
 
   /** Closes all connections once their requests have finished. */
   async close(): Promise<void> {
-    await Promise.all([...this.pools.values()].map(async (pool) => pool.close()));
+    await Promise.all([...this.connections.values()].map(async (known) => known.close()));
   }
 
-  private getPool(target: SendAddress): Pool {
-    const existing = this.pools.get(target.address);
+  private connectionsTo(address: string): TargetConnections {
+    const existing = this.connections.get(address);
     if (existing !== undefined) return existing;
-    const { localAddress } = this.options;
-    const pool = new Pool(`http://${target.address}`, {
-      connections: Math.min(target.connectionLimit, MAX_CONNECTIONS_PER_TARGET),
-      pipelining: 1,
+    const { localAddress, keepAliveTimeoutMs, onOpened } = this.options;
+    const connections = new TargetConnections(() => new TargetConnection({
+      address,
       connect: connectToTarget,
-      ...(localAddress === undefined ? {} : { localAddress }),
-      keepAliveTimeout: this.options.keepAliveTimeoutMs,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
-    this.pools.set(target.address, pool);
-    return pool;
+      localAddress,
+      keepAliveTimeoutMs,
+      onOpened: (isWorking) => onOpened?.(address, isWorking),
+    }));
+    this.connections.set(address, connections);
+    return connections;
   }
 }
--- a/packages/target/src/undiciParts.d.ts
+++ b/packages/target/src/undiciParts.d.ts
@@ -4,8 +4,8 @@
   export default buildConnector;
 }
 
-declare module 'undici/lib/dispatcher/pool' {
-  import { Pool } from 'undici';
+declare module 'undici/lib/dispatcher/client' {
+  import { Client } from 'undici';
 
-  export default Pool;
+  export default Client;
 }
