Count the time of a suspend in the clock of an entry that holds leases

Callers could see: a VM that was suspended for longer than its lease went on dispatching on it for up to four seconds after it woke, for instance to a data centre that had been taken out meanwhile.

Cause: performance.now() stands still while a VM is suspended, and leases, ownership and cold windows of the entries of 'run' were measured by it. Shown by 'a lease runs out while the VM is suspended', which fails with a clock that does not read the uptime.

The clock adds the uptime's lead over the steady clock. The time of day, which is cheap to read, tells when to look; its own steps change nothing. Control's and serve's clocks stay as they are: no permission there runs by them (docs/PROOF.md says what remains).

--- a/packages/cli/src/run/startEntry.ts
+++ b/packages/cli/src/run/startEntry.ts
@@ -1,4 +1,3 @@
-import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import { Err, Ok, type Result } from 'ts-results';
@@ -7,6 +6,7 @@
 import RequestHandler from '@guavayard/caller/RequestHandler';
 import BalancerListener from '@guavayard/balancer/BalancerListener';
 import AnnouncementListener from '@guavayard/target/AnnouncementListener';
+import type Clock from '@guavayard/core/types/Clock';
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
 import ControlSubscription from '@guavayard/vm/entry/ControlSubscription';
 import EntryLeaseRelay from '@guavayard/vm/entry/EntryLeaseRelay';
@@ -17,6 +17,7 @@
 import createRequestObservers from './createRequestObservers';
 import countTargets from './countTargets';
 import createRelay from './createRelay';
+import createVmClock from './createVmClock';
 import createKeyTask from './createKeyTask';
 import createScheduler from './createScheduler';
 import createTargetTasks from './createTargetTasks';
@@ -25,13 +26,10 @@
 import type Stoppable from './Stoppable';
 import type TargetTasks from './TargetTasks';
 
-function clock(): number {
-  return performance.now();
-}
-
 function createSubscription(
   context: RunContext,
   targets: TargetTasks,
+  clock: Clock,
   onMembership: SubscriptionListener['onMembership'],
 ): ControlSubscription {
   return new ControlSubscription({
@@ -65,10 +63,12 @@
     return Err('role "entry" requires the sections [caller] and [target]');
   }
   const sender = new UndiciTargetSender();
+  // Leases, ownership and limits that were granted before a suspend run out during it.
+  const clock = createVmClock();
   const targets = createTargetTasks(context, clock);
   const { directory } = targets;
   const idempotency = createKeyTask(context, clock);
-  const subscription = createSubscription(context, targets, idempotency.update);
+  const subscription = createSubscription(context, targets, clock, idempotency.update);
   idempotency.attach(() => subscription.latest);
   const observers = createRequestObservers(context, clock, () => subscription.latest);
   const scheduler = createScheduler(context, subscription, directory, {
--- a/packages/vm/test/lease.test.ts
+++ b/packages/vm/test/lease.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
+import createElapsedClock from '@guavayard/core/clock/createElapsedClock';
 import Configuration from '@guavayard/core/types/Configuration';
 import type VersionedConfiguration from '@guavayard/core/types/VersionedConfiguration';
 
@@ -44,16 +45,21 @@
 interface Entry {
   readonly subscription: ControlSubscription;
   readonly hub: FakeHub;
-  readonly time: { nowMs: number };
+  readonly time: { nowMs: number; suspendedMs: number };
 }
 
 function createEntry(t: { after: (run: () => void) => void }): Entry {
-  const time = { nowMs: 0 };
+  // `nowMs` is the steady clock, which stands still during a suspend.
+  const time = { nowMs: 0, suspendedMs: 0 };
   const hub = new FakeHub('a key', IDENTITY);
   const subscription = new ControlSubscription({
     hub,
     identity: IDENTITY,
-    clock: () => time.nowMs,
+    clock: createElapsedClock({
+      steadyMs: () => time.nowMs,
+      timeOfDayMs: () => time.nowMs + time.suspendedMs,
+      uptimeMs: () => time.nowMs + time.suspendedMs,
+    }),
     listener: { onConfiguration: () => undefined, onMembership: () => undefined },
   });
   t.after(() => subscription.close());
@@ -87,6 +93,16 @@
   assert.equal(heldVersion(entry), undefined);
 });
 
+test('a lease runs out while the VM is suspended', (t) => {
+  const entry = createEntry(t);
+  grant(entry, 1, createVersion(1));
+  entry.time.nowMs = 100;
+  entry.time.suspendedMs = LEASE_MS - 101;
+  assert.equal(heldVersion(entry), 1);
+  entry.time.suspendedMs = LEASE_MS;
+  assert.equal(heldVersion(entry), undefined);
+});
+
 test('a grant for an unknown nonce is ignored', (t) => {
   const entry = createEntry(t);
   const { subscription } = entry;
