Give up callers that do not read the end of their response

Callers could see: an entry that held up to 256 KiB for each caller that had stopped reading, of 32 MB for all, buffered no other response any more, until the operating system gave the connections up after a quarter of an hour.

Cause: once a response is complete no deadline of the exchange is left, and Node's idle timeout starts only when the last byte has been taken by the kernel. A complete response now has 60 s to be read.

--- a/packages/caller/src/CallerLimits.ts
+++ b/packages/caller/src/CallerLimits.ts
@@ -6,6 +6,8 @@
   readonly headersTimeoutMs: number;
   /** Interval between checks for headers that are overdue. */
   readonly checkIntervalMs: number;
+  /** Maximum time for a caller to read what is buffered of its response once it is complete. */
+  readonly unreadMs: number;
   /** Maximum number of caller connections; any beyond it are closed immediately. */
   readonly connections: number;
 }
--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -50,6 +50,8 @@
 
   private accepted = 0;
 
+  private readonly unreadMs: number;
+
   /**
    * @param handler - handles the requests
    * @param options - limits on the resources that callers may use, and what receives exceptions of
@@ -59,6 +61,7 @@
     handler: CallerHandler,
     { limits = defaultLimits, onError = () => undefined }: ListenerOptions = {},
   ) {
+    this.unreadMs = limits.unreadMs;
     // A single handler serves every path, so no router is needed.
     this.server = createServer({
       maxHeaderSize: limits.headerBytes,
@@ -134,7 +137,13 @@
     responses.push(response);
     this.active.set(socket, responses);
     if (this.isDraining) closeAfterLast(responses);
+    let unreadTimer: NodeJS.Timeout | undefined;
+    // The last bytes have been passed to the socket, which may keep them for a silent caller.
+    res.once('prefinish', () => {
+      unreadTimer = setTimeout(() => socket.destroy(), this.unreadMs);
+    });
     res.once('close', () => {
+      clearTimeout(unreadTimer);
       responses.splice(responses.indexOf(response), 1);
       if (responses.length === 0) this.active.delete(socket);
       if (this.active.size === 0) this.drainWaiters.splice(0).forEach((resolve) => resolve());
--- a/test/outcomes-limits.test.ts
+++ b/test/outcomes-limits.test.ts
@@ -88,7 +88,11 @@
 async function start(t: TestContext, connections = 100): Promise<[EmulatedTarget, number]> {
   const target = new EmulatedTarget('target-1');
   const entry = new TestEntry(undefined, 'munster', [], {
-    headerBytes: 16 * 1024, headersTimeoutMs: 200, checkIntervalMs: 50, connections,
+    headerBytes: 16 * 1024,
+    headersTimeoutMs: 200,
+    checkIntervalMs: 50,
+    unreadMs: 60_000,
+    connections,
   });
   entry.addTarget(await target.listen());
   const port = await entry.listen();
