--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -77,7 +77,7 @@
     keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
     localAddress: settings.vm.bindsToIp ? settings.vm.ip : undefined,
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a request
-    onOpened: (address, isWorking) => pool.connections.record(address, isWorking),
+    onOpened: (address, isWorking) => pool.paths.connections.record(address, isWorking),
   });
   const dialect = new PlatformDialect();
   const pool: TargetPool = new TargetPool({
@@ -187,7 +187,7 @@
       probes: prober.count,
       targets: pool.targetCount,
       limitedTargets: pool.limitedCount,
-      unreachableServices: pool.reachability.unreachableCount,
+      unreachableServices: pool.paths.reachability.unreachableCount,
       version: subscription.declaration?.version ?? 0,
       isCurrent: subscription.isFollowing,
     }),
--- a/packages/gateway/src/CrashWatch.ts
+++ b/packages/gateway/src/CrashWatch.ts
@@ -45,7 +45,7 @@
     const { clock, pool, prober } = this.options;
     const brokenAtMs = clock();
     setTimeout(() => {
-      const witnesses = pool.findWitnesses(target, WITNESSES);
+      const witnesses = pool.paths.findWitnesses(target, WITNESSES);
       prober.probe([target, ...witnesses], (left) => {
         if (left > 0 || target.unansweredProbes === 0) return;
         // Silence of all of them is a broken path.
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -208,7 +208,7 @@
       onHeaders: (status, headers) => {
         state.status = status;
         state.headers = headers;
-        this.dependencies.pool.recordAnswer(target);
+        this.dependencies.pool.paths.recordAnswer(target);
         const metadata = this.dependencies.dialect.readResponse(headers);
         const isFramed = isFramedResponse(this.request.method, status, headers);
         // Without a length, a truncated response cannot be distinguished from a complete one.
@@ -218,7 +218,7 @@
         if (state.verdict !== 'spoiled') {
           this.dependencies.pool.limits.recordResponse(target, metadata.requestLimit, 'request');
           this.recordRest(state, status, metadata);
-          this.dependencies.pool.recordLeaving(target, metadata.isLeaving, 'request');
+          this.dependencies.pool.notices.recordLeaving(target, metadata.isLeaving, 'request');
         }
         // Any further data on this connection may belong to another request.
         if (state.verdict === 'spoiled') {
@@ -233,8 +233,8 @@
 
   private recordRest({ target }: Attempt, status: number, { restMs }: ResponseMetadata): void {
     const { pool } = this.dependencies;
-    if (!isRefusalStatus(status)) pool.recordReturn(target);
-    else if (restMs !== undefined) pool.recordRest(target, restMs, 'request');
+    if (!isRefusalStatus(status)) pool.notices.recordReturn(target);
+    else if (restMs !== undefined) pool.notices.recordRest(target, restMs, 'request');
   }
 
   private recordLoad({ target, startedAtMs }: Attempt, { load }: ResponseMetadata): void {
@@ -297,8 +297,8 @@
       return;
     }
     const { pool } = this.dependencies;
-    const isPathLost = pool.connections.areRefused
-      || pool.reachability.isUnreachable(this.request.service);
+    const isPathLost = pool.paths.connections.areRefused
+      || pool.paths.reachability.isUnreachable(this.request.service);
     if (!isPathLost && recordOutcome(state.target, hasFailed, nowMs)) {
       log.logEvent({ target: state.target.record.id, forMs: state.target.ejectedUntilMs - nowMs }, 'target ejected');
     }
--- a/packages/gateway/src/PlacementQueue.ts
+++ b/packages/gateway/src/PlacementQueue.ts
@@ -102,7 +102,7 @@
     };
     const ahead = this.queue.filter((other) => other.request.priority <= priority).length;
     if (!this.admission.mayWait({ targetLatencyMs, remainingMs, ahead }, nowMs)) {
-      const kind = request.mayRelay && this.options.pool.isCutOff(request.service)
+      const kind = request.mayRelay && this.options.pool.paths.isCutOff(request.service)
         ? 'targetsUnreachable' : 'overloaded';
       this.refuse(queued, { kind, detail: `${ahead} requests wait` });
       return () => undefined;
@@ -148,8 +148,8 @@
   }
 
   private explainTimeout({ request: { service }, arrivedAtMs }: QueuedRequest): Failure {
-    const { pool } = this.options;
-    return pool.reachability.isUnansweredSince(service, arrivedAtMs) || pool.isCutOff(service)
+    const { paths } = this.options.pool;
+    return paths.reachability.isUnansweredSince(service, arrivedAtMs) || paths.isCutOff(service)
       ? { kind: 'targetsUnreachable', detail: 'no target answered in time' }
       : { kind: 'overloaded', detail: 'no slot was free in time' };
   }
@@ -195,7 +195,7 @@
     const waitMs = pool
       .estimateWaitMs(request.service, request.homeRegions, request.triedIds, ahead);
     if (waitMs === undefined) {
-      const kind = pool.isCutOff(request.service) ? 'targetsUnreachable' : 'noTarget';
+      const kind = pool.paths.isCutOff(request.service) ? 'targetsUnreachable' : 'noTarget';
       this.refuse(queued, { kind, detail: `service "${request.service}"` });
     } else if (clock() + waitMs <= refusedAtMs) {
       this.scheduleSearch(waitMs);
@@ -217,7 +217,7 @@
   ): void {
     const state = queued;
     const { pool } = this.options;
-    if (queued.request.mayRelay && pool.isCutOff(queued.request.service)) {
+    if (queued.request.mayRelay && pool.paths.isCutOff(queued.request.service)) {
       this.refuse(queued, { kind: 'targetsUnreachable', detail: 'most targets cannot be reached' });
       return;
     }
@@ -325,7 +325,7 @@
     targets: readonly PlacedTarget[],
     maxCost: number,
   ): boolean {
-    const { clock, pool: { connections } } = this.options;
+    const { clock, pool: { paths: { connections } } } = this.options;
     const { request } = queued;
     const nowMs = clock();
     const eligible = new Set(this.findEligible(request));
--- a/packages/gateway/src/RelayAdmission.ts
+++ b/packages/gateway/src/RelayAdmission.ts
@@ -44,11 +44,11 @@
     version: number,
     respond: (refusal: RelayRefusal | undefined) => void,
   ): void {
-    const { pool, placement } = this.options;
+    const { pool: { paths }, placement } = this.options;
     if (this.options.version() !== version) respond('version');
-    else if (pool.isCutOff(service)) respond('unreachable');
+    else if (paths.isCutOff(service)) respond('unreachable');
     else if (placement.waitingFor(service) >= relayLimits.busyQueue) respond('busy');
-    else if (pool.reachability.hasAnsweredWithin(service, RECENT_ANSWER_MS)) respond(undefined);
+    else if (paths.reachability.hasAnsweredWithin(service, RECENT_ANSWER_MS)) respond(undefined);
     else this.probe(service, respond);
   }
 
@@ -57,6 +57,7 @@
     respond: (refusal: RelayRefusal | undefined) => void,
   ): void {
     const { pool, prober } = this.options;
+    const { reachability } = pool.paths;
     const eligible = pool.findEligible(service, undefined, []);
     const near = eligible.filter((target) => pool.isNear(target));
     const targets = selectCandidates(near.length > 0 ? near : eligible, PROBED_TARGETS, 0);
@@ -66,11 +67,11 @@
       if (isDecided) return;
       isDecided = true;
       clearTimeout(timer);
-      const isAnswered = pool.reachability.hasAnsweredWithin(service, RECENT_ANSWER_MS);
+      const isAnswered = reachability.hasAnsweredWithin(service, RECENT_ANSWER_MS);
       respond(isAnswered ? undefined : 'unreachable');
     };
     const pending = prober.probe(targets, (left) => {
-      if (left === 0 || pool.reachability.hasAnsweredWithin(service, RECENT_ANSWER_MS)) decide();
+      if (left === 0 || reachability.hasAnsweredWithin(service, RECENT_ANSWER_MS)) decide();
     });
     if (pending === 0) decide();
     else timer = setTimeout(decide, near.length > 0 ? NEAR_WAIT_MS : FAR_WAIT_MS);
--- a/packages/gateway/src/RelayHandover.ts
+++ b/packages/gateway/src/RelayHandover.ts
@@ -72,7 +72,7 @@
   /** Whether no target of the service of the request can be reached. */
   get isNeeded(): boolean {
     const { dependencies: { pool }, request: { service } } = this.options;
-    return pool.reachability.isUnreachable(service);
+    return pool.paths.reachability.isUnreachable(service);
   }
 
   /** The part of the log line that describes the last attempt; undefined if there was none. */
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -2,36 +2,23 @@
 
 import type ColdRateLimit from '@guavayard/core/placement/ColdRateLimit';
 import createPlacedTarget from '@guavayard/core/placement/createPlacedTarget';
-import isConfirmed from '@guavayard/core/placement/isConfirmed';
 import maySendToColdTarget from '@guavayard/core/placement/maySendToColdTarget';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
-import selectCandidates from '@guavayard/core/placement/selectCandidates';
-import reachabilityLimits from '@guavayard/core/reachability/reachabilityLimits';
 import type Declaration from '@guavayard/core/registry/Declaration';
 import findAnnouncementMistake from '@guavayard/core/registry/findAnnouncementMistake';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import type Clock from '@guavayard/core/types/Clock';
 import estimateRestWait from '@guavayard/core/rest/estimateRestWait';
-import grantRest from '@guavayard/core/rest/grantRest';
 import isResting from '@guavayard/core/rest/isResting';
 import mayReturn from '@guavayard/core/rest/mayReturn';
 import restLimits from '@guavayard/core/rest/restLimits';
 import type Random from '@guavayard/core/types/Random';
 import type RequestLimitNotice from '@guavayard/core/requestLimit/RequestLimitNotice';
 
-import ConnectionTracker from './ConnectionTracker';
 import type EntryLocation from './EntryLocation';
-import ReachabilityTracker from './ReachabilityTracker';
 import RequestLimitTracker from './RequestLimitTracker';
-
-/** Shortest remaining warm-up time that is logged, in milliseconds. */
-const MIN_LOGGED_COLD_MS = 100;
-
-/**
- * Time without an answer after which a service is in doubt while another one cannot be reached, in
- * milliseconds.
- */
-const DOUBTFUL_AFTER_MS = 500;
+import TargetNotices from './TargetNotices';
+import TargetPaths from './TargetPaths';
 
 /** Targets for which a part of the share is given up with one request. */
 const MAX_PERMITS = 1;
@@ -73,11 +60,11 @@
   /** Request limits of the targets. */
   readonly limits: RequestLimitTracker;
 
-  /** Which services have targets that answer this entry. */
-  readonly reachability: ReachabilityTracker;
+  /** What the targets say of themselves. */
+  readonly notices: TargetNotices;
 
-  /** Which targets a request may be sent to without risking it on a new connection. */
-  readonly connections: ConnectionTracker;
+  /** Which paths to targets work. */
+  readonly paths: TargetPaths;
 
   private limitContext = '';
 
@@ -88,18 +75,11 @@
       entryName: options.location.name,
       share: options.shareLimit,
     });
-    this.reachability = new ReachabilityTracker({
-      clock: options.clock,
-      log: options.log,
-      countTargets: (service) => this.countServing(service),
-      defer: options.defer,
-      onSilence: options.onSilence,
-    });
-    this.connections = new ConnectionTracker({
-      clock: options.clock,
-      log: options.log,
-      countReady: options.countReady,
-      onRefused: options.onSilence,
+    this.notices = new TargetNotices(options);
+    this.paths = new TargetPaths({
+      ...options,
+      findServing: () => [...this.targets.values()].filter((target) => this.isServing(target)),
+      isNear: (target) => this.isNear(target),
     });
   }
 
@@ -209,20 +189,6 @@
       && target.unreachableUntilMs <= nowMs);
   }
 
-  /**
-   * Finds targets that show whether the path to a target works as far as others use it, too.
-   *
-   * @param target - the target
-   * @param count - most targets to return
-   * @returns other targets of its region, of any service
-   */
-  findWitnesses(target: PlacedTarget, count: number): PlacedTarget[] {
-    const others = [...this.targets.values()].filter((other) => other !== target
-      && other.region === target.region && this.isServing(other));
-    const confirmed = others.filter(isConfirmed);
-    return selectCandidates(confirmed.length > 0 ? confirmed : others, count, 0).slice(0, count);
-  }
-
   /** @returns whether a target is in the region of this entry */
   isNear(target: PlacedTarget): boolean {
     return target.region === this.options.location.region;
@@ -236,134 +202,6 @@
     });
   }
 
-  /** Records the remaining warm-up time that a target reported. */
-  recordColdLeft(target: PlacedTarget, coldLeftMs: number): void {
-    const state = target;
-    const nowMs = this.options.clock();
-    const wasCold = state.coldUntilMs > nowMs;
-    state.coldUntilMs = coldLeftMs > 0 ? nowMs + coldLeftMs : -Infinity;
-    if (!wasCold && coldLeftMs > MIN_LOGGED_COLD_MS) {
-      this.options.log.info({ target: state.record.id, coldLeftMs }, 'target is cold');
-    }
-  }
-
-  /**
-   * Records that a target asked to be left alone.
-   *
-   * @param target - the target
-   * @param restMs - for how long, in milliseconds
-   * @param source - kind of the response that says so
-   */
-  recordRest(target: PlacedTarget, restMs: number, source: 'request' | 'probe'): void {
-    const { clock, random, log } = this.options;
-    const nowMs = clock();
-    const wasResting = isResting(target, nowMs);
-    grantRest(target, restMs, random(), nowMs);
-    // Refusals of requests that were under way already repeat the same wish.
-    if (wasResting) return;
-    log.info({
-      target: target.record.id, service: target.record.service, restMs, source,
-    }, 'target asks for time');
-  }
-
-  /** Records that a target that had asked for time serves requests again. */
-  recordReturn(target: PlacedTarget): void {
-    if (target.rest?.isReturning !== true || isResting(target, this.options.clock())) return;
-    const state = target;
-    state.rest = undefined;
-    this.options.log.info({ target: target.record.id }, 'target serves again');
-  }
-
-  /**
-   * Records whether a target says in a response that it is about to leave. It receives no further
-   * requests, also if it goes on announcing itself as ready: it may not reach control.
-   *
-   * @param target - the target
-   * @param isLeaving - what the response says
-   * @param source - kind of the response
-   */
-  recordLeaving(target: PlacedTarget, isLeaving: boolean, source: 'request' | 'probe'): void {
-    const state = target;
-    const { id, service, bornAtMs } = target.record;
-    if (!isLeaving) {
-      if (source !== 'probe' || target.leaving?.isInProbes !== true) return;
-      state.leaving = undefined;
-      this.options.log.info({ target: id, service }, 'target does not leave after all');
-      return;
-    }
-    const isNew = target.leaving === undefined;
-    state.leaving = { isInProbes: source === 'probe' || target.leaving?.isInProbes === true };
-    if (!isNew) return;
-    this.options.log.info({ target: id, service, source }, 'target is about to leave');
-    this.options.reportLeaving(id, bornAtMs);
-  }
-
-  /** Records that a target answered a request or a probe of this entry. */
-  recordAnswer(target: PlacedTarget): void {
-    const state = target;
-    state.unansweredProbes = 0;
-    state.lastAnswerAtMs = this.options.clock();
-    state.unreachableUntilMs = -Infinity;
-    this.reachability.recordAnswer(target);
-  }
-
-  /**
-   * Finds the targets to probe in order to learn whether the paths to them work: silent ones of
-   * services of which too many are silent, those to which only a new connection would lead while
-   * targets refuse new ones, and, while a service cannot be reached at all, some of the services
-   * that have not been heard from lately.
-   *
-   * @returns the targets, none if all paths seem to work
-   */
-  findDoubtfulTargets(): PlacedTarget[] {
-    const byService = new Map<string, PlacedTarget[]>();
-    this.targets.forEach((target) => {
-      if (!this.isServing(target)) return;
-      const { service } = target.record;
-      byService.set(service, [...byService.get(service) ?? [], target]);
-    });
-    return [...byService].flatMap(([service, targets]) => {
-      if (this.isMostlySilent(service)) {
-        return targets.filter((target) => this.reachability.isSilent(target));
-      }
-      if (this.connections.areRefused) {
-        return targets.filter((target) => !this.connections.maySend(target));
-      }
-      const isDoubtful = this.reachability.unreachableCount > 0
-        && !this.reachability.hasAnsweredWithin(service, DOUBTFUL_AFTER_MS);
-      if (!isDoubtful) return [];
-      const near = targets.filter((target) => this.isNear(target));
-      return selectCandidates(near, reachabilityLimits.minSilentTargets, 0);
-    });
-  }
-
-  /**
-   * Returns whether this entry cannot reach most of the targets that it would send requests of a
-   * service to, although the others may have no free slot.
-   *
-   * @param service - the service
-   * @returns true if most targets of the service in this region are silent, or none answers at all
-   */
-  isMostlySilent(service: string): boolean {
-    if (this.reachability.isUnreachable(service)) return true;
-    const serving = [...this.targets.values()]
-      .filter((target) => target.record.service === service && this.isServing(target));
-    const near = serving.filter((target) => this.isNear(target));
-    const inReach = near.length > 0 ? near : serving;
-    const silent = inReach.filter((target) => this.reachability.isSilent(target)).length;
-    return silent > 0 && silent >= reachabilityLimits.mostlySilentShare * inReach.length;
-  }
-
-  /**
-   * Returns whether another entry should serve the requests for which this one finds no target.
-   *
-   * @param service - the service
-   * @returns true if most targets in reach are silent, or none takes a new connection
-   */
-  isCutOff(service: string): boolean {
-    return this.connections.areRefused || this.isMostlySilent(service);
-  }
-
   /** @returns the number of targets that name a request limit */
   get limitedCount(): number {
     return [...this.targets.values()].filter(({ requestLimit }) => requestLimit !== undefined)
@@ -434,12 +272,6 @@
     return maySendToColdTarget(target, limit, location.name, nowMs);
   }
 
-  /** Counts the targets of a service that would receive requests if all of them answered. */
-  private countServing(service: string): number {
-    return [...this.targets.values()]
-      .filter((target) => target.record.service === service && this.isServing(target)).length;
-  }
-
   private isServing({ record, leaving }: PlacedTarget): boolean {
     return record.state === 'ready' && leaving === undefined
       && !this.evacuated.has(record.dataCentre);
@@ -477,7 +309,7 @@
       && known.record.address === record.address;
     if (known !== undefined && isSameIncarnation) {
       known.record = record;
-      if (record.coldLeftMs > 0) this.recordColdLeft(known, record.coldLeftMs);
+      if (record.coldLeftMs > 0) this.notices.recordColdLeft(known, record.coldLeftMs);
       return;
     }
     if (known !== undefined) this.remove(record.id);
@@ -487,15 +319,14 @@
       this.options.location.name,
     );
     this.targets.set(record.id, target);
-    if (record.coldLeftMs > 0) this.recordColdLeft(target, record.coldLeftMs);
+    if (record.coldLeftMs > 0) this.notices.recordColdLeft(target, record.coldLeftMs);
   }
 
   private remove(id: string): void {
     const known = this.targets.get(id);
     this.targets.delete(id);
     if (known === undefined) return;
-    this.reachability.forget(known);
-    this.connections.forget(known.record.address);
+    this.paths.forget(known);
     this.options.onTargetRemoved(known.record.address);
   }
 }
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -66,7 +66,7 @@
     // A probe finds out whether a new connection works.
     const due = targets.filter((target) => (
       nowMs - (target.reading?.atMs ?? -Infinity) > placementLimits.freshReadingMs
-        || !this.options.pool.connections.maySend(target)
+        || !this.options.pool.paths.connections.maySend(target)
     ));
     let pending = 0;
     targets.forEach((target) => {
@@ -128,7 +128,7 @@
     const { pool, clock } = this.options;
     const nowMs = clock();
     this.refill(nowMs);
-    const targets = pool.findDoubtfulTargets();
+    const targets = pool.paths.findDoubtful();
     this.verifyTimer = undefined;
     if (targets.length === 0) return;
     const start = this.verified % targets.length;
@@ -167,7 +167,7 @@
     state.probeWaiters = [];
     state.probeSentAtMs = sentAtMs;
     state.lastSentAtMs = sentAtMs;
-    this.options.pool.reachability.recordProbe(target);
+    this.options.pool.paths.reachability.recordProbe(target);
     let isDone = false;
     let receivedBytes = 0;
     let timer: NodeJS.Timeout | undefined;
@@ -192,7 +192,7 @@
       onFailure: (failure) => {
         state.reading = undefined;
         state.unansweredProbes += 1;
-        this.options.pool.reachability.recordFailure(target);
+        this.options.pool.paths.reachability.recordFailure(target);
         if (failure.kind === 'targetUnreachable') state.unreachableUntilMs = clock() + UNREACHABLE_MS;
         finish();
       },
@@ -217,7 +217,7 @@
   ): void {
     const { pool, clock, dialect } = this.options;
     const state = target;
-    pool.recordAnswer(target);
+    pool.paths.recordAnswer(target);
     state.idleTimeoutMs = parseKeepAliveTimeout(headers['keep-alive']);
     const {
       targetId, load, coldLeftMs, requestLimit, restMs, isLeaving,
@@ -229,10 +229,10 @@
       return;
     }
     state.isUnhealthy = status !== OK;
-    if (isRefusalStatus(status) && restMs !== undefined) pool.recordRest(target, restMs, 'probe');
+    if (isRefusalStatus(status) && restMs !== undefined) pool.notices.recordRest(target, restMs, 'probe');
     pool.limits.recordResponse(target, requestLimit, 'probe');
-    pool.recordLeaving(target, isLeaving, 'probe');
-    if (coldLeftMs !== undefined) pool.recordColdLeft(target, coldLeftMs);
+    pool.notices.recordLeaving(target, isLeaving, 'probe');
+    if (coldLeftMs !== undefined) pool.notices.recordColdLeft(target, coldLeftMs);
     const figures = load ?? {
       running: target.inFlight.size, waiting: 0, slots: target.record.slots, slowness: 1,
     };
--- a/packages/gateway/test/rest.test.ts
+++ b/packages/gateway/test/rest.test.ts
@@ -109,12 +109,12 @@
   rig.addTarget('leaving');
   const [target] = rig.pool.findEligible('lots', undefined, []);
   assert.ok(target !== undefined);
-  rig.pool.recordLeaving(target, true, 'request');
-  rig.pool.recordLeaving(target, false, 'probe');
+  rig.pool.notices.recordLeaving(target, true, 'request');
+  rig.pool.notices.recordLeaving(target, false, 'probe');
   assert.equal(rig.pool.findEligible('lots', undefined, []).length, 0);
-  rig.pool.recordLeaving(target, true, 'probe');
-  rig.pool.recordLeaving(target, false, 'request');
+  rig.pool.notices.recordLeaving(target, true, 'probe');
+  rig.pool.notices.recordLeaving(target, false, 'request');
   assert.equal(rig.pool.findEligible('lots', undefined, []).length, 0);
-  rig.pool.recordLeaving(target, false, 'probe');
+  rig.pool.notices.recordLeaving(target, false, 'probe');
   assert.equal(rig.pool.findEligible('lots', undefined, []).length, 1);
 });
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -108,7 +108,7 @@
       countReady: (address) => this.sender.countReady(address),
     });
     const { pool, sender } = this;
-    sender.onOpened = (address, isWorking) => pool.connections.record(address, isWorking);
+    sender.onOpened = (address, isWorking) => pool.paths.connections.record(address, isWorking);
     const prober: TargetProber = new TargetProber({
       clock, sender, dialect, pool, probesPerSecond: 1000,
     });
