--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -5,13 +5,13 @@
 import errorTable from '@guavayard/core/errors/errorTable';
 import type Failure from '@guavayard/core/errors/Failure';
 import isFramedResponse from '@guavayard/core/http/isFramedResponse';
-import selectAnswerHeaders from '@guavayard/core/http/selectAnswerHeaders';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import recordOutcome from '@guavayard/core/placement/recordOutcome';
 import recordRejection from '@guavayard/core/placement/recordRejection';
 
 import type ResponseMetadata from './ResponseMetadata';
 import RelayHandover from './RelayHandover';
+import ResponseForwarder from './ResponseForwarder';
 import type Attempt from './Attempt';
 import createAttempt from './createAttempt';
 import describeAttempt from './describeAttempt';
@@ -23,8 +23,6 @@
 import type PlacementRequest from './PlacementRequest';
 import classifyAttempt from './classifyAttempt';
 
-/** Largest response body that is buffered until it is complete, in bytes. */
-const MAX_BUFFERED_BYTES = 256 * 1024;
 /** Retry delay for a caller whose deadline passed before its request was sent, in milliseconds. */
 const RETRY_AFTER_MS = 250;
 /**
@@ -36,8 +34,6 @@
 const CONNECTION_LIMIT = 16;
 /** Body length in bytes above which a request stays in its region while a target there is alive. */
 const LARGE_BODY_BYTES = 16 * 1024;
-/** Statuses of responses that have no body, regardless of their headers. */
-const BODILESS_STATUSES = new Set([204, 304]);
 
 /** Interval between the watchdog's checks of a slow attempt, in milliseconds. */
 const WATCHDOG_INTERVAL_MS = 300;
@@ -65,6 +61,8 @@
 
   private readonly handover: RelayHandover;
 
+  private readonly forwarder: ResponseForwarder;
+
   private timer: NodeJS.Timeout | undefined;
 
   private watchdog: NodeJS.Timeout | undefined;
@@ -81,6 +79,9 @@
   ) {
     this.body = new ReplayableBody(request.req, true);
     this.triedIds = [...request.triedIds];
+    this.forwarder = new ResponseForwarder({
+      responseBytes: dependencies.responseBytes, method: request.method, reply,
+    });
     const { body, triedIds } = this;
     this.handover = new RelayHandover({
       dependencies, request, body, reply, triedIds,
@@ -248,25 +249,11 @@
   }
 
   private handleData(attempt: Attempt, chunk: Buffer): boolean {
-    const state = attempt;
-    if (state.isForwarding) return this.reply.write(chunk);
-    const mayBuffer = state.bufferedBytes + chunk.length <= MAX_BUFFERED_BYTES
-      && this.dependencies.responseBytes.tryReserve(chunk.length);
-    if (mayBuffer) {
-      state.bufferedChunks.push(chunk);
-      state.bufferedBytes += chunk.length;
-      return true;
-    }
-    if (!this.mayStream(state)) {
+    const isWanted = this.forwarder.take(attempt, chunk, () => this.mayStream(attempt));
+    if (isWanted === undefined) {
       this.dispatch?.abort({ kind: 'targetFailed', detail: 'its response is too long' });
-      return false;
     }
-    // A response that is too long to be buffered completely is streamed.
-    state.isForwarding = true;
-    this.reply.start(state.status ?? 0, selectAnswerHeaders(state.headers));
-    const parts = [...state.bufferedChunks, chunk];
-    this.releaseBuffer(state);
-    return parts.map((part) => this.reply.write(part)).every(Boolean);
+    return isWanted ?? false;
   }
 
   /** Whether a response may be sent to the caller before it is complete. */
@@ -276,13 +263,6 @@
       && !this.canRetry('failed');
   }
 
-  private releaseBuffer(attempt: Attempt): void {
-    const state = attempt;
-    this.dependencies.responseBytes.release(state.bufferedBytes);
-    state.bufferedChunks = [];
-    state.bufferedBytes = 0;
-  }
-
   private finishAttempt(attempt: Attempt, failure: Failure | undefined): void {
     const state = attempt;
     if (state.isOver) return;
@@ -292,7 +272,7 @@
     const verdict = classifyAttempt(state, failure);
     const hasFailed = verdict !== 'answered' && verdict !== 'not-run';
     if (this.isEnded) {
-      this.releaseBuffer(state);
+      this.forwarder.release(state);
       state.release();
       return;
     }
@@ -309,7 +289,7 @@
     this.dispatch = undefined;
     if (verdict === 'answered' || state.isForwarding) this.forwardResponse(state, failure);
     else this.retryOrRespond(state, verdict);
-    this.releaseBuffer(state);
+    this.forwarder.release(state);
     state.release(verdict === 'answered' ? nowMs - state.startedAtMs : undefined);
   }
 
@@ -363,28 +343,8 @@
 
   /** Forwards the target's response to the caller. */
   private forwardResponse(attempt: Attempt, failure: Failure | undefined): void {
-    const status = attempt.status ?? 0;
-    if (attempt.isForwarding) {
-      // A partial response must not look complete to the caller.
-      if (failure === undefined) this.reply.end();
-      else this.reply.cut();
-    } else {
-      const headers = { ...selectAnswerHeaders(attempt.headers) };
-      const isBodiless = this.request.method === 'HEAD' || BODILESS_STATUSES.has(status);
-      if (!isBodiless) headers['content-length'] = String(attempt.bufferedBytes);
-      this.releaseWhenSent(attempt);
-      this.reply.start(status, headers);
-      this.reply.end(Buffer.concat(attempt.bufferedChunks));
-    }
-    this.finish(attempt.verdict === 'answered' ? 'answered' : 'target failed', status);
-  }
-
-  /** Counts a response as buffered until a caller that reads slowly has received it. */
-  private releaseWhenSent(attempt: Attempt): void {
-    const state = attempt;
-    const bytes = state.bufferedBytes;
-    state.bufferedBytes = 0;
-    this.reply.onClose(() => this.dependencies.responseBytes.release(bytes));
+    this.forwarder.complete(attempt, failure !== undefined);
+    this.finish(attempt.verdict === 'answered' ? 'answered' : 'target failed', attempt.status ?? 0);
   }
 
   private fail(failure: Failure, retryAfterMs: number | undefined): void {
