Report nothing of connections to targets that are gone

Events of the last connections to a removed target marked its address as refusing, for whichever target got the address next, and the mark of an address that nobody got stayed for good. The test fails without the check.

--- a/packages/target/src/UndiciTargetSender.ts
+++ b/packages/target/src/UndiciTargetSender.ts
@@ -82,12 +82,15 @@
     const existing = this.connections.get(address);
     if (existing !== undefined) return existing;
     const { localAddress, keepAliveTimeoutMs, onOpened } = this.options;
-    const connections = new TargetConnections(() => new TargetConnection({
+    const connections: TargetConnections = new TargetConnections(() => new TargetConnection({
       address,
       connect: connectToTarget,
       localAddress,
       keepAliveTimeoutMs,
-      onOpened: (isWorking) => onOpened?.(address, isWorking),
+      onOpened: (isWorking) => {
+        // Another target may have the address by the time the last connections to this one end.
+        if (this.connections.get(address) === connections) onOpened?.(address, isWorking);
+      },
     }));
     this.connections.set(address, connections);
     return connections;
--- a/packages/target/test/connections.test.ts
+++ b/packages/target/test/connections.test.ts
@@ -92,6 +92,17 @@
   assert.deepEqual(opened, [false]);
 });
 
+test('connections to an address that was closed report nothing any more', async (t) => {
+  const {
+    sender, address, server, opened, send,
+  } = await createRig(t);
+  server.on('connection', (socket: Socket) => socket.resetAndDestroy());
+  const outcome = send('/');
+  sender.closeConnections(address);
+  assert.notEqual(await outcome, 'complete');
+  assert.deepEqual(opened, []);
+});
+
 test('a new connection that nobody accepts is reported as failed', async (t) => {
   const { send, server, opened } = await createRig(t);
   server.close();
