--- a/packages/target/src/TargetConnection.ts
+++ b/packages/target/src/TargetConnection.ts
@@ -1,5 +1,5 @@
 import type { buildConnector } from 'undici';
-// Importing only these modules: loading all of undici more than doubles its startup cost.
+// Importing only this module: loading all of undici more than doubles its startup cost.
 import Client from 'undici/lib/dispatcher/client';
 
 import type AnswerHandler from '@guavayard/core/dispatch/AnswerHandler';
