Remove control VMs that stop from the group before their processes end

Cause: a replacement makes the number of voters even (4 of 6 needed), and a voter that had gone was inferred from 4 s of silence, counted anew by each leader. Related: 7 voters of which 2 had gone kept both, as only even groups removed voters, and promoted no replacement any more.

Evidence: 'members changed' log lines, added first.

Why it works: a VM that stops asks the leader to do without it and ends once that is committed, so the quorum never counts what has gone on purpose. Silence counts after 1.5 s, odd groups remove two that are gone, a full group makes room for a replacement; never below the voters promised.

Builds: 'leave' goes only to leaders whose start id tells that they understand it. Older builds take the changes of the members as any other.

--- a/packages/cli/src/gateway/runGateway.ts
+++ b/packages/cli/src/gateway/runGateway.ts
@@ -1,10 +1,10 @@
-import { randomBytes } from 'node:crypto';
 import { stat } from 'node:fs/promises';
 
 import { createLogger } from 'bunyan';
 import { Err, Ok, type Result } from 'ts-results';
 
 import splitHostPort from '@guavayard/core/utils/splitHostPort';
+import createStartId from '@guavayard/vm/session/createStartId';
 import VmHub from '@guavayard/vm/session/VmHub';
 import type TlsTransport from '@guavayard/vm/session/TlsTransport';
 import type VmIdentity from '@guavayard/vm/session/VmIdentity';
@@ -19,7 +19,6 @@
 import openTransport from './openTransport';
 import readSessionKey from './readSessionKey';
 
-const START_ID_BYTES = 8;
 /** Interval at which the settings file and the certificates are checked for changes, in ms. */
 const SETTINGS_CHECK_INTERVAL_MS = 5000;
 
@@ -33,7 +32,7 @@
       ...(control === undefined ? [] : ['control' as const]),
     ],
     address: `${vm.ip}:${vm.sessionPort}`,
-    startId: randomBytes(START_ID_BYTES).toString('hex'),
+    startId: createStartId(),
   };
 }
 
--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -79,6 +79,7 @@
     }),
     stop: async () => {
       await closeServer(api.server);
+      await task.leave();
       task.close();
     },
   });
--- a/packages/core/src/consensus/ConsensusEvent.ts
+++ b/packages/core/src/consensus/ConsensusEvent.ts
@@ -11,6 +11,7 @@
  * - `propose`: append a command if this replica leads; the effects for it carry the token
  * - `read`: request a read index confirmed by a quorum
  * - `join`: a replica that is not a member requests to become one
+ * - `leave`: a member is about to stop
  * - `compact`: replace the entries up to an applied index by a snapshot of their result
  */
 type ConsensusEvent = { readonly kind: 'tick'; readonly nowMs: number }
@@ -18,6 +19,7 @@
   | { readonly kind: 'propose'; readonly token: number; readonly command: Command }
   | { readonly kind: 'read'; readonly token: number }
   | { readonly kind: 'join'; readonly replica: ReplicaId }
+  | { readonly kind: 'leave'; readonly replica: ReplicaId }
   | { readonly kind: 'compact'; readonly index: number; readonly data: ConfigurationSnapshot };
 
 export default ConsensusEvent;
--- a/packages/core/src/consensus/ConsensusState.ts
+++ b/packages/core/src/consensus/ConsensusState.ts
@@ -40,6 +40,10 @@
   round: number;
   reads: PendingRead[];
   joining: ReplicaId | undefined;
+  /** Replicas whose processes are stopping. */
+  readonly leaving: Set<ReplicaId>;
+  /** Number of voters below which no voter is removed without a replacement. */
+  readonly requiredVoters: number;
   /** Effects of the current step. */
   outbox: ConsensusEffect[];
 }
--- a/packages/core/src/consensus/becomeFollower.ts
+++ b/packages/core/src/consensus/becomeFollower.ts
@@ -22,6 +22,9 @@
   state.votes.clear();
   state.progress.clear();
   state.joining = undefined;
+  // Only leaders are told that replicas leave, and whether they have come back.
+  [...state.leaving].filter((replica) => replica !== state.self)
+    .forEach((replica) => state.leaving.delete(replica));
   state.reads.splice(0).forEach(({ token }) => state.outbox.push({ kind: 'refused', token }));
   setLeader(state, leader);
 }
--- a/packages/core/src/consensus/createConsensusState.ts
+++ b/packages/core/src/consensus/createConsensusState.ts
@@ -6,6 +6,9 @@
 import type ReplicaId from './ReplicaId';
 import timing from './timing';
 
+/** The smallest group that survives the loss of a voter. */
+const MIN_VOTERS = 3;
+
 /**
  * Creates the state of a replica that is starting.
  *
@@ -13,6 +16,7 @@
  * @param durable - state restored from its disk
  * @param nowMs - monotonic clock, in milliseconds
  * @param random - randomizes the election timeouts
+ * @param requiredVoters - number of voters that the group needs to survive the promised losses
  * @returns a follower without a known leader
  */
 export default function createConsensusState(
@@ -20,6 +24,7 @@
   durable: DurableState,
   nowMs: number,
   random: Random,
+  requiredVoters = MIN_VOTERS,
 ): ConsensusState {
   const state: ConsensusState = {
     ...durable,
@@ -42,6 +47,8 @@
     round: 0,
     reads: [],
     joining: undefined,
+    leaving: new Set(),
+    requiredVoters: Math.max(MIN_VOTERS, requiredVoters),
     outbox: [],
   };
   refreshMembers(state);
--- a/packages/core/src/consensus/maintainMembers.ts
+++ b/packages/core/src/consensus/maintainMembers.ts
@@ -1,5 +1,7 @@
 import appendCommand from './appendCommand';
 import type ConsensusState from './ConsensusState';
+import findRemovableVoter from './findRemovableVoter';
+import findUnavailableVoters from './findUnavailableVoters';
 import isMember from './isMember';
 import type Members from './Members';
 import type ReplicaId from './ReplicaId';
@@ -7,7 +9,6 @@
 import vmNameOf from './vmNameOf';
 
 const MAX_VOTERS = 7;
-const MIN_VOTERS = 3;
 
 function isCaughtUp(state: ConsensusState, replica: ReplicaId): boolean {
   const progress = state.progress.get(replica);
@@ -25,33 +26,28 @@
   return { voters: members.voters, learners: [...others, joining] };
 }
 
+function removeVoter(
+  { members: { voters, learners } }: ConsensusState,
+  removed: ReplicaId | undefined,
+): Members | undefined {
+  if (removed === undefined) return undefined;
+  return { learners, voters: voters.filter((voter) => voter !== removed) };
+}
+
 function promoteLearner(state: ConsensusState): Members | undefined {
   const { voters, learners } = state.members;
   const learner = learners.find((candidate) => isCaughtUp(state, candidate));
   if (learner === undefined) return undefined;
   const former = voters.find((voter) => vmNameOf(voter) === vmNameOf(learner));
   // The previous identity of the VM is removed first, because it can never vote again.
-  if (former !== undefined) return { learners, voters: voters.filter((voter) => voter !== former) };
-  if (voters.length >= MAX_VOTERS) return undefined;
+  if (former !== undefined) return removeVoter(state, former);
+  if (voters.length >= MAX_VOTERS) return removeVoter(state, findUnavailableVoters(state)[0]);
   return {
     voters: [...voters, learner],
     learners: learners.filter((candidate) => candidate !== learner),
   };
 }
 
-/** Removes an unreachable voter, once a replacement has made the number of voters even. */
-function removeLostVoter(state: ConsensusState): Members | undefined {
-  const { voters, learners } = state.members;
-  if (voters.length <= MIN_VOTERS || voters.length % 2 !== 0) return undefined;
-  const lost = voters.find((voter) => {
-    const lastContactAtMs = state.progress.get(voter)?.lastContactAtMs;
-    return voter !== state.self && lastContactAtMs !== undefined
-      && state.nowMs - lastContactAtMs >= timing.lostVoterMs;
-  });
-  if (lost === undefined) return undefined;
-  return { learners, voters: voters.filter((voter) => voter !== lost) };
-}
-
 /**
  * Appends the next membership change, if one is due. Changes are made one at a time and add or
  * remove a single replica, so that the quorums before and after a change always overlap.
@@ -61,7 +57,8 @@
  */
 export default function maintainMembers(state: ConsensusState): boolean {
   if (state.commitIndex < Math.max(state.termStartIndex, state.membersIndex)) return false;
-  const members = addLearner(state) ?? promoteLearner(state) ?? removeLostVoter(state);
+  const members = addLearner(state) ?? promoteLearner(state)
+    ?? removeVoter(state, findRemovableVoter(state));
   if (members === undefined) return false;
   appendCommand(state, { kind: 'members', members });
   return true;
--- a/packages/core/src/consensus/step.ts
+++ b/packages/core/src/consensus/step.ts
@@ -1,5 +1,6 @@
 import advanceCommit from './advanceCommit';
 import appendCommand from './appendCommand';
+import becomeFollower from './becomeFollower';
 import broadcast from './broadcast';
 import compact from './compact';
 import confirmReads from './confirmReads';
@@ -7,6 +8,7 @@
 import type ConsensusEvent from './ConsensusEvent';
 import type ConsensusMessage from './ConsensusMessage';
 import type ConsensusState from './ConsensusState';
+import isVoter from './isVoter';
 import maintainMembers from './maintainMembers';
 import receiveAppend from './receiveAppend';
 import receiveAppendResponse from './receiveAppendResponse';
@@ -60,10 +62,21 @@
   confirmReads(state);
 }
 
-function maintain(state: ConsensusState): void {
-  if (state.role !== 'leader' || !maintainMembers(state)) return;
+/** Steps down after the commit of a change that has removed the leader itself. */
+function stepDownIfRemoved(state: ConsensusState): void {
+  if (isVoter(state) || state.commitIndex < state.membersIndex) return;
+  // The last append tells the followers that the change is committed.
   broadcast(state);
-  advanceCommit(state);
+  becomeFollower(state, state.term, undefined);
+}
+
+function maintain(state: ConsensusState): void {
+  if (state.role !== 'leader') return;
+  if (maintainMembers(state)) {
+    broadcast(state);
+    advanceCommit(state);
+  }
+  stepDownIfRemoved(state);
 }
 
 /**
@@ -92,6 +105,11 @@
       break;
     case 'join':
       state.joining = event.replica;
+      state.leaving.delete(event.replica);
+      break;
+    case 'leave':
+      state.leaving.add(event.replica);
+      maintain(state);
       break;
     default: compact(state, event.index, event.data);
   }
--- a/packages/core/src/consensus/tick.ts
+++ b/packages/core/src/consensus/tick.ts
@@ -27,5 +27,6 @@
     else if (state.nowMs >= state.heartbeatDueMs) broadcast(state);
     return;
   }
-  if (state.nowMs >= state.electionDeadlineMs && isVoter(state)) startPreVote(state);
+  const canStand = isVoter(state) && !state.leaving.has(state.self);
+  if (state.nowMs >= state.electionDeadlineMs && canStand) startPreVote(state);
 }
--- a/packages/core/src/consensus/timing.ts
+++ b/packages/core/src/consensus/timing.ts
@@ -15,8 +15,8 @@
   /** Time after the start of a replica during which the startup election timeouts apply. */
   startPhaseMs: 2000,
   snapshotResendMs: 2000,
-  /** Time without a response after which a voter may be replaced by a replica that has joined. */
-  lostVoterMs: 4000,
+  /** Time without a response after which a voter that the group can do without may be removed. */
+  lostVoterMs: 1500,
 } as const;
 
 export default timing;
--- a/packages/core/test/membership.test.ts
+++ b/packages/core/test/membership.test.ts
@@ -4,6 +4,7 @@
 import createConsensusState from '../src/consensus/createConsensusState';
 import createDurableState from '../src/consensus/createDurableState';
 import type ConsensusState from '../src/consensus/ConsensusState';
+import isLeaveSettled from '../src/consensus/isLeaveSettled';
 import maintainMembers from '../src/consensus/maintainMembers';
 import step from '../src/consensus/step';
 import timing from '../src/consensus/timing';
@@ -16,7 +17,7 @@
   durable.snapshot = {
     ...durable.snapshot, members: { voters: [...VOTERS], learners },
   };
-  const state = createConsensusState('a#0', durable, 0, () => 0.5);
+  const state = createConsensusState('a#0', durable, 0, () => 0.5, VOTERS.length);
   state.role = 'leader';
   state.leader = 'a#0';
   state.nowMs = 100_000;
@@ -46,6 +47,66 @@
   assert.deepEqual([...state.members.voters].sort(), ['a#0', 'b#0', 'c#0', 'd#0', 'f#1']);
 });
 
+// Guards against voters that are gone but count in the quorum after overlapping replacements.
+test('two of seven voters that are gone are both removed', () => {
+  const state = createLeader(timing.lostVoterMs, ['f#1', 'g#1']);
+  state.leaving.add('d#0');
+  applyAllChanges(state);
+  assert.deepEqual([...state.members.voters].sort(), ['a#0', 'b#0', 'c#0', 'f#1', 'g#1']);
+});
+
+test('a replacement takes the place of a voter that is gone in a group of the largest size', () => {
+  const state = createLeader(timing.lostVoterMs, ['f#1', 'g#1', 'h#1']);
+  applyAllChanges(state);
+  assert.equal(state.members.voters.includes('e#0'), false);
+  assert.equal(state.members.voters.includes('h#1'), true);
+});
+
+test('a leaving voter of an odd group stays a voter, as its removal would gain nothing', () => {
+  const state = createLeader(0, []);
+  step(state, { kind: 'leave', replica: 'd#0' });
+  assert.deepEqual(state.members.voters, VOTERS);
+  assert.equal(isLeaveSettled(state, 'd#0'), true);
+});
+
+test('a leaving voter of an even group is removed at once, and may stop after the commit', () => {
+  const state = createLeader(0, ['f#1']);
+  applyAllChanges(state);
+  step(state, { kind: 'leave', replica: 'd#0' });
+  assert.equal(state.members.voters.includes('d#0'), false);
+  assert.equal(isLeaveSettled(state, 'd#0'), false);
+  state.commitIndex = state.membersIndex;
+  assert.equal(isLeaveSettled(state, 'd#0'), true);
+});
+
+test('a leader that leaves removes itself, and leads until the change is committed', () => {
+  const state = createLeader(0, ['f#1']);
+  applyAllChanges(state);
+  step(state, { kind: 'leave', replica: 'a#0' });
+  assert.equal(state.members.voters.includes('a#0'), false);
+  assert.equal(state.role, 'leader');
+  state.commitIndex = state.membersIndex;
+  step(state, { kind: 'tick', nowMs: state.nowMs });
+  assert.equal(state.role, 'follower');
+  step(state, { kind: 'tick', nowMs: state.nowMs + timing.electionMaxMs });
+  assert.equal(state.role, 'follower');
+});
+
+test('a voter that left and came back is kept', () => {
+  const state = createLeader(0, ['f#1']);
+  step(state, { kind: 'leave', replica: 'd#0' });
+  step(state, { kind: 'join', replica: 'd#0' });
+  applyAllChanges(state);
+  assert.equal(state.members.voters.includes('d#0'), true);
+});
+
+test('a group without a spare voter keeps one that is gone for long', () => {
+  const state = createLeader(timing.lostVoterMs, []);
+  state.members = { voters: VOTERS.filter((voter) => voter !== 'd#0'), learners: [] };
+  applyAllChanges(state);
+  assert.equal(state.members.voters.length, 4);
+});
+
 test('a voter that is unreachable for a short time is kept', () => {
   const state = createLeader(timing.lostVoterMs - 1000, ['f#1']);
   applyAllChanges(state);
--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -1,3 +1,5 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
 import createConsensusState from '@guavayard/core/consensus/createConsensusState';
 import createConsensusRecords from '@guavayard/core/consensus/createConsensusRecords';
 import type Command from '@guavayard/core/consensus/Command';
@@ -5,18 +7,26 @@
 import type ConsensusEvent from '@guavayard/core/consensus/ConsensusEvent';
 import type ConsensusRecord from '@guavayard/core/consensus/ConsensusRecord';
 import type ConsensusState from '@guavayard/core/consensus/ConsensusState';
+import isLeaveSettled from '@guavayard/core/consensus/isLeaveSettled';
 import isMember from '@guavayard/core/consensus/isMember';
+import isVoter from '@guavayard/core/consensus/isVoter';
 import type ReplicaId from '@guavayard/core/consensus/ReplicaId';
 import step from '@guavayard/core/consensus/step';
 import vmNameOf from '@guavayard/core/consensus/vmNameOf';
 
 import type VmMessage from '../messages/VmMessage';
 import type SessionHandler from '../session/SessionHandler';
+import type VmSession from '../session/VmSession';
 import type ConsensusTaskOptions from './ConsensusTaskOptions';
 import PendingCalls from './PendingCalls';
 
 const TICK_MS = 50;
 const JOIN_RETRY_INTERVAL_MS = 500;
+/** Longest time for which a process that stops waits for its removal from the group. */
+const LEAVE_TIMEOUT_MS = 1500;
+const LEAVE_RETRY_INTERVAL_MS = 50;
+/** Version of the messages from which on leaders understand `leave`. */
+const LEAVE_PROTOCOL_VERSION = 2;
 /** Number of entries committed since the last snapshot after which the log is compacted. */
 const COMPACTION_THRESHOLD_ENTRIES = 256;
 
@@ -35,6 +45,11 @@
 
   private isClosed = false;
 
+  private isLeaving = false;
+
+  /** Whether a leader has told this replica that it may stop. */
+  private hasLeft = false;
+
   private writeStartedAtMs: number | undefined;
 
   private nextJoinMs = 0;
@@ -43,9 +58,9 @@
 
   constructor(private readonly options: ConsensusTaskOptions) {
     const {
-      replica, durable, clock, random,
+      replica, durable, clock, random, requiredVoters,
     } = options;
-    this.state = createConsensusState(replica, durable, clock(), random);
+    this.state = createConsensusState(replica, durable, clock(), random, requiredVoters);
   }
 
   /** Starts taking part in the consensus group. */
@@ -62,11 +77,13 @@
 
   onOpen(): void {}
 
-  onMessage(_session: unknown, message: VmMessage): void {
+  onMessage(session: VmSession, message: VmMessage): void {
     if (message.kind === 'consensus' && message.to === this.state.self) {
       this.push({ kind: 'message', from: message.from, message: message.message });
     }
     if (message.kind === 'join') this.handleJoin(message.replica);
+    if (message.kind === 'leave') this.handleLeave(session, message.replica);
+    if (message.kind === 'left' && message.replica === this.state.self) this.hasLeft = true;
   }
 
   onClose(): void {}
@@ -124,6 +141,44 @@
     return this.writeStartedAtMs === undefined ? 0 : this.options.clock() - this.writeStartedAtMs;
   }
 
+  /**
+   * Asks the group to do without this replica, so that its quorum no longer counts it once the
+   * process has ended. Ends early if no leader responds.
+   *
+   * @returns nothing, once the process may end
+   */
+  async leave(): Promise<void> {
+    const { clock, replica } = this.options;
+    const deadlineMs = clock() + LEAVE_TIMEOUT_MS;
+    this.isLeaving = true;
+    this.push({ kind: 'leave', replica });
+    while (!this.hasSettledLeave() && clock() < deadlineMs) {
+      this.requestLeave();
+      // eslint-disable-next-line no-await-in-loop -- attempts are sequential
+      await sleep(LEAVE_RETRY_INTERVAL_MS);
+    }
+  }
+
+  private hasSettledLeave(): boolean {
+    if (this.hasLeft) return true;
+    if (this.isLeader) return isLeaveSettled(this.state, this.options.replica);
+    return !isVoter(this.state) && this.state.commitIndex >= this.state.membersIndex;
+  }
+
+  private requestLeave(): void {
+    const { leaderName } = this;
+    const { hub, replica } = this.options;
+    if (this.isLeader || leaderName === undefined) return;
+    if (hub.protocolVersionOf(leaderName) < LEAVE_PROTOCOL_VERSION) return;
+    hub.send(leaderName, { kind: 'leave', replica });
+  }
+
+  private handleLeave(session: VmSession, replica: ReplicaId): void {
+    if (!this.isLeader) return;
+    if (isLeaveSettled(this.state, replica)) session.send({ kind: 'left', replica });
+    else this.push({ kind: 'leave', replica });
+  }
+
   /** Forwards a join request to the leader, whose address a joining replica may not know. */
   private handleJoin(replica: ReplicaId): void {
     const { leaderName } = this;
@@ -205,7 +260,8 @@
 
   private joinIfDue(): void {
     const { hub, clock, replica } = this.options;
-    if (isMember(this.state.members, replica) || clock() < this.nextJoinMs) return;
+    if (this.isLeaving || isMember(this.state.members, replica)) return;
+    if (clock() < this.nextJoinMs) return;
     this.nextJoinMs = clock() + JOIN_RETRY_INTERVAL_MS;
     hub.sendToControl({ kind: 'join', replica });
   }
--- a/packages/vm/src/control/ConsensusTaskOptions.ts
+++ b/packages/vm/src/control/ConsensusTaskOptions.ts
@@ -16,6 +16,8 @@
   readonly listener: ConsensusListener;
   readonly clock: Clock;
   readonly random: Random;
+  /** Number of voters that the group needs to survive the promised losses; by default 3. */
+  readonly requiredVoters?: number;
   /**
    * Called when a write or the processing of an event fails. The replica stops, as its state may
    * differ from its log; the process must end and replay the log.
--- a/packages/vm/src/messages/consensusMessages.ts
+++ b/packages/vm/src/messages/consensusMessages.ts
@@ -14,6 +14,10 @@
   }),
   /** A replica that is not a member asks the leader to add it to the group. */
   z.strictObject({ kind: z.literal('join'), replica: ReplicaId }),
+  /** A replica asks the leader to do without it, as its process is stopping. From version 2 on. */
+  z.strictObject({ kind: z.literal('leave'), replica: ReplicaId }),
+  /** The leader tells a replica that leaves that it may stop. From version 2 on. */
+  z.strictObject({ kind: z.literal('left'), replica: ReplicaId }),
   /** Forwards a call of the operators' API to the leader. */
   z.strictObject({ kind: z.literal('controlCall'), callId: z.int(), call: ControlCall }),
   z.strictObject({ kind: z.literal('controlAnswer'), callId: z.int(), answer: ControlResponse }),
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -146,6 +146,11 @@
     ];
   }
 
+  /** Asks the group to do without this replica, before its process ends. */
+  async leave(): Promise<void> {
+    await this.consensus.leave();
+  }
+
   /** Stops taking part in the consensus group. */
   close(): void {
     this.consensus.close();
@@ -288,6 +293,7 @@
   private applyAll(entries: readonly LogEntry[]): void {
     const { term: currentTerm } = this.consensus;
     entries.forEach(({ index, term, command }) => {
+      if (command.kind === 'members') this.options.log.info({ index, ...command.members }, 'members changed');
       if (command.kind === 'registry') this.store.apply(index, command.change, term === currentTerm);
       else this.store.advance(index);
     });
--- a/packages/vm/src/session/VmHub.ts
+++ b/packages/vm/src/session/VmHub.ts
@@ -3,6 +3,7 @@
 import ByteBudget from '@guavayard/core/limits/ByteBudget';
 
 import type VmMessage from '../messages/VmMessage';
+import findProtocolVersion from './findProtocolVersion';
 import frameLimits from './frameLimits';
 import type HubOptions from './HubOptions';
 import type SessionHandler from './SessionHandler';
@@ -101,6 +102,17 @@
     return session !== undefined;
   }
 
+  /**
+   * Finds the version of the messages that a connected VM understands.
+   *
+   * @param vmName - name of the VM
+   * @returns the version, 0 if there is no session with the VM
+   */
+  protocolVersionOf(vmName: string): number {
+    const peer = this.sessions.get(vmName)?.peer;
+    return peer === undefined ? 0 : findProtocolVersion(peer);
+  }
+
   /**
    * Lists the connected VMs of a role.
    *
