Read any names of services, data centres and regions

Operators saw: a service called lidStock ended control for good.

Cause: the API took any name, the schema of the log only some, and nothing checked the one against the other before the leader wrote. Related: data centres of evacuations, regions of routes, times that become infinite in milliseconds, an entry called __proto__, names in the settings of a VM.

Why it works: a text that is no valid name is replaced by an excerpt and a hash of it where it is read, so every name works. What the API has decoded passes the schema of the log before it is proposed, and ConsensusTask.propose refuses what does not, with a log line.

Builds: records and messages hold only names that older builds read too; raw names in a log or an append of an older leader are read as the same names.

--- a/packages/cli/src/settings/GatewaySettings.ts
+++ b/packages/cli/src/settings/GatewaySettings.ts
@@ -1,7 +1,7 @@
 import * as z from 'zod';
 
 import HostPort from '@guavayard/core/types/HostPort';
-import Name from '@guavayard/core/types/Name';
+import ExternalName from '@guavayard/core/types/ExternalName';
 import TlsFiles from '@guavayard/vm/session/TlsFiles';
 
 const Port = z.int().min(1).max(65535);
@@ -13,10 +13,10 @@
   mode: z.literal('declared'),
   vm: z.object({
     /** Human-readable name; VMs identify each other by IP address. */
-    label: Name,
+    label: ExternalName,
     ip: z.ipv4(),
-    region: Name,
-    dataCentre: Name,
+    region: ExternalName,
+    dataCentre: ExternalName,
     /** Whether connections to targets are opened from `ip`, so that targets can tell VMs apart. */
     bindsToIp: z.boolean().default(false),
     /** Port for sessions between VMs, the same on all VMs. */
@@ -34,7 +34,7 @@
     tls: TlsFiles.optional(),
   }),
   /** Region of each data centre. */
-  regions: z.record(Name, Name),
+  regions: z.record(ExternalName, ExternalName),
   /** Role `entry`: listeners for callers and for readiness checks. */
   entry: z.object({ callers: HostPort, readiness: HostPort }).optional(),
   /** Role `control`: listener for operators and targets, and the data folder. */
--- a/packages/core/src/registry/Declaration.ts
+++ b/packages/core/src/registry/Declaration.ts
@@ -1,6 +1,6 @@
 import * as z from 'zod';
 
-import Name from '../types/Name';
+import ExternalName from '../types/ExternalName';
 import DeclaredRoute from './DeclaredRoute';
 import DeclaredService from './DeclaredService';
 import TrafficLimits from './TrafficLimits';
@@ -9,7 +9,7 @@
 const Declaration = z.strictObject({
   version: z.int().min(0),
   routes: z.record(z.string(), DeclaredRoute),
-  services: z.record(Name, DeclaredService),
+  services: z.record(ExternalName, DeclaredService),
   limits: TrafficLimits,
   /** The document exactly as it was submitted; reads return it unchanged. */
   source: z.string(),
--- a/packages/core/src/registry/DeclaredRoute.ts
+++ b/packages/core/src/registry/DeclaredRoute.ts
@@ -1,9 +1,9 @@
 import * as z from 'zod';
 
-import Name from '../types/Name';
+import ExternalName from '../types/ExternalName';
 
 /** Service that a route sends requests to, with its relative share of them. */
-const Backend = z.strictObject({ service: Name, weight: z.number().min(0) });
+const Backend = z.strictObject({ service: ExternalName, weight: z.number().min(0) });
 
 /** Route of a declaration: which requests it matches and how they are handled. */
 const DeclaredRoute = z.strictObject({
@@ -21,7 +21,7 @@
   maxAttempts: z.number(),
   backends: z.array(Backend),
   /** Regions that may serve the requests; undefined if every region may. */
-  homeRegions: z.array(Name).min(1).optional(),
+  homeRegions: z.array(ExternalName).min(1).optional(),
 });
 type DeclaredRoute = z.infer<typeof DeclaredRoute>;
 
--- a/packages/core/src/registry/RegisteredTarget.ts
+++ b/packages/core/src/registry/RegisteredTarget.ts
@@ -1,14 +1,14 @@
 import * as z from 'zod';
 
 import HostPort from '../types/HostPort';
-import Name from '../types/Name';
+import ExternalName from '../types/ExternalName';
 
 /** Incarnation of a target, as announced by the target itself. */
 const RegisteredTarget = z.strictObject({
   id: z.string().min(1).max(128),
-  service: Name,
+  service: ExternalName,
   address: HostPort,
-  dataCentre: Name,
+  dataCentre: ExternalName,
   /** Number of requests that the target serves concurrently. */
   slots: z.number().min(1),
   state: z.enum(['ready', 'draining']),
--- a/packages/core/src/registry/RegistryChange.ts
+++ b/packages/core/src/registry/RegistryChange.ts
@@ -1,14 +1,14 @@
 import * as z from 'zod';
 
-import Name from '../types/Name';
+import ExternalName from '../types/ExternalName';
 import Declaration from './Declaration';
 import RegisteredTarget from './RegisteredTarget';
 
 /** Change of the registry, as stored in the replicated log. */
 const RegistryChange = z.discriminatedUnion('kind', [
   z.strictObject({ kind: z.literal('declare'), declaration: Declaration }),
-  z.strictObject({ kind: z.literal('evacuate'), dataCentre: Name }),
-  z.strictObject({ kind: z.literal('restore'), dataCentre: Name }),
+  z.strictObject({ kind: z.literal('evacuate'), dataCentre: ExternalName }),
+  z.strictObject({ kind: z.literal('restore'), dataCentre: ExternalName }),
   z.strictObject({ kind: z.literal('announce'), target: RegisteredTarget }),
   /** The target has deregistered itself. */
   z.strictObject({ kind: z.literal('withdraw'), targetId: z.string() }),
--- a/packages/core/src/registry/RegistryState.ts
+++ b/packages/core/src/registry/RegistryState.ts
@@ -1,6 +1,6 @@
 import * as z from 'zod';
 
-import Name from '../types/Name';
+import ExternalName from '../types/ExternalName';
 import Declaration from './Declaration';
 import RegisteredTarget from './RegisteredTarget';
 
@@ -8,7 +8,7 @@
 const RegistryState = z.strictObject({
   declaration: Declaration.optional(),
   /** Data centres whose targets receive no new requests. */
-  evacuated: z.array(Name),
+  evacuated: z.array(ExternalName),
   targets: z.record(z.string(), RegisteredTarget),
   /**
    * `bornAtMs` of the last ended incarnation of each target id. Delayed announcements of an ended
--- a/packages/core/test/registry.test.ts
+++ b/packages/core/test/registry.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
+import createConsensusRecords from '../src/consensus/createConsensusRecords';
+import createDurableState from '../src/consensus/createDurableState';
+import type LogEntry from '../src/consensus/LogEntry';
+import replayRecords from '../src/consensus/replayRecords';
 import applyRegistryChange from '../src/registry/applyRegistryChange';
 import createRegistryState from '../src/registry/createRegistryState';
 import type Declaration from '../src/registry/Declaration';
@@ -9,6 +13,7 @@
 import isRedundantAnnouncement from '../src/registry/isRedundantAnnouncement';
 import type RegisteredTarget from '../src/registry/RegisteredTarget';
 import type RegistryState from '../src/registry/RegistryState';
+import createName from '../src/utils/createName';
 
 const ROUTE: DeclaredRoute = {
   host: 'shop.example',
@@ -169,3 +174,13 @@
   const errors = findDeclarationMistakes(declare(1, { a: ROUTE, b: ROUTE }));
   assert.match(errors.join(), /same host/);
 });
+
+test('a log in which an older build wrote a name as it was is read', () => {
+  const [snapshot] = createConsensusRecords(createDurableState(['a#0']));
+  const change = { kind: 'evacuate', dataCentre: 'TN-ANPING' };
+  const entry = { index: 1, term: 1, command: { kind: 'registry', change } };
+  const { log } = replayRecords([snapshot, { kind: 'append', entries: [entry] }]).unwrap();
+  const { command } = log[0] as LogEntry;
+  const name = command.kind === 'registry' && command.change.kind === 'evacuate' && command.change.dataCentre;
+  assert.equal(name, createName('TN-ANPING'));
+});
--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -2,7 +2,7 @@
 
 import createConsensusState from '@guavayard/core/consensus/createConsensusState';
 import createConsensusRecords from '@guavayard/core/consensus/createConsensusRecords';
-import type Command from '@guavayard/core/consensus/Command';
+import Command from '@guavayard/core/consensus/Command';
 import type ConsensusEffect from '@guavayard/core/consensus/ConsensusEffect';
 import type ConsensusEvent from '@guavayard/core/consensus/ConsensusEvent';
 import type ConsensusRecord from '@guavayard/core/consensus/ConsensusRecord';
@@ -115,10 +115,18 @@
    * Proposes a command for the log.
    *
    * @param command - the command to append
-   * @returns true once the command is committed and applied, false if its outcome is unknown
+   * @returns true once the command is committed and applied, false if its outcome is unknown or if
+   *   it does not match the schema that reads the log
    */
   async propose(command: Command): Promise<boolean> {
-    return this.calls.create((token) => this.push({ kind: 'propose', token, command }));
+    const parsed = Command.safeParse(command);
+    if (!parsed.success) {
+      this.options.onMalformedCommand?.(parsed.error);
+      return false;
+    }
+    return this.calls.create((token) => this.push({
+      kind: 'propose', token, command: parsed.data,
+    }));
   }
 
   /**
--- a/packages/vm/src/control/ConsensusTaskOptions.ts
+++ b/packages/vm/src/control/ConsensusTaskOptions.ts
@@ -18,6 +18,8 @@
   readonly random: Random;
   /** Number of voters that the group needs to survive the promised losses; by default 3. */
   readonly requiredVoters?: number;
+  /** Called with the reason when a command is refused, because no replica could read it back. */
+  readonly onMalformedCommand?: (reason: Error) => void;
   /**
    * Called when a write or the processing of an event fails. The replica stops, as its state may
    * differ from its log; the process must end and replay the log.
--- a/packages/vm/src/messages/registryMessages.ts
+++ b/packages/vm/src/messages/registryMessages.ts
@@ -3,7 +3,7 @@
 import RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import RequestLimitNotice from '@guavayard/core/requestLimit/RequestLimitNotice';
 import Declaration from '@guavayard/core/registry/Declaration';
-import Name from '@guavayard/core/types/Name';
+import ExternalName from '@guavayard/core/types/ExternalName';
 
 import VmLocation from '../registry/VmLocation';
 
@@ -18,7 +18,7 @@
     kind: z.literal('registryView'),
     index: z.int().min(0),
     declaration: Declaration.optional(),
-    evacuated: z.array(Name),
+    evacuated: z.array(ExternalName),
     targets: z.array(RegisteredTarget),
   }),
   /** Changes since the previous view or update; omitted fields are unchanged. */
@@ -26,7 +26,7 @@
     kind: z.literal('registryUpdate'),
     index: z.int().min(0),
     declaration: Declaration.optional(),
-    evacuated: z.array(Name).optional(),
+    evacuated: z.array(ExternalName).optional(),
     targets: z.array(RegisteredTarget),
     removedIds: z.array(z.string()),
   }),
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -12,7 +12,7 @@
 import isRedundantAnnouncement from '@guavayard/core/registry/isRedundantAnnouncement';
 import isStaleAnnouncement from '@guavayard/core/registry/isStaleAnnouncement';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
-import type RegistryChange from '@guavayard/core/registry/RegistryChange';
+import RegistryChange from '@guavayard/core/registry/RegistryChange';
 import type RegistryService from '@guavayard/core/registry/RegistryService';
 
 import CallRouter from '../control/CallRouter';
@@ -78,6 +78,7 @@
     this.presence = new PresenceTable(clock, options.targetTimeoutMs);
     this.consensus = new ConsensusTask({
       ...options,
+      onMalformedCommand: (reason) => options.log.error({ err: reason }, 'command refused'),
       listener: {
         onCommit: (entries) => this.applyAll(entries),
         onRestore: ({ data, lastIndex }) => {
@@ -258,7 +259,10 @@
   }
 
   private async submitChange(change: RegistryChange): Promise<Result<undefined, Failure>> {
-    const response = await this.call({ kind: 'change', change });
+    const parsed = RegistryChange.safeParse(change);
+    // A record that no replica can read back would stop all of them.
+    if (!parsed.success) return fail('invalidPatch', parsed.error.message);
+    const response = await this.call({ kind: 'change', change: parsed.data });
     return response.map(() => undefined);
   }
 
--- a/packages/vm/test/replicaFailure.test.ts
+++ b/packages/vm/test/replicaFailure.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import { performance } from 'node:perf_hooks';
 import { test } from 'node:test';
 
 import createDurableState from '@guavayard/core/consensus/createDurableState';
@@ -7,6 +8,7 @@
 import ConsensusTask from '../src/control/ConsensusTask';
 import type ConsensusTaskOptions from '../src/control/ConsensusTaskOptions';
 import type VmHub from '../src/session/VmHub';
+import retryUntil from './support/retryUntil';
 
 const REPLICA = 'vm-1#00';
 
@@ -65,3 +67,43 @@
   });
   assert.equal(err.message, 'cannot apply');
 });
+
+test('a command that no replica could read back is refused before it is written', async () => {
+  let written = 0;
+  let reason: Error | undefined;
+  const task = new ConsensusTask({
+    replica: REPLICA,
+    durable: createDurableState([REPLICA]),
+    store: {
+      append: async (records) => {
+        written += records.filter((record) => record.kind === 'append' && record.entries.some(({ command }) => command.kind === 'registry')).length;
+      },
+      replace: async () => undefined,
+    },
+    hub: { send: () => false, sendToControl: () => undefined } as unknown as VmHub,
+    listener: {
+      onCommit: () => undefined,
+      onRestore: () => undefined,
+      onLeaderChange: () => undefined,
+      createSnapshot: createConfigurationSnapshot,
+    },
+    clock: () => performance.now(),
+    random: () => 0.5,
+    onMalformedCommand: (err) => {
+      reason = err;
+    },
+    onFailure: (err) => {
+      throw err;
+    },
+  });
+  task.start();
+  await retryUntil(async () => assert.equal(task.isLeader, true));
+  const change = {
+    kind: 'expire' as const, targetId: 'i-1', bornAtMs: Infinity, sequence: 1,
+  };
+  assert.equal(await task.propose({ kind: 'registry', change }), false);
+  assert.equal(await task.propose({ kind: 'registry', change: { ...change, bornAtMs: 1 } }), true);
+  task.close();
+  assert.equal(written, 1);
+  assert.notEqual(reason, undefined);
+});
