Wait for targets whose probes may wait for a slot

Cause: the watchdog took a probe without an answer for a lost target. Targets that do not tell their load let probes wait for a slot, here one that the order itself held. Related: resets of probes counted towards a loss; reachability and crash detection drew on the same evidence; a safe request was aborted after 2.2 times the target latency also where no other target could take it.

Why it works: an entry learns per service whether targets tell their load, and only then takes silence for evidence. A slow attempt is given up only for a target with a free slot.

--- a/packages/core/src/placement/PlacedTarget.ts
+++ b/packages/core/src/placement/PlacedTarget.ts
@@ -39,6 +39,8 @@
   isUnhealthy: boolean;
   /** Consecutive probes without a response. */
   unansweredProbes: number;
+  /** Consecutive probes that ran into their timeout, without a response or a reset. */
+  silentProbes: number;
   /** When the probe in progress was sent, in milliseconds; undefined if there is none. */
   probeSentAtMs: number | undefined;
   /** When the target last answered a request or a probe, in milliseconds. */
--- a/packages/core/src/placement/RetryBudget.ts
+++ b/packages/core/src/placement/RetryBudget.ts
@@ -30,20 +30,31 @@
   }
 
   /**
-   * Takes one retry from the budget.
+   * Returns whether the budget allows a retry.
    *
    * @param nowMs - monotonic clock
    * @param entryCount - entries that share the slack
    * @returns false if the budget is exhausted
    */
-  take(nowMs: number, entryCount: number): boolean {
+  hasLeft(nowMs: number, entryCount: number): boolean {
     const { ratio, slack, windowMs } = this.options;
     const since = nowMs - windowMs;
     this.firstAttemptsAtMs = this.firstAttemptsAtMs.filter((atMs) => atMs > since);
     this.retriesAtMs = this.retriesAtMs.filter((atMs) => atMs > since);
     const ownSlack = slack / Math.max(1, entryCount);
     const bound = RATIO_SHARE * ratio * this.firstAttemptsAtMs.length + SLACK_SHARE * ownSlack;
-    if (this.retriesAtMs.length + 1 > bound) return false;
+    return this.retriesAtMs.length + 1 <= bound;
+  }
+
+  /**
+   * Takes one retry from the budget.
+   *
+   * @param nowMs - monotonic clock
+   * @param entryCount - entries that share the slack
+   * @returns false if the budget is exhausted
+   */
+  take(nowMs: number, entryCount: number): boolean {
+    if (!this.hasLeft(nowMs, entryCount)) return false;
     this.retriesAtMs.push(nowMs);
     return true;
   }
--- a/packages/core/src/placement/createPlacedTarget.ts
+++ b/packages/core/src/placement/createPlacedTarget.ts
@@ -34,6 +34,7 @@
     leaving: undefined,
     isUnhealthy: false,
     unansweredProbes: 0,
+    silentProbes: 0,
     probeSentAtMs: undefined,
     lastAnswerAtMs: -Infinity,
     lastSentAtMs: -Infinity,
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -5,6 +5,8 @@
 import errorTable from '@guavayard/core/errors/errorTable';
 import type Failure from '@guavayard/core/errors/Failure';
 import isFramedResponse from '@guavayard/core/http/isFramedResponse';
+import hasFreeSlot from '@guavayard/core/placement/hasFreeSlot';
+import isConfirmed from '@guavayard/core/placement/isConfirmed';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import recordOutcome from '@guavayard/core/placement/recordOutcome';
 import recordRejection from '@guavayard/core/placement/recordRejection';
@@ -13,6 +15,7 @@
 import RelayHandover from './RelayHandover';
 import ResponseForwarder from './ResponseForwarder';
 import type Attempt from './Attempt';
+import AttemptWatchdog from './AttemptWatchdog';
 import createAttempt from './createAttempt';
 import describeAttempt from './describeAttempt';
 import type GatewayRequest from './GatewayRequest';
@@ -35,16 +38,6 @@
 /** Body length in bytes above which a request stays in its region while a target there is alive. */
 const LARGE_BODY_BYTES = 16 * 1024;
 
-/** Interval between the watchdog's checks of a slow attempt, in milliseconds. */
-const WATCHDOG_INTERVAL_MS = 300;
-/** Consecutive unanswered probes after which a target is considered lost. */
-const LOST_TARGET_PROBES = 2;
-/**
- * Multiple of the target latency after which an attempt of an idempotent request is aborted and
- * retried on another target.
- */
-const STUCK_FACTOR = 2.2;
-
 /** Forwards one caller's request to targets until it has a response. */
 export default class GatewayExchange {
   private readonly body: ReplayableBody;
@@ -65,7 +58,7 @@
 
   private timer: NodeJS.Timeout | undefined;
 
-  private watchdog: NodeJS.Timeout | undefined;
+  private readonly watchdog: AttemptWatchdog;
 
   private isEnded = false;
 
@@ -82,6 +75,10 @@
     this.forwarder = new ResponseForwarder({
       responseBytes: dependencies.responseBytes, method: request.method, reply,
     });
+    this.watchdog = new AttemptWatchdog(dependencies, request, {
+      canMove: () => this.canMove(),
+      onAbandoned: (attempt, detail) => this.abandon(attempt, detail),
+    });
     const { body, triedIds } = this;
     this.handover = new RelayHandover({
       dependencies, request, body, reply, triedIds,
@@ -177,28 +174,23 @@
     );
     if (this.attempt !== attempt || attempt.isOver) return;
     this.dispatch = dispatch;
-    this.startWatchdog(attempt, request.route.targetLatencyMs);
+    this.watchdog.start(attempt);
   }
 
-  /** Checks a slow attempt periodically: its target may be lost without closing the connection. */
-  private startWatchdog(attempt: Attempt, delayMs: number): void {
+  private abandon(attempt: Attempt, detail: string): void {
     const state = attempt;
-    clearTimeout(this.watchdog);
-    this.watchdog = setTimeout(() => {
-      if (attempt.isOver || this.isEnded) return;
-      const ageMs = this.dependencies.clock() - attempt.startedAtMs;
-      const { route, deadlineMs } = this.request;
-      const isStuck = route.isIdempotent && ageMs > STUCK_FACTOR * route.targetLatencyMs
-        && deadlineMs - this.dependencies.clock() > route.targetLatencyMs;
-      if (attempt.target.unansweredProbes >= LOST_TARGET_PROBES || isStuck) {
-        const detail = isStuck ? 'no answer for too long' : 'the target is silent';
-        state.isAborted = true;
-        this.dispatch?.abort({ kind: 'targetFailed', detail });
-        return;
-      }
-      this.dependencies.prober.probe([attempt.target], () => undefined);
-      this.startWatchdog(attempt, WATCHDOG_INTERVAL_MS);
-    }, delayMs);
+    state.isAborted = true;
+    this.dispatch?.abort({ kind: 'targetFailed', detail });
+  }
+
+  /** Returns whether an attempt without a response can be replaced by one on another target. */
+  private canMove(): boolean {
+    const { clock, placement, pool } = this.dependencies;
+    const { service, route: { homeRegions }, permittedIds } = this.request;
+    if (!this.canRetry('spoiled') || !placement.mayRetry(service)) return false;
+    const nowMs = clock();
+    return pool.findEligible(service, homeRegions, this.triedIds, permittedIds).some((target) => (
+      isConfirmed(target) && hasFreeSlot(target, target.record.slots, nowMs)));
   }
 
   private createHandler(attempt: Attempt): AnswerHandler {
@@ -217,6 +209,7 @@
         state.verdict = isFramed || verdict === 'not-run' ? verdict : 'spoiled';
         this.recordLoad(state, metadata);
         if (state.verdict !== 'spoiled') {
+          this.dependencies.pool.paths.recordLoadReport(target, metadata.load !== undefined);
           this.dependencies.pool.limits.recordResponse(target, metadata.requestLimit, 'request');
           this.recordRest(state, status, metadata);
           this.dependencies.pool.notices.recordLeaving(target, metadata.isLeaving, 'request');
@@ -382,7 +375,7 @@
     const { request } = this;
     this.isEnded = true;
     clearTimeout(this.timer);
-    clearTimeout(this.watchdog);
+    this.watchdog.stop();
     this.handover.end();
     this.leaveQueue?.();
     this.leaveQueue = undefined;
--- a/packages/gateway/src/Placement.ts
+++ b/packages/gateway/src/Placement.ts
@@ -61,6 +61,12 @@
     return this.budgetOf(service).take(clock(), pool.entryCount);
   }
 
+  /** @returns whether the budget allows a retry of a request to a service */
+  mayRetry(service: string): boolean {
+    const { pool, clock } = this.options;
+    return this.budgetOf(service).hasLeft(clock(), pool.entryCount);
+  }
+
   private queueOf(service: string): PlacementQueue {
     const known = this.queues.get(service);
     if (known !== undefined) return known;
--- a/packages/gateway/src/TargetPaths.ts
+++ b/packages/gateway/src/TargetPaths.ts
@@ -38,6 +38,9 @@
   /** Which targets a request may be sent to without risking it on a new connection. */
   readonly connections: ConnectionTracker;
 
+  /** Whether targets of a service have told their load, by service. */
+  private readonly loadReports = new Map<string, boolean>();
+
   constructor(private readonly options: TargetPathsOptions) {
     const {
       clock, log, defer, onSilence, countReady,
@@ -50,6 +53,22 @@
     });
   }
 
+  /** Records whether a response of a target told its load. */
+  recordLoadReport({ record: { service } }: PlacedTarget, hasLoad: boolean): void {
+    if (hasLoad || !this.loadReports.has(service)) this.loadReports.set(service, hasLoad);
+  }
+
+  /**
+   * Returns whether the targets of a service answer probes beside their work, as those do that tell
+   * their load. With the others a probe waits for a free slot, so that its delay tells nothing.
+   *
+   * @param service - the service
+   * @returns whether they do, undefined if none has responded yet
+   */
+  answersProbesAtOnce(service: string): boolean | undefined {
+    return this.loadReports.get(service);
+  }
+
   /** Forgets a target that is gone. */
   forget(target: PlacedTarget): void {
     this.reachability.forget(target);
@@ -74,6 +93,7 @@
   recordAnswer(target: PlacedTarget): void {
     const state = target;
     state.unansweredProbes = 0;
+    state.silentProbes = 0;
     state.lastAnswerAtMs = this.options.clock();
     state.unreachableUntilMs = -Infinity;
     this.reachability.recordAnswer(target);
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -167,8 +167,11 @@
     state.probeWaiters = [];
     state.probeSentAtMs = sentAtMs;
     state.lastSentAtMs = sentAtMs;
-    this.options.pool.paths.reachability.recordProbe(target);
+    const { paths } = this.options.pool;
+    const mayWaitForSlot = paths.answersProbesAtOnce(target.record.service) === false;
+    if (!mayWaitForSlot) paths.reachability.recordProbe(target);
     let isDone = false;
+    let isTimedOut = false;
     let receivedBytes = 0;
     let timer: NodeJS.Timeout | undefined;
     const finish = (): void => {
@@ -191,8 +194,14 @@
       onEnd: finish,
       onFailure: (failure) => {
         state.reading = undefined;
+        // The target may be busy, and reads the probe once it has a free slot.
+        if (isTimedOut && mayWaitForSlot) {
+          finish();
+          return;
+        }
         state.unansweredProbes += 1;
-        this.options.pool.paths.reachability.recordFailure(target);
+        state.silentProbes = isTimedOut ? state.silentProbes + 1 : 0;
+        paths.reachability.recordFailure(target);
         if (failure.kind === 'targetUnreachable') state.unreachableUntilMs = clock() + UNREACHABLE_MS;
         finish();
       },
@@ -205,7 +214,10 @@
       handler,
     );
     if (!isDone) {
-      timer = setTimeout(() => dispatch.abort({ kind: 'targetUnreachable', detail: 'probe' }), PROBE_TIMEOUT_MS);
+      timer = setTimeout(() => {
+        isTimedOut = true;
+        dispatch.abort({ kind: 'targetUnreachable', detail: 'probe' });
+      }, PROBE_TIMEOUT_MS);
     }
   }
 
@@ -228,6 +240,7 @@
       state.reading = undefined;
       return;
     }
+    pool.paths.recordLoadReport(target, load !== undefined);
     state.isUnhealthy = status !== OK;
     if (isRefusalStatus(status) && restMs !== undefined) pool.notices.recordRest(target, restMs, 'probe');
     pool.limits.recordResponse(target, requestLimit, 'probe');
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -51,6 +51,9 @@
   /** Called with whether a new connection to an address has carried a response, or failed. */
   onOpened: (address: string, isWorking: boolean) => void = () => undefined;
 
+  /** Probes that wait for a free slot. */
+  private readonly waitingProbes: (() => void)[] = [];
+
   /** Open connections without a request, by address. */
   private readonly ready = new Map<string, number>();
 
@@ -103,10 +106,14 @@
   ): void {
     this.probes += 1;
     if (target.mode === 'silent') return;
+    if (target.isMute === true && target.running >= target.slots) {
+      this.waitingProbes.push(() => this.probe(target, handler, complete));
+      return;
+    }
     setTimeout(() => complete(() => {
       handler.onHeaders(200, {
         target: target.id,
-        load: FakeSender.describeLoad(target),
+        ...FakeSender.describeLoad(target),
         cold: String(target.coldLeftMs),
         ...FakeSender.describeLimit(target),
         ...(target.leaving === 'all' ? { leaving: '1' } : {}),
@@ -130,6 +137,7 @@
     if (target.mode === 'silent') return;
     setTimeout(() => {
       state.running -= 1;
+      this.waitingProbes.splice(0).forEach((probeAgain) => probeAgain());
       if (state.mode === 'crashes') {
         state.mode = 'silent';
         end(() => handler.onFailure({ kind: 'targetFailed', detail: 'reset' }));
@@ -156,7 +164,7 @@
     const id = req.headers[req.headers.indexOf('id') + 1];
     const headers: Record<string, string> = {
       id: id ?? '',
-      load: FakeSender.describeLoad(target),
+      ...FakeSender.describeLoad(target),
       ...FakeSender.describeLimit(target),
       ...(target.leaving === undefined ? {} : { leaving: '1' }),
     };
@@ -175,9 +183,14 @@
     return limit === undefined ? {} : { limit: String(limit) };
   }
 
-  private static describeLoad({ running, slots, slowness }: FakeTarget): string {
-    return JSON.stringify({
-      running, waiting: 0, slots, slowness,
-    });
+  private static describeLoad({
+    running, slots, slowness, isMute,
+  }: FakeTarget): Record<string, string> {
+    if (isMute === true) return {};
+    return {
+      load: JSON.stringify({
+        running, waiting: 0, slots, slowness,
+      }),
+    };
   }
 }
--- /dev/null
+++ b/packages/gateway/test/watchdog.test.ts
@@ -0,0 +1,80 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import findAbandonReason from '@guavayard/core/placement/findAbandonReason';
+
+import GatewayRig from './support/GatewayRig';
+
+const ATTEMPT = {
+  ageMs: 1000,
+  remainingMs: 4000,
+  targetLatencyMs: 400,
+  answersProbesAtOnce: true,
+  silentProbes: 0,
+  canMove: true,
+};
+
+const DECISIONS: [string, Partial<typeof ATTEMPT>, ReturnType<typeof findAbandonReason>][] = [
+  ['a slow target is given up for a free one', {}, 'stuck'],
+  ['a slow target is kept if nothing else can be tried', { canMove: false }, undefined],
+  ['a slow target is kept near the deadline', { remainingMs: 300 }, undefined],
+  ['a target is kept while it is not slow', { ageMs: 800 }, undefined],
+  ['a silent target is given up', { silentProbes: 2, canMove: false }, 'lost'],
+  ['a silent target that lets probes wait is kept', { silentProbes: 9, answersProbesAtOnce: false, canMove: false }, undefined],
+];
+
+DECISIONS.forEach(async ([name, change, expected]) => test(name, () => {
+  assert.equal(findAbandonReason({ ...ATTEMPT, ...change }), expected);
+}));
+
+// Guards against a probe that waits for a slot being taken for a lost target: orders got 502.
+test('orders outlast the probes that wait for their slots', (t) => {
+  const rig = new GatewayRig(t, { timeoutMs: 5000, isIdempotent: false, targetLatencyMs: 400 });
+  ['a', 'b', 'c'].forEach((id) => rig.addTarget(id, { isMute: true, workMs: 2500 }));
+  const responses = Array.from({ length: 6 }, () => rig.request({ remainingMs: 5000 }));
+  rig.run(4000);
+  assert.deepEqual(responses.map(({ status }) => status), [200, 200, 200, 200, 200, 200]);
+  assert.equal(rig.sender.aborts, 0);
+});
+
+// Guards against breaking off a slow request that no other target can take.
+test('a slow request is not aborted while all other targets are busy', (t) => {
+  const rig = new GatewayRig(t, { timeoutMs: 5000, targetLatencyMs: 400 });
+  ['a', 'b', 'c'].forEach((id) => rig.addTarget(id, { workMs: 2500 }));
+  const responses = Array.from({ length: 6 }, () => rig.request({ remainingMs: 5000 }));
+  rig.run(4000);
+  assert.deepEqual(responses.map(({ status }) => status), [200, 200, 200, 200, 200, 200]);
+  assert.equal(rig.sender.aborts, 0);
+});
+
+test('a slow request moves to a target with a free slot', (t) => {
+  const rig = new GatewayRig(t, { timeoutMs: 5000, targetLatencyMs: 400 });
+  rig.addTarget('slow', { workMs: 4500 });
+  const res = rig.request({ remainingMs: 5000 });
+  rig.run(100);
+  rig.addTarget('good');
+  rig.run(1500);
+  assert.deepEqual([res.status, res.body], [200, 'good']);
+});
+
+test('targets whose probes wait for slots are neither unreachable nor crashed', (t) => {
+  const rig = new GatewayRig(t, { timeoutMs: 5000, isIdempotent: false, targetLatencyMs: 400 });
+  ['a', 'b', 'c', 'd'].forEach((id) => rig.addTarget(id, { isMute: true, workMs: 2500 }));
+  rig.request();
+  rig.run(3000);
+  rig.targets.forEach((target) => Object.assign(target, { running: 2 }));
+  rig.request({ remainingMs: 1000 });
+  rig.run(900);
+  assert.equal(rig.pool.paths.isMostlySilent('lots'), false);
+  assert.deepEqual(rig.reports, []);
+});
+
+test('a reset of a probe is no evidence that the target of a request is lost', (t) => {
+  const rig = new GatewayRig(t, { timeoutMs: 5000, isIdempotent: false, targetLatencyMs: 400 });
+  const target = rig.addTarget('full', { workMs: 2500 });
+  const first = rig.request({ remainingMs: 5000 });
+  rig.run(50);
+  target.refusesConnections = true;
+  rig.run(4000);
+  assert.equal(first.status, 200);
+});
