Refuse orders that came late and would undo later ones

Cause: orders to evacuate, restore and withdraw carry no version, and nothing told how old they were when they were carried out. Related: a late withdrawal removed the next life of a target, which was locked out then; a call that waits on its way to the leader.

Why it works: the receiver notes how far it knows the log, refuses calls that it reads right after a pause or whose caller has gone, and the leader refuses what would undo an entry that the receiver did not know. Callers get 503 and send the order elsewhere.

Builds: the note goes only to leaders that tell version 3 of the messages.

--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -9,6 +9,7 @@
 import splitHostPort from '@guavayard/core/utils/splitHostPort';
 
 import closeServer from '../run/closeServer';
+import createVmClock from '../run/createVmClock';
 import listen from '../run/listen';
 import type GatewayContext from './GatewayContext';
 import type GatewayRole from './GatewayRole';
@@ -52,6 +53,7 @@
     log,
     seeds,
     clock: () => performance.now(),
+    elapsedClock: createVmClock(),
     random: Math.random,
     requiredVoters: 2 * bounds.lostVms + 1,
     targetTimeoutMs: MAX_MISSED_HEARTBEATS * bounds.targetHeartbeatSeconds * MS_PER_SECOND,
--- a/packages/core/src/errors/errorTable.ts
+++ b/packages/core/src/errors/errorTable.ts
@@ -190,6 +190,13 @@
     retryable: false,
     text: 'a later announcement of the target, or of another one at its address, is in force',
   },
+  overtaken: {
+    code: 34,
+    status: 503,
+    outcome: 'not-run',
+    retryable: true,
+    text: 'the call came late: its caller may have moved on, or a later call is in force',
+  },
 } as const satisfies Readonly<Record<string, ErrorDefinition>>;
 
 export default errorTable;
--- a/packages/core/src/registry/RegistryService.ts
+++ b/packages/core/src/registry/RegistryService.ts
@@ -10,8 +10,12 @@
   declare: (declaration: Declaration) => Promise<Result<undefined, Failure>>;
   /** Returns the source of the declaration in force, undefined if there is none. */
   readDeclaration: () => Promise<Result<string | undefined, Failure>>;
-  /** Takes a data centre out of service, or restores it. */
-  evacuate: (dataCentre: string, isOut: boolean) => Promise<Result<undefined, Failure>>;
+  /** Takes a data centre out of service, or restores it, unless the caller has gone. */
+  evacuate: (
+    dataCentre: string,
+    isOut: boolean,
+    isAbandoned: () => boolean,
+  ) => Promise<Result<undefined, Failure>>;
   /** Registers a target or updates its registration. */
   announce: (target: RegisteredTarget) => Promise<Result<undefined, Failure>>;
   /**
@@ -23,8 +27,8 @@
    * links, undefined if there is none in the region
    */
   findNearestControl: (dataCentre: string, region: string) => string | undefined;
-  /** Deregisters a target. */
-  withdraw: (targetId: string) => Promise<Result<undefined, Failure>>;
+  /** Deregisters a target, unless the caller has gone. */
+  withdraw: (targetId: string, isAbandoned: () => boolean) => Promise<Result<undefined, Failure>>;
 }
 
 export default RegistryService;
--- a/packages/vm/src/control/CallRouter.ts
+++ b/packages/vm/src/control/CallRouter.ts
@@ -4,6 +4,7 @@
 import type SessionHandler from '../session/SessionHandler';
 import type VmHub from '../session/VmHub';
 import type VmSession from '../session/VmSession';
+import adaptCall from './adaptCall';
 import type ConsensusTask from './ConsensusTask';
 import type ControlCall from './ControlCall';
 import type ControlResponse from './ControlResponse';
@@ -83,7 +84,8 @@
         clearTimeout(timer);
         resolve(result);
       });
-      if (!hub.send(leaderName, { kind: 'controlCall', callId, call })) {
+      const adapted = adaptCall(call, hub.protocolVersionOf(leaderName));
+      if (!hub.send(leaderName, { kind: 'controlCall', callId, call: adapted })) {
         this.settle(callId, undefined);
       }
     });
--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -7,6 +7,7 @@
 import type ConsensusEvent from '@guavayard/core/consensus/ConsensusEvent';
 import type ConsensusRecord from '@guavayard/core/consensus/ConsensusRecord';
 import type ConsensusState from '@guavayard/core/consensus/ConsensusState';
+import findLastIndex from '@guavayard/core/consensus/findLastIndex';
 import isLeaveSettled from '@guavayard/core/consensus/isLeaveSettled';
 import isMember from '@guavayard/core/consensus/isMember';
 import isVoter from '@guavayard/core/consensus/isVoter';
@@ -96,6 +97,16 @@
     return this.state.term;
   }
 
+  /** Index of the last entry of the log, whether it is committed or not. */
+  get lastLogIndex(): number {
+    return findLastIndex(this.state);
+  }
+
+  /** Whether this replica leads and has applied all that was committed before its term. */
+  get hasCommittedInTerm(): boolean {
+    return this.isLeader && this.state.commitIndex >= this.state.termStartIndex;
+  }
+
   /** Name of the leader's VM, undefined if none is known. */
   get leaderName(): string | undefined {
     return this.state.leader === undefined ? undefined : vmNameOf(this.state.leader);
--- a/packages/vm/src/registry/RegistryStore.ts
+++ b/packages/vm/src/registry/RegistryStore.ts
@@ -22,6 +22,12 @@
 
   private readonly dirtyIds = new Set<string>();
 
+  /** Index of the entry that last evacuated or restored a data centre, or registered a target. */
+  private readonly changedAt = new Map<string, number>();
+
+  /** Index from which on `changedAt` is complete. */
+  private baseIndex: number;
+
   private isDeclarationDirty = false;
 
   private areEvacuationsDirty = false;
@@ -29,6 +35,7 @@
   constructor(private readonly clock: Clock, initial: RegistryState | undefined, index: number) {
     this.registry = structuredClone(initial ?? createRegistryState());
     this.index = index;
+    this.baseIndex = index;
   }
 
   get state(): RegistryState {
@@ -40,6 +47,16 @@
     return Math.max(0, (this.warmAtMs.get(id) ?? 0) - this.clock());
   }
 
+  /**
+   * Returns when something was last changed that calls without a version are about.
+   *
+   * @param subject - key of the data centre or the target
+   * @returns the index of the log entry, or the first one from which on that is known
+   */
+  changedAtIndex(subject: string): number {
+    return this.changedAt.get(subject) ?? this.baseIndex;
+  }
+
   /**
    * Applies a committed change.
    *
@@ -52,7 +69,11 @@
     this.index = index;
     const before = this.registry.declaration;
     const known = new Set(Object.keys(this.registry.targets));
+    const wasEvacuated = new Set(this.registry.evacuated);
+    const bornAtMs = change.kind === 'announce'
+      ? findTarget(this.registry, change.target.id)?.bornAtMs : undefined;
     applyRegistryChange(this.registry, change);
+    this.recordChange(change, wasEvacuated, bornAtMs);
     if (change.kind === 'declare' && this.registry.declaration !== before) {
       this.isDeclarationDirty = true;
     }
@@ -61,7 +82,9 @@
     if (change.kind === 'withdraw' || change.kind === 'expire') this.dirtyIds.add(change.targetId);
     // An announcement may have ended another incarnation at the same address.
     known.forEach((id) => {
-      if (!Object.hasOwn(this.registry.targets, id)) this.dirtyIds.add(id);
+      if (Object.hasOwn(this.registry.targets, id)) return;
+      this.dirtyIds.add(id);
+      this.changedAt.delete(`target ${id}`);
     });
   }
 
@@ -76,6 +99,8 @@
     this.registry = structuredClone(state ?? createRegistryState());
     Object.keys(this.registry.targets).forEach((id) => this.dirtyIds.add(id));
     this.index = index;
+    this.baseIndex = index;
+    this.changedAt.clear();
     this.isDeclarationDirty = true;
     this.areEvacuationsDirty = true;
   }
@@ -113,6 +138,23 @@
     return update;
   }
 
+  private recordChange(
+    change: RegistryChange,
+    wasEvacuated: ReadonlySet<string>,
+    formerBornAtMs: number | undefined,
+  ): void {
+    if (change.kind === 'evacuate' || change.kind === 'restore') {
+      const { dataCentre } = change;
+      const isEvacuated = this.registry.evacuated.includes(dataCentre);
+      if (isEvacuated === wasEvacuated.has(dataCentre)) return;
+      this.changedAt.set(`dataCentre ${dataCentre}`, this.index);
+    }
+    if (change.kind !== 'announce') return;
+    const { id, bornAtMs } = change.target;
+    const isRegistered = findTarget(this.registry, id) === change.target;
+    if (isRegistered && bornAtMs !== formerBornAtMs) this.changedAt.set(`target ${id}`, this.index);
+  }
+
   private markAnnounced(target: RegisteredTarget, isCurrentTerm: boolean): void {
     if (this.registry.targets[target.id] !== target) return;
     this.dirtyIds.add(target.id);
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -1,5 +1,8 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
 import { Err, Ok, type Result } from 'ts-results';
 
+import PauseDetector from '@guavayard/core/clock/PauseDetector';
 import createConfigurationSnapshot from '@guavayard/core/configuration/createConfigurationSnapshot';
 import type ConfigurationSnapshot from '@guavayard/core/configuration/ConfigurationSnapshot';
 import type LogEntry from '@guavayard/core/consensus/LogEntry';
@@ -23,6 +26,7 @@
 import type SessionHandler from '../session/SessionHandler';
 import type VmSession from '../session/VmSession';
 import createVmLocation from './createVmLocation';
+import OrderGate from './OrderGate';
 import PresenceTable from './PresenceTable';
 import RegistryPublisher from './RegistryPublisher';
 import RegistryStore from './RegistryStore';
@@ -40,6 +44,11 @@
 const ROSTER_RESEND_INTERVALS = 10;
 /** Longest time for one call. Clients time out after a second and retry on another VM. */
 const CALL_TIMEOUT_MS = 900;
+/** Delay after which the end of a call's connection is noticed, in milliseconds. */
+const CALLER_CHECK_DELAY_MS = 5;
+/** Time in which a call that came with an old basis is tried on newer ones, in milliseconds. */
+const BASIS_RENEWAL_MS = 400;
+const BASIS_RENEWAL_INTERVAL_MS = 50;
 /** Longest wait for the response of one leader, which leaves time to retry on the next one. */
 const FORWARD_TIMEOUT_MS = 400;
 
@@ -58,6 +67,10 @@
 
   private readonly presence: PresenceTable;
 
+  private readonly orders: OrderGate;
+
+  private readonly pauses: PauseDetector;
+
   /** Targets that announced themselves to this VM since its last presence report to the leader. */
   private readonly announcedIds = new Set<string>();
 
@@ -109,6 +122,8 @@
       callTimeoutMs: CALL_TIMEOUT_MS,
       forwardTimeoutMs: FORWARD_TIMEOUT_MS,
     });
+    this.orders = new OrderGate(this.store);
+    this.pauses = new PauseDetector(options.elapsedClock());
     this.controlLocations.set(options.identity.name, createVmLocation(options.identity));
   }
 
@@ -140,9 +155,13 @@
     [this.consensus, this.router, this.publisher, this]
       .forEach((handler) => hub.addHandler(handler));
     this.consensus.start();
+    this.pauses.tick(this.options.elapsedClock());
     this.updateConnections();
     this.timers = [
-      setInterval(() => this.publisher.sendPulses(), PULSE_INTERVAL_MS),
+      setInterval(() => {
+        this.pauses.tick(this.options.elapsedClock());
+        this.publisher.sendPulses();
+      }, PULSE_INTERVAL_MS),
       setInterval(() => this.reportPresence(), PRESENCE_INTERVAL_MS),
     ];
   }
@@ -201,10 +220,16 @@
    *
    * @param dataCentre - name of the data centre
    * @param isOut - true to evacuate it, so that its targets get no new work; false to restore it
-   * @returns nothing once a quorum has synced the change, or `noQuorum`
+   * @param isAbandoned - returns whether the caller has gone
+   * @returns nothing once a quorum has synced the change, `overtaken`, or `noQuorum`
    */
-  async evacuate(dataCentre: string, isOut: boolean): Promise<Result<undefined, Failure>> {
-    const accepted = await this.submitChange({ kind: isOut ? 'evacuate' : 'restore', dataCentre });
+  async evacuate(
+    dataCentre: string,
+    isOut: boolean,
+    isAbandoned: () => boolean = () => false,
+  ): Promise<Result<undefined, Failure>> {
+    const kind = isOut ? 'evacuate' : 'restore';
+    const accepted = await this.submitOrder({ kind, dataCentre }, isAbandoned);
     const outcome = accepted.ok ? 'accepted' : accepted.val.kind;
     this.options.log.info({ dataCentre, isOut, outcome }, 'evacuation');
     return accepted;
@@ -241,10 +266,15 @@
    * Removes a target from the registry at its own request.
    *
    * @param targetId - id of the target
-   * @returns nothing once every entry that follows control will receive it, or `noQuorum`
+   * @param isAbandoned - returns whether the caller has gone
+   * @returns nothing once every entry that follows control will receive it, `overtaken`, or
+   *   `noQuorum`
    */
-  async withdraw(targetId: string): Promise<Result<undefined, Failure>> {
-    const accepted = await this.submitChange({ kind: 'withdraw', targetId });
+  async withdraw(
+    targetId: string,
+    isAbandoned: () => boolean = () => false,
+  ): Promise<Result<undefined, Failure>> {
+    const accepted = await this.submitOrder({ kind: 'withdraw', targetId }, isAbandoned);
     const outcome = accepted.ok ? 'accepted' : accepted.val.kind;
     this.options.log.info({ target: targetId, outcome }, 'target withdrawn');
     return accepted;
@@ -258,11 +288,45 @@
     return nearest?.name;
   }
 
-  private async submitChange(change: RegistryChange): Promise<Result<undefined, Failure>> {
+  /**
+   * Submits a change without a version of its own. It is refused if it may have waited for so long
+   * that its caller has moved on: the caller would send it again elsewhere, and perhaps later ones.
+   */
+  private async submitOrder(
+    change: RegistryChange,
+    isAbandoned: () => boolean,
+  ): Promise<Result<undefined, Failure>> {
+    const { clock, elapsedClock } = this.options;
+    const receivedAtMs = clock();
+    let basis = this.consensus.lastLogIndex;
+    if (this.pauses.hasJustResumed(elapsedClock())) return fail('overtaken', 'this VM was paused');
+    // The end of the connection may be received right behind the call.
+    await sleep(CALLER_CHECK_DELAY_MS);
+    if (isAbandoned()) return fail('overtaken', 'the caller has gone');
+    let accepted = await this.submitChange(change, basis);
+    // The log of this VM may be behind what its caller knows, which then still waits.
+    while (accepted.err && accepted.val.kind === 'overtaken' && !isAbandoned()
+      && clock() - receivedAtMs < BASIS_RENEWAL_MS) {
+      // eslint-disable-next-line no-await-in-loop -- attempts are sequential
+      await sleep(BASIS_RENEWAL_INTERVAL_MS);
+      basis = this.consensus.lastLogIndex;
+      if (this.pauses.hasJustResumed(elapsedClock())) return accepted;
+      // eslint-disable-next-line no-await-in-loop
+      accepted = await this.submitChange(change, basis);
+    }
+    return accepted;
+  }
+
+  private async submitChange(
+    change: RegistryChange,
+    basis?: number,
+  ): Promise<Result<undefined, Failure>> {
     const parsed = RegistryChange.safeParse(change);
     // A record that no replica can read back would stop all of them.
     if (!parsed.success) return fail('invalidPatch', parsed.error.message);
-    const response = await this.call({ kind: 'change', change: parsed.data });
+    const response = await this.call({
+      kind: 'change', change: parsed.data, ...(basis === undefined ? {} : { basis }),
+    });
     return response.map(() => undefined);
   }
 
@@ -290,8 +354,14 @@
       || voterNames.length >= this.options.requiredVoters;
     // Before all voters have joined, an accepted change would survive fewer failures than promised.
     if (!hasRequiredVoters) return undefined;
-    const isCommitted = await this.consensus.propose({ kind: 'registry', change: call.change });
-    return isCommitted ? { kind: 'changed' } : undefined;
+    const { change, basis } = call;
+    const propose = async (): Promise<boolean> => this.consensus.propose({ kind: 'registry', change });
+    if (basis === undefined) return await propose() ? { kind: 'changed' } : undefined;
+    // Until then entries of earlier terms may be missing that the change would undo.
+    if (!this.consensus.hasCommittedInTerm) return undefined;
+    const outcome = await this.orders.run(change, basis, propose);
+    if (outcome === 'overtaken') return { kind: 'failure', failure: { kind: 'overtaken', detail: '' } };
+    return outcome === 'committed' ? { kind: 'changed' } : undefined;
   }
 
   private applyAll(entries: readonly LogEntry[]): void {
--- a/packages/vm/src/registry/RegistryTaskOptions.ts
+++ b/packages/vm/src/registry/RegistryTaskOptions.ts
@@ -18,6 +18,8 @@
   readonly identity: VmIdentity;
   readonly log: Logger;
   readonly clock: Clock;
+  /** Monotonic clock that counts the time for which the VM was suspended. */
+  readonly elapsedClock: Clock;
   readonly random: Random;
   /** Addresses at which the other control VMs are first contacted. */
   readonly seeds: readonly string[];
--- a/packages/vm/src/session/protocolVersion.ts
+++ b/packages/vm/src/session/protocolVersion.ts
@@ -3,7 +3,8 @@
  * told have version 1. Each version includes the messages of those before it:
  *
  * - 2: `leave` and `left`
+ * - 3: `basis` of changes, and the failure `overtaken` in response
  */
-const protocolVersion = 2;
+const protocolVersion = 3;
 
 export default protocolVersion;
--- a/packages/vm/test/support/RegistryGroup.ts
+++ b/packages/vm/test/support/RegistryGroup.ts
@@ -150,6 +150,7 @@
       identity,
       log: createLogger({ name: 'test', streams: [] }),
       clock,
+      elapsedClock: clock,
       random: Math.random,
       seeds: this.seeds,
       requiredVoters,
