Try targets that replace lost ones

Cause: the mark of an unreachable service outlived the silent targets that it was based on, and only these were probed.

Why it works: the mark ends with its last silent target, untried targets are probed with the silent ones, and targets that were silent already while another one answered no longer count.

--- a/packages/core/src/reachability/hasLostTargets.ts
+++ b/packages/core/src/reachability/hasLostTargets.ts
@@ -20,6 +20,7 @@
   nowMs: number,
 ): boolean {
   if (state.unreachableSinceMs !== undefined) return true;
-  const needed = Math.max(1, Math.min(reachabilityLimits.minSilentTargets, targetCount));
-  return countSilentTargets(state, nowMs) >= needed;
+  const { fresh, gone } = countSilentTargets(state, nowMs);
+  const needed = Math.max(1, Math.min(reachabilityLimits.minSilentTargets, targetCount - gone));
+  return fresh >= needed;
 }
--- a/packages/gateway/src/ReachabilityTracker.ts
+++ b/packages/gateway/src/ReachabilityTracker.ts
@@ -59,9 +59,18 @@
     this.examine(service);
   }
 
-  /** Forgets a target that is gone. */
+  /** Forgets a target that is gone. Once all silent ones are, the others have yet to be tried. */
   forget({ record: { id, service } }: PlacedTarget): void {
-    this.services.get(service)?.unanswered.delete(id);
+    const state = this.services.get(service);
+    if (state?.unanswered.delete(id) !== true || state.unanswered.size > 0) return;
+    if (state.unreachableSinceMs === undefined) return;
+    state.unreachableSinceMs = undefined;
+    this.options.log.info({ service }, 'no silent target of the service is left');
+  }
+
+  /** @returns whether a target has never answered, and no probe of it is unanswered */
+  isUntried({ record: { id, service }, lastAnswerAtMs }: PlacedTarget): boolean {
+    return lastAnswerAtMs === -Infinity && this.stateOf(service).unanswered.get(id) === undefined;
   }
 
   /** @returns whether no target of a service can be reached */
--- a/packages/gateway/src/TargetPaths.ts
+++ b/packages/gateway/src/TargetPaths.ts
@@ -53,6 +53,11 @@
     });
   }
 
+  /** Starts to try a target that has registered, if its service cannot be reached without it. */
+  admit({ record: { service } }: PlacedTarget): void {
+    if (this.reachability.isUnreachable(service)) this.options.onSilence();
+  }
+
   /** Records whether a response of a target told its load. */
   recordLoadReport({ record: { service } }: PlacedTarget, hasLoad: boolean): void {
     if (hasLoad || !this.loadReports.has(service)) this.loadReports.set(service, hasLoad);
@@ -100,10 +105,10 @@
   }
 
   /**
-   * Finds the targets to probe in order to learn whether the paths to them work: silent ones of
-   * services of which too many are silent, those to which only a new connection would lead while
-   * targets refuse new ones, and, while a service cannot be reached at all, some of the services
-   * that have not been heard from lately.
+   * Finds the targets to probe in order to learn whether the paths to them work: silent and untried
+   * ones of services of which too many are silent, those to which only a new connection would lead
+   * while targets refuse new ones, and, while a service cannot be reached at all, some of the
+   * services that have not been heard from lately.
    *
    * @returns the targets, none if all paths seem to work
    */
@@ -115,7 +120,8 @@
     });
     return [...byService].flatMap(([service, targets]) => {
       if (this.isMostlySilent(service)) {
-        return targets.filter((target) => this.reachability.isSilent(target));
+        return targets.filter((target) => (
+          this.reachability.isSilent(target) || this.reachability.isUntried(target)));
       }
       if (this.connections.areRefused) {
         return targets.filter((target) => !this.connections.maySend(target));
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -189,6 +189,11 @@
       && target.unreachableUntilMs <= nowMs);
   }
 
+  /** @returns whether a target is still registered, as the incarnation that it was */
+  includes(target: PlacedTarget): boolean {
+    return this.targets.get(target.record.id) === target;
+  }
+
   /** @returns whether a target is in the region of this entry */
   isNear(target: PlacedTarget): boolean {
     return target.region === this.options.location.region;
@@ -319,6 +324,7 @@
       this.options.location.name,
     );
     this.targets.set(record.id, target);
+    this.paths.admit(target);
     if (record.coldLeftMs > 0) this.notices.recordColdLeft(target, record.coldLeftMs);
   }
 
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -201,7 +201,8 @@
         }
         state.unansweredProbes += 1;
         state.silentProbes = isTimedOut ? state.silentProbes + 1 : 0;
-        paths.reachability.recordFailure(target);
+        // What is no longer registered tells nothing of the others.
+        if (this.options.pool.includes(target)) paths.reachability.recordFailure(target);
         if (failure.kind === 'targetUnreachable') state.unreachableUntilMs = clock() + UNREACHABLE_MS;
         finish();
       },
--- a/packages/gateway/test/cutOff.test.ts
+++ b/packages/gateway/test/cutOff.test.ts
@@ -20,6 +20,14 @@
   rig.targets.forEach((target) => Object.assign(target, { mode: 'silent' }));
 }
 
+function createCutOffRig(t: TestContext): GatewayRig {
+  const rig = createRig(t);
+  cut(rig);
+  rig.request();
+  rig.run(NOTICED_MS);
+  return rig;
+}
+
 function heal(rig: GatewayRig): void {
   rig.targets.forEach((target) => Object.assign(target, { mode: 'answers' }));
 }
@@ -218,3 +226,24 @@
   rig.run(400);
   assert.deepEqual([res.status, rig.relay.sent.at(-1)?.version()], [200, 2]);
 });
+
+// Guards against targets that are never tried, as those that they replace were silent.
+test('targets that replace lost ones are tried, while the lost ones are still registered', (t) => {
+  const rig = createCutOffRig(t);
+  rig.addTarget('new');
+  rig.run(1000);
+  const res = rig.request();
+  rig.run(500);
+  assert.deepEqual([res.status, res.body], [200, 'new']);
+});
+
+test('a service is tried again once all of its silent targets have left the registry', (t) => {
+  const rig = createCutOffRig(t);
+  rig.targets.splice(0);
+  rig.update();
+  rig.run(3000);
+  rig.addTarget('new');
+  const res = rig.request();
+  rig.run(500);
+  assert.deepEqual([res.status, res.body], [200, 'new']);
+});
