Refuse routes to undeclared services that are named like object properties

Operators saw: a route to an unknown service called constructor was acknowledged. Cause: names from outside were looked up with 'in' or by index, which also find what objects inherit. Related: a removed target called constructor was not reported to entries. Evidence: 'a route to a service that is not declared is a mistake, whatever its name' failed before and passes now.

--- a/packages/core/src/registry/findDeclarationMistakes.ts
+++ b/packages/core/src/registry/findDeclarationMistakes.ts
@@ -1,4 +1,5 @@
 import type Declaration from './Declaration';
+import findService from './findService';
 
 /** Maximum timeout of a route, in milliseconds: ten minutes. */
 const MAX_TIMEOUT_MS = 600_000;
@@ -16,7 +17,8 @@
     const addError = (text: string): void => {
       errors.push(`route "${name}": ${text}`);
     };
-    const unknown = route.backends.filter(({ service }) => !(service in declaration.services));
+    const unknown = route.backends.filter(({ service }) => (
+      findService(declaration, service) === undefined));
     unknown.forEach(({ service }) => addError(`no service "${service}"`));
     const totalWeight = route.backends.reduce((sum, { weight }) => sum + weight, 0);
     if (!(totalWeight > 0)) addError('the weights add up to 0');
--- a/packages/core/test/registry.test.ts
+++ b/packages/core/test/registry.test.ts
@@ -184,3 +184,11 @@
   const name = command.kind === 'registry' && command.change.kind === 'evacuate' && command.change.dataCentre;
   assert.equal(name, createName('TN-ANPING'));
 });
+
+// Guards against names that every object has as a property: such a route was acknowledged.
+test('a route to a service that is not declared is a mistake, whatever its name', () => {
+  ['constructor', 'toString', 'hasOwnProperty'].forEach((service) => {
+    const declaration = declare(1, { lots: { ...ROUTE, backends: [{ service, weight: 1 }] } });
+    assert.equal(findDeclarationMistakes(declaration).length, 1);
+  });
+});
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -6,6 +6,7 @@
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import type Declaration from '@guavayard/core/registry/Declaration';
 import findAnnouncementMistake from '@guavayard/core/registry/findAnnouncementMistake';
+import findService from '@guavayard/core/registry/findService';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import type Clock from '@guavayard/core/types/Clock';
 import estimateRestWait from '@guavayard/core/rest/estimateRestWait';
@@ -260,7 +261,7 @@
 
   /** @returns the declared path for probes of a service */
   healthPathOf(service: string): string | undefined {
-    return this.declaration?.services[service]?.healthPath;
+    return findService(this.declaration, service)?.healthPath;
   }
 
   private isWithinColdLimit(target: PlacedTarget, nowMs: number): boolean {
@@ -268,7 +269,7 @@
     // Only the entries of a cold target's region share its request limit.
     if (!this.isNear(target)) return false;
     const { coldBurstFactor, coldSlack, location } = this.options;
-    const declared = this.declaration?.services[target.record.service];
+    const declared = findService(this.declaration, target.record.service);
     const limit: ColdRateLimit = {
       requestsPerSecond: (declared?.coldRequestsPerSecond ?? 0) * coldBurstFactor + coldSlack,
       entryNames: this.entries.filter(({ region }) => region === location.region)
--- a/packages/vm/src/registry/RegistryStore.ts
+++ b/packages/vm/src/registry/RegistryStore.ts
@@ -130,7 +130,7 @@
         const target = findTarget(this.registry, id);
         return target === undefined ? [] : [this.withColdLeft(target)];
       }),
-      removedIds: ids.filter((id) => !(id in this.registry.targets)),
+      removedIds: ids.filter((id) => !Object.hasOwn(this.registry.targets, id)),
     };
     this.dirtyIds.clear();
     this.isDeclarationDirty = false;
