--- a/packages/core/src/consensus/replicate.ts
+++ b/packages/core/src/consensus/replicate.ts
@@ -3,11 +3,10 @@
 import findTerm from './findTerm';
 import type Progress from './Progress';
 import type ReplicaId from './ReplicaId';
+import selectEntries from './selectEntries';
 import send from './send';
 import timing from './timing';
 
-const MAX_ENTRIES_PER_APPEND = 64;
-
 function createProgress(state: ConsensusState): Progress {
   return {
     matchIndex: 0,
@@ -49,7 +48,7 @@
     term: state.term,
     previousIndex,
     previousTerm: findTerm(state, previousIndex) ?? 0,
-    entries: state.log.slice(start, start + MAX_ENTRIES_PER_APPEND),
+    entries: selectEntries(state.log, start),
     commitIndex: state.commitIndex,
     round: state.round,
   });
