Keep reading refused uploads until the caller has the response

Callers saw: a refused upload without a length got a reset before any byte of the response. Cause: after 1 MB of the remainder the connection was destroyed with unread bytes, which resets it. Evidence: 'a large upload without a length that is refused gets the whole response' failed before (no byte at the sixth try) and passes now. Why it works: the connection is closed for writing first, and read on for 32 MB or 5 s. Remaining: 503 instead of 413, and the limit is not applied to such uploads.

--- a/packages/caller/src/ReplayableBody.ts
+++ b/packages/caller/src/ReplayableBody.ts
@@ -4,8 +4,10 @@
 
 /** Maximum size of a body that is buffered for retries, in bytes. */
 const MAX_RECORDED_BYTES = 64 * 1024;
+/** Remainder of a body after which the connection is not kept for another request, in bytes. */
+const MAX_KEPT_BYTES = 1024 * 1024;
 /** Maximum remainder of a body that is read and discarded after the response, in bytes. */
-const MAX_DISCARDED_BYTES = 1024 * 1024;
+const MAX_DISCARDED_BYTES = 32 * 1024 * 1024;
 /** Maximum time to read and discard the remainder of a body, in milliseconds. */
 const DISCARD_TIMEOUT_MS = 5000;
 
@@ -33,7 +35,7 @@
    * @param req - the caller's request
    * @param mayRecord - false if the body must not be buffered
    */
-  constructor(private readonly req: Pick<InboundRequest, 'headers' | 'complete'> & Readable, mayRecord: boolean) {
+  constructor(private readonly req: Pick<InboundRequest, 'headers' | 'complete' | 'socket'> & Readable, mayRecord: boolean) {
     this.isRecording = mayRecord;
     this.hasBody = req.headers['transfer-encoding'] !== undefined
       || Number(req.headers['content-length'] ?? 0) > 0;
@@ -87,7 +89,8 @@
 
   /**
    * Reads and discards the remainder of the body, so that the connection can carry the next
-   * request. The connection of a caller that sends too much or too slowly is closed.
+   * request. The connection of a caller that sends much more is closed for writing first and read
+   * on for a time: closing it with unread bytes would reset it, and the response could be lost.
    */
   discard(): void {
     this.close();
@@ -99,7 +102,9 @@
     req.once('close', () => clearTimeout(timer));
     req.once('end', () => clearTimeout(timer));
     req.on('data', (chunk: Buffer) => {
+      const before = discardedBytes;
       discardedBytes += chunk.length;
+      if (before <= MAX_KEPT_BYTES && discardedBytes > MAX_KEPT_BYTES) req.socket.end?.();
       if (discardedBytes > MAX_DISCARDED_BYTES) req.destroy();
     });
     req.resume();
