--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -1,8 +1,5 @@
-import { setTimeout as sleep } from 'node:timers/promises';
-
 import { Err, Ok, type Result } from 'ts-results';
 
-import PauseDetector from '@guavayard/core/clock/PauseDetector';
 import createConfigurationSnapshot from '@guavayard/core/configuration/createConfigurationSnapshot';
 import type ConfigurationSnapshot from '@guavayard/core/configuration/ConfigurationSnapshot';
 import type LogEntry from '@guavayard/core/consensus/LogEntry';
@@ -27,6 +24,7 @@
 import type VmSession from '../session/VmSession';
 import createVmLocation from './createVmLocation';
 import OrderGate from './OrderGate';
+import OrderSubmitter from './OrderSubmitter';
 import PresenceTable from './PresenceTable';
 import RegistryPublisher from './RegistryPublisher';
 import RegistryStore from './RegistryStore';
@@ -44,11 +42,6 @@
 const ROSTER_RESEND_INTERVALS = 10;
 /** Longest time for one call. Clients time out after a second and retry on another VM. */
 const CALL_TIMEOUT_MS = 900;
-/** Delay after which the end of a call's connection is noticed, in milliseconds. */
-const CALLER_CHECK_DELAY_MS = 5;
-/** Time in which a call that came with an old basis is tried on newer ones, in milliseconds. */
-const BASIS_RENEWAL_MS = 400;
-const BASIS_RENEWAL_INTERVAL_MS = 50;
 /** Longest wait for the response of one leader, which leaves time to retry on the next one. */
 const FORWARD_TIMEOUT_MS = 400;
 
@@ -69,7 +62,7 @@
 
   private readonly orders: OrderGate;
 
-  private readonly pauses: PauseDetector;
+  private readonly submitter: OrderSubmitter;
 
   /** Targets that announced themselves to this VM since its last presence report to the leader. */
   private readonly announcedIds = new Set<string>();
@@ -123,7 +116,12 @@
       forwardTimeoutMs: FORWARD_TIMEOUT_MS,
     });
     this.orders = new OrderGate(this.store);
-    this.pauses = new PauseDetector(options.elapsedClock());
+    this.submitter = new OrderSubmitter({
+      clock,
+      elapsedClock: options.elapsedClock,
+      lastLogIndex: () => this.consensus.lastLogIndex,
+      submit: async (change, basis) => this.submitChange(change, basis),
+    });
     this.controlLocations.set(options.identity.name, createVmLocation(options.identity));
   }
 
@@ -155,11 +153,11 @@
     [this.consensus, this.router, this.publisher, this]
       .forEach((handler) => hub.addHandler(handler));
     this.consensus.start();
-    this.pauses.tick(this.options.elapsedClock());
+    this.submitter.tick();
     this.updateConnections();
     this.timers = [
       setInterval(() => {
-        this.pauses.tick(this.options.elapsedClock());
+        this.submitter.tick();
         this.publisher.sendPulses();
       }, PULSE_INTERVAL_MS),
       setInterval(() => this.reportPresence(), PRESENCE_INTERVAL_MS),
@@ -229,7 +227,7 @@
     isAbandoned: () => boolean = () => false,
   ): Promise<Result<undefined, Failure>> {
     const kind = isOut ? 'evacuate' : 'restore';
-    const accepted = await this.submitOrder({ kind, dataCentre }, isAbandoned);
+    const accepted = await this.submitter.submit({ kind, dataCentre }, isAbandoned);
     const outcome = accepted.ok ? 'accepted' : accepted.val.kind;
     this.options.log.info({ dataCentre, isOut, outcome }, 'evacuation');
     return accepted;
@@ -274,7 +272,7 @@
     targetId: string,
     isAbandoned: () => boolean = () => false,
   ): Promise<Result<undefined, Failure>> {
-    const accepted = await this.submitOrder({ kind: 'withdraw', targetId }, isAbandoned);
+    const accepted = await this.submitter.submit({ kind: 'withdraw', targetId }, isAbandoned);
     const outcome = accepted.ok ? 'accepted' : accepted.val.kind;
     this.options.log.info({ target: targetId, outcome }, 'target withdrawn');
     return accepted;
@@ -288,35 +286,6 @@
     return nearest?.name;
   }
 
-  /**
-   * Submits a change without a version of its own. It is refused if it may have waited for so long
-   * that its caller has moved on: the caller would send it again elsewhere, and perhaps later ones.
-   */
-  private async submitOrder(
-    change: RegistryChange,
-    isAbandoned: () => boolean,
-  ): Promise<Result<undefined, Failure>> {
-    const { clock, elapsedClock } = this.options;
-    const receivedAtMs = clock();
-    let basis = this.consensus.lastLogIndex;
-    if (this.pauses.hasJustResumed(elapsedClock())) return fail('overtaken', 'this VM was paused');
-    // The end of the connection may be received right behind the call.
-    await sleep(CALLER_CHECK_DELAY_MS);
-    if (isAbandoned()) return fail('overtaken', 'the caller has gone');
-    let accepted = await this.submitChange(change, basis);
-    // The log of this VM may be behind what its caller knows, which then still waits.
-    while (accepted.err && accepted.val.kind === 'overtaken' && !isAbandoned()
-      && clock() - receivedAtMs < BASIS_RENEWAL_MS) {
-      // eslint-disable-next-line no-await-in-loop -- attempts are sequential
-      await sleep(BASIS_RENEWAL_INTERVAL_MS);
-      basis = this.consensus.lastLogIndex;
-      if (this.pauses.hasJustResumed(elapsedClock())) return accepted;
-      // eslint-disable-next-line no-await-in-loop
-      accepted = await this.submitChange(change, basis);
-    }
-    return accepted;
-  }
-
   private async submitChange(
     change: RegistryChange,
     basis?: number,
