--- a/packages/core/src/registry/findChangeSubject.ts
+++ b/packages/core/src/registry/findChangeSubject.ts
@@ -1,3 +1,4 @@
+import createSubjectKey from './createSubjectKey';
 import type RegistryChange from './RegistryChange';
 
 /**
@@ -7,6 +8,8 @@
  * @returns a key of the data centre or the target, undefined for changes that are ordered otherwise
  */
 export default function findChangeSubject(change: RegistryChange): string | undefined {
-  if (change.kind === 'evacuate' || change.kind === 'restore') return `dataCentre ${change.dataCentre}`;
-  return change.kind === 'withdraw' ? `target ${change.targetId}` : undefined;
+  if (change.kind === 'evacuate' || change.kind === 'restore') {
+    return createSubjectKey('dataCentre', change.dataCentre);
+  }
+  return change.kind === 'withdraw' ? createSubjectKey('target', change.targetId) : undefined;
 }
--- a/packages/vm/src/registry/RegistryStore.ts
+++ b/packages/vm/src/registry/RegistryStore.ts
@@ -1,4 +1,5 @@
 import applyRegistryChange from '@guavayard/core/registry/applyRegistryChange';
+import createSubjectKey from '@guavayard/core/registry/createSubjectKey';
 import createRegistryState from '@guavayard/core/registry/createRegistryState';
 import findTarget from '@guavayard/core/registry/findTarget';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
@@ -84,7 +85,7 @@
     known.forEach((id) => {
       if (Object.hasOwn(this.registry.targets, id)) return;
       this.dirtyIds.add(id);
-      this.changedAt.delete(`target ${id}`);
+      this.changedAt.delete(createSubjectKey('target', id));
     });
   }
 
@@ -147,12 +148,13 @@
       const { dataCentre } = change;
       const isEvacuated = this.registry.evacuated.includes(dataCentre);
       if (isEvacuated === wasEvacuated.has(dataCentre)) return;
-      this.changedAt.set(`dataCentre ${dataCentre}`, this.index);
+      this.changedAt.set(createSubjectKey('dataCentre', dataCentre), this.index);
     }
     if (change.kind !== 'announce') return;
     const { id, bornAtMs } = change.target;
     const isRegistered = findTarget(this.registry, id) === change.target;
-    if (isRegistered && bornAtMs !== formerBornAtMs) this.changedAt.set(`target ${id}`, this.index);
+    if (!isRegistered || bornAtMs === formerBornAtMs) return;
+    this.changedAt.set(createSubjectKey('target', id), this.index);
   }
 
   private markAnnounced(target: RegisteredTarget, isCurrentTerm: boolean): void {
