Close callers' connections without a reset

Callers that went on sending on an open connection (pipelined requests, the rest of a body) lost the end of their last response: after a response with `Connection: close` the runtime closes the socket at once, and the kernel resets a closed connection when bytes are unread or arrive later; it drops what the caller has not received. From SIGTERM on each response says `Connection: close`, so a planned stop did this to all of them. The same happened to idle connections at a stop and after a 400.

An entry now ends its side, discards what still arrives, and destroys the connection once the caller has ended its own, after 5 s at the latest (0.5 s at the end of a stop). A response that waits behind an earlier pipelined one does not announce the end of the connection any more: a request that arrived behind it was read and never answered.

--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -2,8 +2,9 @@
   createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import type { Socket } from 'node:net';
-import { setImmediate as nextTurn } from 'node:timers/promises';
+import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises';
 
+import closeGracefully from './closeGracefully';
 import respondToBadRequest from './respondToBadRequest';
 import type CallerLimits from './CallerLimits';
 import defaultLimits from './defaultLimits';
@@ -16,11 +17,14 @@
   readonly mayKeepAlive: boolean;
 }
 
-/** Asks a caller to close its connection after the last of its pipelined requests. */
+/**
+ * Asks a caller to close its connection after the last of its pipelined requests. A response that
+ * waits for an earlier one does not ask: further requests may arrive before it is sent.
+ */
 function closeAfterLast(responses: readonly ActiveResponse[]): void {
-  responses.forEach(({ res, mayKeepAlive }, index) => {
+  responses.forEach(({ res, mayKeepAlive }) => {
     const state = res;
-    if (!state.headersSent) state.shouldKeepAlive = index < responses.length - 1 && mayKeepAlive;
+    if (!state.headersSent) state.shouldKeepAlive = responses.length > 1 && mayKeepAlive;
   });
 }
 
@@ -31,6 +35,11 @@
 const TURNS_PER_ROUND = 3;
 /** Maximum number of rounds: Node's default length of the listen backlog. */
 const MAX_ACCEPT_ROUNDS = 511;
+/**
+ * Time for callers to close their connections at a stop, in milliseconds: longer than a round trip
+ * between distant regions.
+ */
+const STOP_CLOSE_TIMEOUT_MS = 500;
 
 interface ListenerOptions {
   readonly limits?: CallerLimits;
@@ -44,8 +53,13 @@
   /** Responses of each connection, in the order in which they are sent. */
   private readonly active = new Map<Socket, ActiveResponse[]>();
 
+  /** Open connections, with the number of bytes read when the last response was complete. */
+  private readonly connections = new Map<Socket, number>();
+
   private isDraining = false;
 
+  private isStopping = false;
+
   private readonly drainWaiters: (() => void)[] = [];
 
   private accepted = 0;
@@ -80,9 +94,15 @@
       }
     });
     this.server.maxConnections = limits.connections;
-    this.server.on('connection', () => {
+    this.server.on('connection', (socket: Socket) => {
       this.accepted += 1;
+      this.connections.set(socket, 0);
+      socket.once('close', () => this.connections.delete(socket));
+      // Called by the server after a response that ends the connection.
+      Object.assign(socket, { destroySoon: () => closeGracefully(socket) });
     });
+    // Called by the server when it closes, too.
+    this.server.closeIdleConnections = () => this.closeIdleConnections();
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
       respondToBadRequest(err, socket, this.active.has(socket));
     });
@@ -98,17 +118,35 @@
   async stop(): Promise<void> {
     this.startDraining();
     await this.acceptPending();
+    this.isStopping = true;
     this.server.close();
-    this.server.closeIdleConnections();
     if (this.active.size > 0) {
       await new Promise<void>((resolve) => {
         this.drainWaiters.push(resolve);
       });
     }
     // The remaining connections have not sent a complete request.
+    await this.closeConnections();
     this.server.closeAllConnections();
   }
 
+  /** Closes connections on which no part of a request has arrived since the last response. */
+  private closeIdleConnections(): void {
+    this.connections.forEach((readBytes, socket) => {
+      if (!this.active.has(socket) && socket.bytesRead === readBytes) closeGracefully(socket);
+    });
+  }
+
+  /** Closes all connections, and resolves once the callers have closed them or the time is over. */
+  private async closeConnections(): Promise<void> {
+    const sockets = [...this.connections.keys()];
+    const closed = Promise.all(sockets.map(async (socket) => new Promise((resolve) => {
+      socket.once('close', resolve);
+    })));
+    sockets.forEach((socket) => closeGracefully(socket));
+    await Promise.race([closed, sleep(STOP_CLOSE_TIMEOUT_MS)]);
+  }
+
   /** Accepts connections and reads requests that are still pending, as on a busy VM. */
   private async acceptPending(): Promise<void> {
     for (let round = 0; round < MAX_ACCEPT_ROUNDS; round += 1) {
@@ -132,7 +170,7 @@
     const isClosing = responses.some((earlier) => (
       earlier.res.headersSent && !earlier.res.shouldKeepAlive
     ));
-    if (isClosing) return false;
+    if (isClosing || socket.writableEnded) return false;
     const response = { res, mayKeepAlive: res.shouldKeepAlive };
     responses.push(response);
     this.active.set(socket, responses);
@@ -145,9 +183,18 @@
     res.once('close', () => {
       clearTimeout(unreadTimer);
       responses.splice(responses.indexOf(response), 1);
-      if (responses.length === 0) this.active.delete(socket);
+      if (responses.length === 0) this.release(socket);
+      else if (this.isDraining) closeAfterLast(responses);
       if (this.active.size === 0) this.drainWaiters.splice(0).forEach((resolve) => resolve());
     });
     return true;
   }
+
+  /** Records that all requests of a connection have been answered. */
+  private release(socket: Socket): void {
+    this.active.delete(socket);
+    if (!this.connections.has(socket)) return;
+    this.connections.set(socket, socket.bytesRead);
+    if (this.isStopping) closeGracefully(socket);
+  }
 }
--- /dev/null
+++ b/packages/caller/src/closeGracefully.ts
@@ -0,0 +1,22 @@
+import type { Socket } from 'node:net';
+
+/** Time for a caller to close its side of a connection, in milliseconds. */
+const CLOSE_TIMEOUT_MS = 5000;
+
+/**
+ * Closes a connection of the HTTP server without a reset: ends the sending side, then discards what
+ * still arrives until the caller closes its side, too. Closing at once would reset the connection
+ * if bytes are unread or arrive later, and the caller could lose the end of its last response.
+ *
+ * @param socket - the connection; nothing is read from it as a request any more
+ */
+export default function closeGracefully(socket: Socket): void {
+  if (socket.destroyed || socket.writableEnded) return;
+  // The parser of the server reads from the connection until another listener does.
+  socket.removeAllListeners('data');
+  socket.on('data', () => undefined);
+  socket.resume();
+  const timer = setTimeout(() => socket.destroy(), CLOSE_TIMEOUT_MS).unref();
+  socket.once('close', () => clearTimeout(timer));
+  socket.end();
+}
--- a/packages/caller/src/respondToBadRequest.ts
+++ b/packages/caller/src/respondToBadRequest.ts
@@ -5,6 +5,8 @@
 import type ErrorKind from '@guavayard/core/errors/ErrorKind';
 import createFailureHeaders from '@guavayard/core/http/createFailureHeaders';
 
+import closeGracefully from './closeGracefully';
+
 const ERROR_KINDS: Readonly<Record<string, ErrorKind>> = {
   HPE_HEADER_OVERFLOW: 'headersTooLarge',
   ERR_HTTP_REQUEST_TIMEOUT: 'headersTooSlow',
@@ -34,5 +36,6 @@
     ...createFailureHeaders(failure), 'content-length': Buffer.byteLength(body), connection: 'close',
   };
   const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
-  socket.end([`HTTP/1.1 ${errorTable[failure.kind].status} Refused`, ...lines, '', body].join('\r\n'));
+  socket.write([`HTTP/1.1 ${errorTable[failure.kind].status} Refused`, ...lines, '', body].join('\r\n'));
+  closeGracefully(socket);
 }
--- /dev/null
+++ b/packages/caller/test/gracefulClose.test.ts
@@ -0,0 +1,154 @@
+import assert from 'node:assert/strict';
+import { EventEmitter, once } from 'node:events';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { connect, type AddressInfo, type Socket } from 'node:net';
+import { test, type TestContext } from 'node:test';
+
+import CallerListener from '../src/CallerListener';
+
+/** More than the kernel passes on while the caller reads nothing, less than it buffers. */
+const LONG_BYTES = 400 * 1024;
+
+type Handle = (req: IncomingMessage, res: ServerResponse) => void;
+
+async function startListener(t: TestContext, handle: Handle): Promise<CallerListener> {
+  const listener = new CallerListener({ handle });
+  listener.server.listen(0, '127.0.0.1');
+  await once(listener.server, 'listening');
+  t.after(() => {
+    listener.server.close();
+    listener.server.closeAllConnections();
+  });
+  return listener;
+}
+
+async function open(t: TestContext, { server }: CallerListener): Promise<Socket> {
+  const socket = connect({
+    port: (server.address() as AddressInfo).port, host: '127.0.0.1', allowHalfOpen: true,
+  });
+  t.after(() => socket.destroy());
+  await once(socket, 'connect');
+  return socket;
+}
+
+function createRequest(path: string): string {
+  return `GET ${path} HTTP/1.1\r\nhost: lots.example\r\n\r\n`;
+}
+
+/** Sends bytes; rejects if the connection was reset. */
+async function send(socket: Socket, bytes: string | Buffer): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    socket.write(bytes, (err) => {
+      if (err) reject(err);
+      else resolve();
+    });
+  });
+}
+
+/** @returns all that arrives until the other side ends the connection, and the error if any */
+async function readAll(socket: Socket): Promise<{ text: string; err: Error | undefined }> {
+  let text = '';
+  socket.on('data', (chunk: Buffer) => {
+    text += chunk.toString('latin1');
+  });
+  return new Promise((resolve) => {
+    socket.on('end', () => resolve({ text, err: undefined }));
+    socket.on('error', (err) => resolve({ text, err }));
+    socket.resume();
+  });
+}
+
+// Guards against a reset by bytes that arrive after the connection was closed.
+test('a caller that goes on sending gets the whole response that ends its connection', { timeout: 10_000 }, async (t) => {
+  const events = new EventEmitter();
+  const listener = await startListener(t, (_req, res) => {
+    res.shouldKeepAlive = false;
+    res.once('close', () => setImmediate(() => events.emit('closed')));
+    res.end(Buffer.alloc(LONG_BYTES, 'x'));
+  });
+  const socket = await open(t, listener);
+  socket.pause();
+  const closed = once(events, 'closed');
+  socket.write(createRequest('/first'));
+  await closed;
+  socket.write(createRequest('/second'));
+  const { text, err } = await readAll(socket);
+  assert.equal(err, undefined);
+  assert.equal(text.length - text.indexOf('\r\n\r\n') - 4, LONG_BYTES);
+});
+
+test('a caller that still sends its body gets the response that ends its connection', { timeout: 10_000 }, async (t) => {
+  const listener = await startListener(t, (_req, res) => {
+    res.shouldKeepAlive = false;
+    res.writeHead(503).end('refused');
+  });
+  const socket = await open(t, listener);
+  const reading = readAll(socket);
+  socket.write('POST /lots HTTP/1.1\r\nhost: lots.example\r\ncontent-length: 900000\r\n\r\nfirst');
+  await once(socket, 'data');
+  socket.write(Buffer.alloc(400_000));
+  const { text, err } = await reading;
+  assert.equal(err, undefined);
+  assert.match(text, /^HTTP\/1\.1 503 [^]*refused/);
+  // The system of a caller hears of a reset at the first bytes, the caller itself at the next.
+  await send(socket, Buffer.alloc(100_000));
+  await send(socket, Buffer.alloc(100_000));
+});
+
+test('a caller that goes on sending after malformed bytes gets the response', { timeout: 10_000 }, async (t) => {
+  const listener = await startListener(t, (_req, res) => {
+    res.end('the lots');
+  });
+  const socket = await open(t, listener);
+  const reading = readAll(socket);
+  socket.write('no request\r\n\r\n');
+  await once(socket, 'data');
+  // More than the kernel buffers, so that the listener must have read the first part.
+  await send(socket, Buffer.alloc(16 * LONG_BYTES));
+  await send(socket, Buffer.alloc(16 * LONG_BYTES));
+  const { text, err } = await reading;
+  assert.equal(err, undefined);
+  assert.match(text, /^HTTP\/1\.1 400 /);
+});
+
+test('a request that crosses the end of an idle connection meets no reset', { timeout: 10_000 }, async (t) => {
+  const listener = await startListener(t, (_req, res) => {
+    res.end('the lots');
+  });
+  const socket = await open(t, listener);
+  socket.write(createRequest('/first'));
+  await once(socket, 'data');
+  const stopped = listener.stop();
+  await once(socket, 'end');
+  // The system of a caller hears of a reset at the first bytes, the caller itself at the next.
+  await send(socket, createRequest('/second'));
+  await send(socket, createRequest('/third'));
+  socket.end();
+  await stopped;
+});
+
+// Guards against an end of the connection that is announced behind an unfinished response.
+test('a request behind pipelined ones is answered while the listener drains', { timeout: 10_000 }, async (t) => {
+  const events = new EventEmitter();
+  const responses = new Map<string, ServerResponse>();
+  const listener = await startListener(t, (req, res) => {
+    responses.set(req.url ?? '', res);
+    if (req.url !== '/first') res.end(`answer to ${req.url}`);
+  });
+  listener.server.on('request', ({ url }: IncomingMessage) => events.emit(url ?? ''));
+  listener.startDraining();
+  const socket = await open(t, listener);
+  const reading = readAll(socket);
+  const second = once(events, '/second');
+  socket.write(createRequest('/first') + createRequest('/second'));
+  await second;
+  const third = once(events, '/third');
+  socket.write(createRequest('/third'));
+  await third;
+  responses.get('/first')?.end('answer to /first');
+  const stopped = listener.stop();
+  const { text } = await reading;
+  assert.deepEqual(text.match(/answer to \/(?:first|second|third)/g), ['/first', '/second', '/third'].map((path) => `answer to ${path}`));
+  socket.end();
+  await stopped;
+});
