Answer what is in progress at the end of a stop

Callers whose requests came in the first 2.5 s of a planned stop and were still in progress or waiting for a free slot at its end saw their connection close with the process. They could not tell whether the request had run.

The wait for open requests was raced against the end of the grace period, and the process ended without regard to what was left. Requests without a response now get a failure 0.35 s before the end of the grace period (within its last sixth from a grace period of 2.1 s on): 503 with a short Retry-After if nothing can have run, 502 otherwise, and the process leaves them 0.15 s. Requests that another entry relays get the same failure over the session. A request that may outlast that moment is refused from then on, as before.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -36,6 +36,11 @@
 const IDLE_TIMEOUT_MARGIN_MS = 1000;
 /** Milliseconds before the end of the grace period at which the process ends. */
 const GRACE_MARGIN_MS = 200;
+/**
+ * Milliseconds before the end of the process at which requests without a response get a failure,
+ * so that their callers can receive it.
+ */
+const END_MARGIN_MS = 150;
 /**
  * Share of the grace period in which new requests are still accepted. The platform's balancer polls
  * readiness once a second and removes the entry after two failures; requests that arrive later on
@@ -198,7 +203,7 @@
     },
     stop: async () => {
       const graceMs = bounds.graceSeconds * MS_PER_SECOND;
-      const endsAtMs = clock() + graceMs - GRACE_MARGIN_MS;
+      const endsAtMs = clock() + graceMs - GRACE_MARGIN_MS - END_MARGIN_MS;
       handler.startStopping({
         acceptsAllUntilMs: clock() + Math.min(ACCEPTS_ALL_MS, graceMs * ACCEPTS_ALL_SHARE),
         endsAtMs,
@@ -209,10 +214,10 @@
       caller.startDraining();
       log.info({ waiting: placement.waiting }, 'not ready any more');
       await sleep(graceMs * ACCEPTING_SHARE);
-      await Promise.race([
-        Promise.all([caller.stop(), relayServer.awaitIdle()]),
-        sleep(Math.max(0, endsAtMs - clock())),
-      ]);
+      const stopped = Promise.all([caller.stop(), relayServer.awaitIdle()]);
+      await Promise.race([stopped, sleep(Math.max(0, endsAtMs - clock()))]);
+      handler.endExchanges();
+      await Promise.race([stopped, sleep(Math.max(0, endsAtMs + END_MARGIN_MS - clock()))]);
       relay.close();
     },
   });
--- a/packages/core/src/shutdown/StopWindow.ts
+++ b/packages/core/src/shutdown/StopWindow.ts
@@ -2,7 +2,7 @@
 interface StopWindow {
   /** Until then, every request is accepted: the balancer may not have noticed the stop yet. */
   readonly acceptsAllUntilMs: number;
-  /** When the process ends, and with it all requests that have no response. */
+  /** When all requests that have no response get a failure, as the process ends. */
   readonly endsAtMs: number;
 }
 
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -106,6 +106,15 @@
     this.findTarget();
   }
 
+  /**
+   * Responds at the end of a planned stop, before the connection ends with the process.
+   *
+   * @param retryAfterMs - delay before the caller may retry if nothing has run, in milliseconds
+   */
+  endWithProcess(retryAfterMs: number): void {
+    this.giveUp({ kind: 'shuttingDown', detail: 'the process ends' }, retryAfterMs);
+  }
+
   /** Finds a target for the next attempt, or another entry if no target can be reached. */
   private findTarget(): void {
     if (this.handover.isAllowed && this.handover.isNeeded) {
@@ -351,17 +360,26 @@
 
   private expire(): void {
     if (this.isEnded) return;
-    const isSent = (this.attempt !== undefined && !this.attempt.isOver)
-      || this.handover.isSent;
+    const { attempt, isSent } = this;
     const kind = isSent || this.mayHaveRun ? 'deadlineExceeded' : 'deadlineBeforeDispatch';
-    this.mayHaveRun ||= isSent;
-    const attempt = isSent ? this.attempt : undefined;
-    this.fail({ kind, detail: '' }, RETRY_AFTER_MS);
     if (attempt !== undefined && !attempt.isOver) {
       recordOutcome(attempt.target, true, this.dependencies.clock());
     }
-    this.dispatch?.abort({ kind: 'deadlineExceeded', detail: '' });
-    this.handover.end({ kind: 'deadlineExceeded', detail: '' });
+    this.giveUp({ kind, detail: '' }, RETRY_AFTER_MS);
+  }
+
+  /** Whether a target or another entry has the request now. */
+  private get isSent(): boolean {
+    return (this.attempt !== undefined && !this.attempt.isOver) || this.handover.isSent;
+  }
+
+  /** Responds with a failure and ends what is under way. */
+  private giveUp(failure: Failure, retryAfterMs: number): void {
+    if (this.isEnded) return;
+    this.mayHaveRun ||= this.isSent;
+    this.fail(failure, retryAfterMs);
+    this.dispatch?.abort(failure);
+    this.handover.end(failure);
   }
 
   private handleCallerClose(): void {
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -58,6 +58,9 @@
 
   private stop: StopWindow | undefined;
 
+  /** Exchanges whose callers wait for a response. */
+  private readonly exchanges = new Set<GatewayExchange>();
+
   /**
    * @param dependencies - the components of the entry that exchanges use
    * @param declaration - returns the declaration in force, undefined as long as none is known
@@ -92,7 +95,10 @@
   private serve(req: InboundRequest, reply: CallerReply, relayed?: RelayOrigin): void {
     const request = this.accept(req, relayed);
     if (request.ok) {
-      new GatewayExchange(this.dependencies, request.val, reply).start();
+      const exchange = new GatewayExchange(this.dependencies, request.val, reply);
+      this.exchanges.add(exchange);
+      reply.onClose(() => this.exchanges.delete(exchange));
+      exchange.start();
       return;
     }
     const { requestId } = this.dependencies.dialect.readRequest(req);
@@ -115,6 +121,12 @@
     this.stop = stop;
   }
 
+  /** Responds to all requests that have no response yet, as the process is about to end. */
+  endExchanges(): void {
+    this.exchanges.forEach((exchange) => (
+      exchange.endWithProcess(STOPPING_RETRY_AFTER_MS * (1 + Math.random()))));
+  }
+
   /** Chooses the service of a request; the entry that relays it has chosen one of the route. */
   private chooseService(routeName: string, route: DeclaredRoute, relayed?: RelayOrigin): string {
     const chosen = route.backends.find(({ service }) => service === relayed?.head.service);
