Sessions: keep those of the present process when a former one connects again

Found by a model of sessions, not seen by callers: a VM that starts anew while its former process drains can't be sent to, or what is sent to it goes to the process that drains.

VmHub dropped the sessions with all other processes of a VM whenever one opened a session, so the last to connect was taken for the newest. Once it had closed, the VM was listed as not connected though a session with it was open, and nobody connected again. EntrySessions and PeerSessions used the newest session of any process.

--- a/packages/vm/src/entry/EntrySessions.ts
+++ b/packages/vm/src/entry/EntrySessions.ts
@@ -1,16 +1,14 @@
 import type VmMessage from '../messages/VmMessage';
+import PeerTable from '../session/PeerTable';
 import type SessionHandler from '../session/SessionHandler';
 import type VmIdentity from '../session/VmIdentity';
 import type VmSession from '../session/VmSession';
 import type EntryBroadcast from './EntryBroadcast';
 import type EntrySessionListener from './EntrySessionListener';
 
-/**
- * The open sessions with other entries, by entry name. VMs with both roles may have two sessions
- * with each other; messages are sent over the newest.
- */
+/** The open sessions with other entries. */
 export default class EntrySessions implements SessionHandler, EntryBroadcast {
-  private readonly sessions = new Map<string, VmSession[]>();
+  private readonly sessions = new PeerTable();
 
   private readonly listeners: EntrySessionListener[] = [];
 
@@ -26,14 +24,14 @@
   }
 
   /**
-   * Sends a message to one entry over its newest session.
+   * Sends a message to one entry.
    *
    * @param name - name of the entry
    * @param message - the message to send
    * @returns false if there is no session with the entry
    */
   send(name: string, message: VmMessage): boolean {
-    const session = this.sessions.get(name)?.at(-1);
+    const session = this.sessions.find(name);
     session?.send(message);
     return session !== undefined;
   }
@@ -44,12 +42,11 @@
    * @param message - the message to send
    */
   broadcast(message: VmMessage): void {
-    this.sessions.forEach((_sessions, name) => this.send(name, message));
+    this.sessions.newest.forEach((session) => session.send(message));
   }
 
   broadcastInRegion(message: VmMessage): number {
-    const regional = [...this.sessions.values()]
-      .flatMap((sessions) => sessions.at(-1) ?? [])
+    const regional = this.sessions.newest
       .filter((session) => session.peer?.region === this.self.region);
     regional.forEach((session) => session.send(message));
     return regional.length;
@@ -57,28 +54,26 @@
 
   onOpen(session: VmSession, peer: VmIdentity): void {
     if (!peer.roles.includes('entry') || peer.name === this.self.name) return;
-    this.sessions.set(peer.name, [...this.sessions.get(peer.name) ?? [], session]);
+    this.sessions.add(session, peer);
     this.listeners.forEach((listener) => listener.onEntryOpen(peer));
   }
 
   onMessage(session: VmSession, message: VmMessage): void {
     const { peer } = session;
-    if (peer === undefined || !this.sessions.has(peer.name)) return;
+    if (peer === undefined || this.sessions.find(peer.name) === undefined) return;
     this.listeners.forEach((listener) => listener.onEntryMessage(peer, message));
   }
 
   onClose(session: VmSession): void {
     const { peer } = session;
-    const known = this.sessions.get(peer?.name ?? '');
-    if (peer === undefined || !known?.includes(session)) return;
-    const remaining = known.filter((other) => other !== session);
-    if (remaining.length === 0) {
-      this.sessions.delete(peer.name);
+    const carrier = this.sessions.find(peer?.name ?? '');
+    if (peer === undefined || carrier === undefined) return;
+    if (this.sessions.remove(session)) {
       this.listeners.forEach((listener) => listener.onEntryClose(peer));
       return;
     }
-    this.sessions.set(peer.name, remaining);
-    if (known.at(-1) !== session) return;
+    if (carrier !== session) return;
+    // What was sent over it last may not have arrived.
     this.listeners.forEach((listener) => listener.onEntryOpen(peer));
   }
 }
--- a/packages/vm/src/session/VmHub.ts
+++ b/packages/vm/src/session/VmHub.ts
@@ -185,8 +185,6 @@
 
   private readonly dispatcher: SessionHandler = {
     onOpen: (session, peer) => {
-      // A former start may still drain, so its sessions stay open until they end by themselves.
-      this.peers.forgetFormer(peer);
       if (this.peers.add(session, peer)) this.peerLog?.writeGain(peer);
       this.handlers.forEach((handler) => handler.onOpen(session, peer));
     },
--- a/packages/vm/test/overlappingStarts.test.ts
+++ b/packages/vm/test/overlappingStarts.test.ts
@@ -4,6 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { test } from 'node:test';
 
+import EntrySessions from '../src/entry/EntrySessions';
 import VmHub from '../src/session/VmHub';
 import createPeer from './support/createPeer';
 import retryUntil from './support/retryUntil';
@@ -37,3 +38,56 @@
   // Each process may lose its session once.
   assert.ok(opened.length <= 4, `${opened.length} sessions opened: ${opened.join(' ')}`);
 });
+
+// Guards against a VM that cannot be sent to, or whose messages its former process gets.
+test('a former process that connects again gets none of the messages for the present one', async (t) => {
+  const self = createPeer('a', ['control', 'entry']);
+  const hub = new VmHub(KEY, self);
+  const entries = new EntrySessions(self);
+  let sessions = 0;
+  hub.addHandler(entries);
+  hub.addHandler({
+    onOpen() {
+      sessions += 1;
+    },
+    onMessage() {},
+    onClose() {
+      sessions -= 1;
+    },
+  });
+  hub.netServer.listen(0, '127.0.0.1');
+  t.after(() => hub.close());
+  await once(hub.netServer, 'listening');
+  const address = `127.0.0.1:${(hub.netServer.address() as AddressInfo).port}`;
+  const received: string[] = [];
+  const [former, present] = ['former.3', 'present.3'].map((startId) => {
+    const peer = new VmHub(KEY, createPeer('b', ['entry', 'control'], startId));
+    peer.addHandler({
+      onOpen() {},
+      onMessage: (_session, { kind }) => received.push(`${kind} at ${startId}`),
+      onClose() {},
+    });
+    t.after(() => peer.close());
+    return peer;
+  });
+  const awaitSessions = async (count: number): Promise<void> => retryUntil(() => {
+    assert.equal(sessions, count);
+  });
+  former?.connect(address);
+  await awaitSessions(1);
+  present?.connect(address);
+  await awaitSessions(2);
+  former?.disconnect(address);
+  await awaitSessions(1);
+  former?.connect(address);
+  await awaitSessions(2);
+  assert.equal(hub.send('b', { kind: 'leaseRelease' }), true);
+  assert.equal(entries.send('b', { kind: 'leaseRelease' }), true);
+  former?.disconnect(address);
+  await awaitSessions(1);
+  assert.equal(hub.send('b', { kind: 'leaseRelease' }), true);
+  assert.equal(entries.send('b', { kind: 'leaseRelease' }), true);
+  await retryUntil(() => {
+    assert.deepEqual(received, Array.from({ length: 4 }, () => 'leaseRelease at present.3'));
+  });
+});
