Note how far the log was synced

Operators saw: a control VM that loses its power in an append may end at each start with `record at byte N has a wrong checksum`. If this hits more VMs than may be lost, what was acknowledged is gone with them.

Cause: a start guessed from what was left of the log whether damage is a write that was not completed or corruption of synced records. A write of which the disk keeps later sectors and not earlier ones was taken for corruption.

The file `consensus.synced` now notes how far the log was synced: at each start, before a new log comes into use, and a second after the last write. Damage from there on can only be in a write that no sync has covered, and damage before it is corruption, also where it reads as zeros, which was taken for a torn write before. The log itself is unchanged, and older builds ignore the new file; a log without a mark is read by the former rule.

--- a/packages/core/src/consensus/ConsensusStore.ts
+++ b/packages/core/src/consensus/ConsensusStore.ts
@@ -14,6 +14,13 @@
    * @returns a promise that resolves once the new log is synced
    */
   replace: (records: readonly ConsensusRecord[]) => Promise<void>;
+  /**
+   * Notes that all records are synced, so that a start can tell damage of them from a write that
+   * was not completed.
+   *
+   * @returns a promise that resolves once the note is synced
+   */
+  markSynced?: () => Promise<void>;
 }
 
 export default ConsensusStore;
--- a/packages/disk/src/ReplicaLog.ts
+++ b/packages/disk/src/ReplicaLog.ts
@@ -1,4 +1,5 @@
 import { open, rename, type FileHandle } from 'node:fs/promises';
+import { crc32 } from 'node:zlib';
 
 import type ConsensusRecord from '@guavayard/core/consensus/ConsensusRecord';
 import type ConsensusStore from '@guavayard/core/consensus/ConsensusStore';
@@ -6,21 +7,47 @@
 
 import type DataFolder from './DataFolder';
 import encodeRecord from './encodeRecord';
+import type LogStart from './LogStart';
+import SyncMarkFile from './SyncMarkFile';
 import writeAtOnce from './writeAtOnce';
 
 const FILE = 'consensus.log';
 const NEW_FILE = 'consensus.log.new';
 
+/** A log as it was found. */
+interface FoundLog {
+  /** The complete records. */
+  readonly bytes: Buffer;
+  /** Start of the log according to its mark; undefined if it has none. */
+  readonly start: LogStart | undefined;
+  /** Sequence of the newest mark, 0 if there is none. */
+  readonly sequence: number;
+}
+
+function describeStart(bytes: Buffer): LogStart {
+  return { initialBytes: bytes.length, initialChecksum: crc32(bytes) };
+}
+
 /** File that stores the identity, term, vote and log of a replica. Owns the file handle. */
 export default class ReplicaLog implements ConsensusStore {
   static readonly fileName = FILE;
 
   static readonly newFileName = NEW_FILE;
 
+  /** Length of the log, all of which is synced, in bytes. */
+  private bytes = 0;
+
+  /** Start of the log, which tells it from other logs. */
+  private start: LogStart = { initialBytes: 0, initialChecksum: 0 };
+
+  /** Length up to which the log is marked as synced, in bytes. */
+  private markedBytes = 0;
+
   private constructor(
     private readonly folder: DataFolder,
     readonly replica: ReplicaId,
     private handle: FileHandle | undefined,
+    private marks: SyncMarkFile | undefined,
   ) {}
 
   /**
@@ -36,8 +63,9 @@
     replica: ReplicaId,
     records: readonly ConsensusRecord[],
   ): Promise<ReplicaLog> {
-    const log = new ReplicaLog(folder, replica, undefined);
+    const log = new ReplicaLog(folder, replica, undefined, undefined);
     await log.replace(records);
+    await log.startMarks(0);
     return log;
   }
 
@@ -46,43 +74,77 @@
    *
    * @param folder - the data folder
    * @param replica - identity of the replica
-   * @param validBytes - total length of the complete records, in bytes
+   * @param found - what was read of the file
    * @returns the log, once it is synced
    */
   static async openExisting(
     folder: DataFolder,
     replica: ReplicaId,
-    validBytes: number,
+    { bytes, start, sequence }: FoundLog,
   ): Promise<ReplicaLog> {
     const handle = await open(folder.pathOf(FILE), 'a');
-    await handle.truncate(validBytes);
+    await handle.truncate(bytes.length);
     await handle.sync();
     // The former process may have ended between a rename and the sync of the folder.
     await folder.sync();
-    return new ReplicaLog(folder, replica, handle);
+    const log = new ReplicaLog(folder, replica, handle, undefined);
+    log.restart(bytes.length, start ?? describeStart(bytes));
+    await log.startMarks(sequence);
+    return log;
   }
 
   async append(records: readonly ConsensusRecord[]): Promise<void> {
     if (this.handle === undefined) return;
-    await writeAtOnce(this.handle, Buffer.concat(records.map(encodeRecord)));
+    const bytes = Buffer.concat(records.map(encodeRecord));
+    await writeAtOnce(this.handle, bytes);
     await this.handle.datasync();
+    this.bytes += bytes.length;
   }
 
   async replace(records: readonly ConsensusRecord[]): Promise<void> {
     const identity = { kind: 'identity', replica: this.replica };
+    const bytes = Buffer.concat([identity, ...records].map(encodeRecord));
     const next = await open(this.folder.pathOf(NEW_FILE), 'w');
-    await next.appendFile(Buffer.concat([identity, ...records].map(encodeRecord)));
+    await next.appendFile(bytes);
     await next.sync();
+    // Marked before it is in use, as its first append may be torn.
+    const start = describeStart(bytes);
+    await this.marks?.writeNext(start, bytes.length);
     await rename(this.folder.pathOf(NEW_FILE), this.folder.pathOf(FILE));
     await this.folder.sync();
+    this.marks?.advance();
     await this.handle?.close();
     // The handle stays valid after the rename, and its position is at the end of the file.
     this.handle = next;
+    this.restart(bytes.length, start);
   }
 
-  /** Closes the file. Later appends are ignored. */
+  async markSynced(): Promise<void> {
+    if (this.markedBytes === this.bytes) return;
+    await this.marks?.writeNext(this.start, this.bytes);
+    this.marks?.advance();
+    this.markedBytes = this.bytes;
+  }
+
+  /** Closes the files. Later appends are ignored. */
   async close(): Promise<void> {
     await this.handle?.close();
+    await this.marks?.close();
     this.handle = undefined;
+    this.marks = undefined;
+  }
+
+  /** Creates the file of marks once the log is durable: without a log, the folder is invalid. */
+  private async startMarks(sequence: number): Promise<void> {
+    this.marks = await SyncMarkFile.open(this.folder, sequence);
+    this.markedBytes = 0;
+    await this.markSynced();
+    await this.folder.sync();
+  }
+
+  private restart(bytes: number, start: LogStart): void {
+    this.bytes = bytes;
+    this.start = start;
+    this.markedBytes = bytes;
   }
 }
--- a/packages/disk/src/isTornWrite.ts
+++ b/packages/disk/src/isTornWrite.ts
@@ -1,7 +1,8 @@
 import recordLayout from './recordLayout';
 
 /**
- * Distinguishes a write that a crash interrupted from corruption of synced data.
+ * Distinguishes a write that a crash interrupted from corruption of synced data, for a log of which
+ * no mark says how far it was synced.
  *
  * The file system may extend a file before it writes the blocks, which then read as zeros. So after
  * a torn write, everything from the last sector of the record to the end of the file is zero.
--- a/packages/disk/src/openReplica.ts
+++ b/packages/disk/src/openReplica.ts
@@ -11,9 +11,13 @@
 import createInitialVoter from './createInitialVoter';
 import createReplica from './createReplica';
 import type DataFolder from './DataFolder';
+import findSyncMark from './findSyncMark';
 import type OpenedReplica from './OpenedReplica';
+import readSyncMarks from './readSyncMarks';
 import ReplicaLog from './ReplicaLog';
 import scanRecords from './scanRecords';
+import type SyncMark from './SyncMark';
+import SyncMarkFile from './SyncMarkFile';
 
 /** Advice for a file with damaged bytes. */
 const REPAIR_ADVICE = 'if the file cannot be repaired, empty the folder: the VM then joins as a new replica';
@@ -29,12 +33,19 @@
   return `record ${index} was written by a build that this one does not understand; ${BUILD_ADVICE}: ${error}`;
 }
 
+async function readMarks(folder: DataFolder): Promise<SyncMark[]> {
+  if (!(await folder.list()).includes(SyncMarkFile.fileName)) return [];
+  return readSyncMarks(await readFile(folder.pathOf(SyncMarkFile.fileName)));
+}
+
 async function readReplica(
   folder: DataFolder,
   vmName: string,
 ): Promise<Result<OpenedReplica, string>> {
   const bytes = await readFile(folder.pathOf(ReplicaLog.fileName));
-  const scan = scanRecords(bytes);
+  const marks = await readMarks(folder);
+  const mark = findSyncMark(bytes, marks);
+  const scan = scanRecords(bytes, mark?.syncedBytes);
   if (scan.err) return Err(`${scan.val}; ${REPAIR_ADVICE}`);
   const [first, ...records] = scan.val.values;
   const identity = IdentityRecord.safeParse(first);
@@ -43,7 +54,10 @@
   if (vmNameOf(replica) !== vmName) return Err(`belongs to VM ${vmNameOf(replica)}, not to ${vmName}; ${REPAIR_ADVICE}`);
   const durable = replayRecords(records);
   if (durable.err) return Err(explainReplayError(durable.val, records));
-  const log = await ReplicaLog.openExisting(folder, replica, scan.val.validBytes);
+  const whole = bytes.subarray(0, scan.val.validBytes);
+  const log = await ReplicaLog.openExisting(folder, replica, {
+    bytes: whole, start: mark, sequence: marks[0]?.sequence ?? 0,
+  });
   return Ok({ replica, durable: durable.val, log });
 }
 
--- a/packages/disk/src/scanRecords.ts
+++ b/packages/disk/src/scanRecords.ts
@@ -22,9 +22,14 @@
  * one, because it may contain an accepted patch.
  *
  * @param bytes - content of the file
+ * @param syncedBytes - length of what is known to be synced, in bytes: damage from there on is a
+ *   torn write, damage before it is corruption; undefined if it is not known
  * @returns the records, or a message with the offset of the corrupt record
  */
-export default function scanRecords(bytes: Buffer): Result<RecordScan, string> {
+export default function scanRecords(
+  bytes: Buffer,
+  syncedBytes?: number,
+): Result<RecordScan, string> {
   const values: unknown[] = [];
   let offset = 0;
   while (offset + headerBytes <= bytes.length) {
@@ -35,11 +40,12 @@
     const body = bytes.subarray(offset + headerBytes, end);
     if (!isHeaderValid || crc32(body) !== header.readUInt32BE(bodyChecksumOffset)) {
       const declaredEnd = isHeaderValid ? end : offset + headerBytes;
-      if (isTornWrite(bytes, offset, declaredEnd)) break;
+      if (syncedBytes !== undefined || isTornWrite(bytes, offset, declaredEnd)) break;
       return Err(`record at byte ${offset} has a wrong checksum`);
     }
     values.push(decode(body));
     offset = end;
   }
+  if (offset < (syncedBytes ?? 0)) return Err(`record at byte ${offset} has a wrong checksum`);
   return Ok({ values, validBytes: offset });
 }
--- a/packages/disk/test/powerLoss.test.ts
+++ b/packages/disk/test/powerLoss.test.ts
@@ -1,4 +1,9 @@
 import assert from 'node:assert/strict';
+import {
+  mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { after, test } from 'node:test';
 
 import createConsensusRecords from '@guavayard/core/consensus/createConsensusRecords';
@@ -51,6 +56,7 @@
   const first = durable.term + 1;
   await append(first);
   await append(first + 1);
+  await log.markSynced();
   await log.replace(createConsensusRecords({ ...durable, term: first + 2 }));
   known.term = first + 2;
   await append(first + 3);
@@ -114,6 +120,51 @@
   assert.deepEqual(failures, []);
 });
 
+const SECTOR_BYTES = 512;
+/** Number of entries whose record has several sectors. */
+const TORN_ENTRIES = 60;
+
+// Guards against a VM that does not start: the disk kept later sectors of a write only.
+test('a log opens with what was synced, whatever sectors of an append are kept', async (t) => {
+  const path = mkdtempSync(join(tmpdir(), 'guavayard-'));
+  t.after(() => rmSync(path, { recursive: true }));
+  DiskModel.uninstall();
+  const folder = new DataFolder(path);
+  const file = folder.pathOf('consensus.log');
+  const { log } = (await openReplica(folder, 'a')).unwrap();
+  await log.append([vote(1)]);
+  const synced = readFileSync(file);
+  const entries = Array.from({ length: TORN_ENTRIES }, (_value, position) => (
+    { index: position + 1, term: 1, command: { kind: 'noop' as const } }));
+  await log.append([{ kind: 'append', entries }, vote(2)]);
+  await log.close();
+  const whole = readFileSync(file);
+  const others = readdirSync(path).map((name) => folder.pathOf(name))
+    .filter((name) => name !== file)
+    .map((name) => ({ name, bytes: readFileSync(name) }));
+  const failures: string[] = [];
+  const sectors = Math.ceil(whole.length / SECTOR_BYTES);
+  assert.equal(sectors > 3, true);
+  for (let kept = 0; kept < 2 ** sectors; kept += 1) {
+    const torn = Buffer.alloc(whole.length);
+    synced.copy(torn);
+    whole.forEach((byte, offset) => {
+      const sector = Math.floor(offset / SECTOR_BYTES);
+      // eslint-disable-next-line no-bitwise -- each bit keeps a sector
+      if ((kept >> sector) & 1) torn[offset] = byte;
+    });
+    writeFileSync(file, torn);
+    others.forEach(({ name, bytes }) => writeFileSync(name, bytes));
+    // eslint-disable-next-line no-await-in-loop -- one content of the folder at a time
+    const opened = await openReplica(folder, 'a');
+    if (opened.err) failures.push(`sectors ${kept.toString(2)}: ${opened.val}`);
+    else if (opened.val.durable.term < 1) failures.push(`sectors ${kept.toString(2)}: lost`);
+    // eslint-disable-next-line no-await-in-loop
+    if (opened.ok) await opened.val.log.close();
+  }
+  assert.deepEqual(failures, []);
+});
+
 test('a loss of power at any operation keeps what was acknowledged', async () => {
   assert.deepEqual(await findLosses(Array.from({ length: MAX_OPERATIONS })), []);
 });
--- a/packages/disk/test/records.test.ts
+++ b/packages/disk/test/records.test.ts
@@ -44,3 +44,27 @@
     assert.equal(scan.validBytes, first);
   });
 });
+
+const MARKED = RECORDS.length;
+
+// Guards against damage of synced records that looks like a write that was not completed.
+[
+  { name: 'reads as zeros', damage: (bytes: Buffer) => bytes.fill(0, MARKED - 1) },
+  { name: 'is missing at the end', damage: (bytes: Buffer) => bytes.subarray(0, MARKED - 1) },
+  { name: 'has a wrong byte', damage: (bytes: Buffer) => bytes.fill(0xff, MARKED - 1) },
+].forEach(({ name, damage }) => {
+  test(`a record that is known to be synced and ${name} is an error`, () => {
+    assert.match(scanRecords(damage(Buffer.from(RECORDS)), MARKED).val as string, /wrong checksum/);
+  });
+});
+
+test('damage after what is known to be synced is a torn write, wherever it is', () => {
+  const torn = Buffer.concat([RECORDS, encodeRecord({ id: 'c' }), encodeRecord({ id: 'd' })]);
+  for (let offset = MARKED; offset < torn.length; offset += 1) {
+    const damaged = Buffer.from(torn);
+    damaged[offset] = 0xff - (torn[offset] ?? 0);
+    const { values } = scanRecords(damaged, MARKED).unwrap();
+    assert.deepEqual(values.slice(0, 2), [{ id: 'a' }, { id: 'b' }]);
+    assert.equal(values.length < 4, true);
+  }
+});
--- a/packages/disk/test/support/DiskModel.ts
+++ b/packages/disk/test/support/DiskModel.ts
@@ -4,8 +4,13 @@
 
 type Random = () => number;
 
+interface Write {
+  readonly offset: number;
+  readonly bytes: Buffer;
+}
+
 /** Change of a file since its last sync: bytes at an offset, or a new length. */
-type FileChange = { readonly offset: number; readonly bytes: Buffer } | { readonly length: number };
+type FileChange = Write | { readonly length: number };
 
 interface File {
   /** What processes read. */
@@ -24,13 +29,15 @@
 
 /** Longest write that the runtime passes to the system at once, in bytes. */
 const MAX_WRITE_BYTES = 512 * 1024;
+const SECTOR_BYTES = 512;
 
 const original = { ...fs };
 
 function applyChange(bytes: Buffer, change: FileChange): Buffer {
   if ('length' in change) return Buffer.concat([bytes, Buffer.alloc(change.length)], change.length);
   const end = Math.max(bytes.length, change.offset + change.bytes.length);
-  const result = Buffer.concat([bytes, Buffer.alloc(end)], end);
+  const result = Buffer.alloc(end);
+  bytes.copy(result);
   change.bytes.copy(result, change.offset);
   return result;
 }
@@ -66,7 +73,7 @@
   /** Makes the file functions of this process use the model. */
   install(): void {
     Object.assign(fs, {
-      open: async (path: string, flags: string) => this.open(basename(path), flags),
+      open: async (path: string, flags: string | number) => this.open(basename(path), flags),
       readFile: async (path: string) => Buffer.from(this.find(path).bytes),
       readdir: async () => [...this.names.keys()],
       rename: async (from: string, to: string) => this.rename(basename(from), basename(to)),
@@ -109,8 +116,25 @@
     const choice = this.random();
     if (choice < 1 / 3) return bytes;
     if (choice < 2 / 3 || 'length' in change) return applyChange(bytes, change);
-    const kept = change.bytes.subarray(0, Math.floor(this.random() * change.bytes.length));
-    return applyChange(bytes, { offset: change.offset, bytes: kept });
+    return this.random() < 0.5 ? this.tearAtEnd(bytes, change) : this.tearSectors(bytes, change);
+  }
+
+  private tearAtEnd(bytes: Buffer, { offset, bytes: written }: Write): Buffer {
+    const kept = written.subarray(0, Math.floor(this.random() * written.length));
+    return applyChange(bytes, { offset, bytes: kept });
+  }
+
+  /** Keeps any sectors of a write; the others hold what they held before, or zeros. */
+  private tearSectors(bytes: Buffer, { offset, bytes: written }: Write): Buffer {
+    const end = offset + written.length;
+    let torn = applyChange(bytes, { length: Math.max(bytes.length, end) });
+    for (let start = offset; start < end;) {
+      const next = Math.min(end, (Math.floor(start / SECTOR_BYTES) + 1) * SECTOR_BYTES);
+      const part = written.subarray(start - offset, next - offset);
+      if (this.random() < 0.5) torn = applyChange(torn, { offset: start, bytes: part });
+      start = next;
+    }
+    return torn;
   }
 
   private count(): void {
@@ -132,7 +156,7 @@
     this.nameChanges.push({ from, to, file });
   }
 
-  private open(name: string, flags: string): object {
+  private open(name: string, flags: string | number): object {
     if (flags === 'r') return { sync: async () => this.syncNames(), close: async () => undefined };
     this.count();
     const file = this.names.get(name)
@@ -148,10 +172,10 @@
           record(file, { offset: file.bytes.length, bytes: part });
         }
       },
-      write: async (bytes: Buffer, start: number, length: number) => {
+      write: async (bytes: Buffer, start: number, length: number, position: number | null) => {
         this.count();
         const part = Buffer.from(bytes.subarray(start, start + length));
-        record(file, { offset: file.bytes.length, bytes: part });
+        record(file, { offset: position ?? file.bytes.length, bytes: part });
         return { bytesWritten: length };
       },
       truncate: async (length: number) => {
--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -31,6 +31,8 @@
 const LEAVE_RETRY_INTERVAL_MS = 50;
 /** Version of the messages from which on leaders understand `leave`. */
 const LEAVE_PROTOCOL_VERSION = 2;
+/** Time without a write after which the log is marked as synced, in milliseconds. */
+const MARK_DELAY_MS = 1000;
 /** Number of entries committed since the last snapshot after which the log is compacted. */
 const COMPACTION_THRESHOLD_ENTRIES = 256;
 
@@ -61,6 +63,9 @@
 
   private writeStartedAtMs: number | undefined;
 
+  /** When the last write was synced, undefined if the log is marked as synced since. */
+  private unmarkedSinceMs: number | undefined;
+
   private nextJoinMs = 0;
 
   private timer: NodeJS.Timeout | undefined;
@@ -251,6 +256,8 @@
       this.recordApplied();
       this.compactIfDue();
       this.joinIfDue();
+      // eslint-disable-next-line no-await-in-loop -- the store does one thing at a time
+      await this.markSyncedIfDue();
     }
     this.isBusy = false;
   }
@@ -281,6 +288,17 @@
       await store.append(records);
     }
     this.writeStartedAtMs = undefined;
+    this.unmarkedSinceMs = clock();
+  }
+
+  private async markSyncedIfDue(): Promise<void> {
+    const { store, clock } = this.options;
+    if (this.unmarkedSinceMs === undefined) return;
+    if (clock() - this.unmarkedSinceMs < MARK_DELAY_MS) return;
+    this.writeStartedAtMs = clock();
+    await store.markSynced?.();
+    this.writeStartedAtMs = undefined;
+    this.unmarkedSinceMs = undefined;
   }
 
   private executeEffect(effect: ConsensusEffect): void {
--- a/packages/vm/test/replicaFailure.test.ts
+++ b/packages/vm/test/replicaFailure.test.ts
@@ -140,3 +140,45 @@
   assert.equal(written, 1);
   assert.notEqual(reason, undefined);
 });
+
+// Guards against damage of a synced record that is taken for a write that was not completed.
+test('a log is marked as synced once there is nothing to write, and once only', async (t) => {
+  const calls: string[] = [];
+  let nowMs = 0;
+  const task = new ConsensusTask({
+    replica: REPLICA,
+    durable: createDurableState([REPLICA]),
+    store: {
+      append: async () => {
+        calls.push('append');
+      },
+      replace: async () => undefined,
+      markSynced: async () => {
+        calls.push('mark');
+      },
+    },
+    hub: { send: () => false, sendToControl: () => undefined } as unknown as VmHub,
+    listener: {
+      onCommit: () => undefined,
+      onRestore: () => undefined,
+      onLeaderChange: () => undefined,
+      createSnapshot: createConfigurationSnapshot,
+    },
+    clock: () => {
+      nowMs += 100;
+      return nowMs;
+    },
+    random: () => 0.5,
+    onFailure: (err) => {
+      throw err;
+    },
+  });
+  t.after(() => task.close());
+  task.start();
+  await retryUntil(async () => assert.equal(calls.at(-1), 'mark'));
+  const settledAtMs = nowMs;
+  await retryUntil(async () => assert.equal(nowMs > settledAtMs + 10_000, true));
+  assert.equal(calls.filter((call) => call === 'mark').length, 1);
+  assert.equal(await task.propose({ kind: 'noop' }), true);
+  await retryUntil(async () => assert.equal(calls.filter((call) => call === 'mark').length, 2));
+});
