Answer pipelined requests that arrive together during a stop

Callers that send several requests at once got a response to the first one only, if that was a refusal: it was written, with `Connection: close`, before the requests behind it were parsed. While it drains, the listener now handles requests once the whole chunk is parsed, so that a response announces the end of the connection only if it is the last one.

Failed before: "pipelined requests that arrive together are all answered while the listener drains", one of three responses.

--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -85,13 +85,24 @@
       noDelay: true,
     }, (req, res) => {
       if (!this.track(req, res)) return;
-      try {
-        handler.handle(req, res);
-      } catch (err) {
-        // Whether the request has run is unknown, so no status would be true.
-        res.destroy();
-        onError(err as Error);
+      const handle = (): void => {
+        try {
+          handler.handle(req, res);
+        } catch (err) {
+          // Whether the request has run is unknown, so no status would be true.
+          res.destroy();
+          onError(err as Error);
+        }
+      };
+      if (!this.isDraining) {
+        handle();
+        return;
       }
+      // A response may announce the end of the connection only once all requests are known that
+      // arrived together.
+      queueMicrotask(() => {
+        if (!res.destroyed) handle();
+      });
     });
     this.server.maxConnections = limits.connections;
     this.server.on('connection', (socket: Socket) => {
--- a/packages/caller/test/gracefulClose.test.ts
+++ b/packages/caller/test/gracefulClose.test.ts
@@ -152,3 +152,22 @@
   socket.end();
   await stopped;
 });
+
+// Guards against a refusal that ends the connection before the requests behind it are parsed.
+test('pipelined requests that arrive together are all answered while the listener drains', { timeout: 10_000 }, async (t) => {
+  const listener = await startListener(t, ({ url }, res) => {
+    res.end(`answer to ${url}`);
+  });
+  listener.startDraining();
+  const socket = await open(t, listener);
+  const reading = readAll(socket);
+  const paths = ['/first', '/second', '/third'];
+  const arrived = once(listener.server, 'request');
+  socket.write(paths.map(createRequest).join(''));
+  await arrived;
+  const stopped = listener.stop();
+  const { text } = await reading;
+  assert.deepEqual(text.match(/answer to \/(?:first|second|third)/g), paths.map((path) => `answer to ${path}`));
+  socket.end();
+  await stopped;
+});
