Read what has arrived before a stop closes the last connections

A request of which a part had arrived before the stop, and the rest together with the last response of the entry, ended without a response: once no response was due, the listener closed all connections in the same turn of the event loop, without reading what was pending. The listener now reads once more, and goes on if it finds a request.

Failed before: "a request whose rest arrives with the last response of a stop is answered", no byte.

--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -131,10 +131,13 @@
     await this.acceptPending();
     this.isStopping = true;
     this.server.close();
-    if (this.active.size > 0) {
+    while (this.active.size > 0) {
+      // eslint-disable-next-line no-await-in-loop -- further requests may have arrived meanwhile
       await new Promise<void>((resolve) => {
         this.drainWaiters.push(resolve);
       });
+      // eslint-disable-next-line no-await-in-loop
+      await this.acceptPending();
     }
     // The remaining connections have not sent a complete request.
     await this.closeConnections();
--- a/packages/caller/test/gracefulClose.test.ts
+++ b/packages/caller/test/gracefulClose.test.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 
 import CallerListener from '../src/CallerListener';
 
@@ -171,3 +172,29 @@
   socket.end();
   await stopped;
 });
+
+test('a request whose rest arrives with the last response of a stop is answered', { timeout: 10_000 }, async (t) => {
+  const events = new EventEmitter();
+  const listener = await startListener(t, ({ url }, res) => {
+    if (url === '/slow') events.once('go', () => res.end('slow'));
+    else res.end('late');
+  });
+  const [slow, late] = await Promise.all([open(t, listener), open(t, listener)]);
+  const readings = [slow, late].map(readAll);
+  const arrived = once(listener.server, 'request');
+  slow.write(createRequest('/slow'));
+  await arrived;
+  const request = createRequest('/late');
+  await send(late, request.slice(0, 20));
+  const stopped = listener.stop();
+  // The listener closes a few turns of the event loop after the stop has begun.
+  // eslint-disable-next-line no-await-in-loop
+  while (listener.server.listening) await nextTurn();
+  late.write(request.slice(20));
+  events.emit('go');
+  const [slowText, lateText] = (await Promise.all(readings)).map(({ text }) => text);
+  assert.match(slowText ?? '', /slow$/);
+  assert.match(lateText ?? '', /late$/);
+  [slow, late].forEach((socket) => socket.end());
+  await stopped;
+});
