--- a/packages/caller/test/gracefulClose.test.ts
+++ b/packages/caller/test/gracefulClose.test.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { connect, type AddressInfo, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 
 import CallerListener from '../src/CallerListener';
 
@@ -152,3 +153,48 @@
   socket.end();
   await stopped;
 });
+
+// Guards against a refusal that ends the connection before the requests behind it are parsed.
+test('pipelined requests that arrive together are all answered while the listener drains', { timeout: 10_000 }, async (t) => {
+  const listener = await startListener(t, ({ url }, res) => {
+    res.end(`answer to ${url}`);
+  });
+  listener.startDraining();
+  const socket = await open(t, listener);
+  const reading = readAll(socket);
+  const paths = ['/first', '/second', '/third'];
+  const arrived = once(listener.server, 'request');
+  socket.write(paths.map(createRequest).join(''));
+  await arrived;
+  const stopped = listener.stop();
+  const { text } = await reading;
+  assert.deepEqual(text.match(/answer to \/(?:first|second|third)/g), paths.map((path) => `answer to ${path}`));
+  socket.end();
+  await stopped;
+});
+
+test('a request whose rest arrives with the last response of a stop is answered', { timeout: 10_000 }, async (t) => {
+  const events = new EventEmitter();
+  const listener = await startListener(t, ({ url }, res) => {
+    if (url === '/slow') events.once('go', () => res.end('slow'));
+    else res.end('late');
+  });
+  const [slow, late] = await Promise.all([open(t, listener), open(t, listener)]);
+  const readings = [slow, late].map(readAll);
+  const arrived = once(listener.server, 'request');
+  slow.write(createRequest('/slow'));
+  await arrived;
+  const request = createRequest('/late');
+  await send(late, request.slice(0, 20));
+  const stopped = listener.stop();
+  // The listener closes a few turns of the event loop after the stop has begun.
+  // eslint-disable-next-line no-await-in-loop
+  while (listener.server.listening) await nextTurn();
+  late.write(request.slice(20));
+  events.emit('go');
+  const [slowText, lateText] = (await Promise.all(readings)).map(({ text }) => text);
+  assert.match(slowText ?? '', /slow$/);
+  assert.match(lateText ?? '', /late$/);
+  [slow, late].forEach((socket) => socket.end());
+  await stopped;
+});
