Control: a learner that hears no leader asks to join again

The cause is that members of an uncommitted entry are taken for settled. A learner without a leader for 1.3 s, the longest election timeout, now asks to join again; a voter in the same place requests votes, which has it taken in.

Evidence: "a VM without its disk joins again if the entry that has taken it in is lost" failed before: "the voters are 10.0.0.2#00,10.0.0.3#00,10.0.0.4#00, 10.0.0.5#1,10.0.0.6#1, not 10.0.0.2#a1", also after 60 s of calm. The models of consensus.test.ts and losses.test.ts join by the same function.

The model of the group runs RegistryTask, VmHub and VmSession on simulated connections, disks and clocks: kills and power losses of the whole group, lost disks, freezes, cuts, silent and reset connections, planned replacements; after 4 s of calm each VM must be a voter, hold what was acknowledged and have a change made.

--- a/packages/core/test/support/GroupModel.ts
+++ b/packages/core/test/support/GroupModel.ts
@@ -7,7 +7,7 @@
 import createConsensusState from '../../src/consensus/createConsensusState';
 import createDurableState from '../../src/consensus/createDurableState';
 import createConsensusRecords from '../../src/consensus/createConsensusRecords';
-import isMember from '../../src/consensus/isMember';
+import isJoinDue from '../../src/consensus/isJoinDue';
 import type LogEntry from '../../src/consensus/LogEntry';
 import replayRecords from '../../src/consensus/replayRecords';
 import type ReplicaId from '../../src/consensus/ReplicaId';
@@ -78,7 +78,7 @@
   tick(vmIndex: number, passedMs: number): void {
     this.nowMs += passedMs;
     const { state } = this.getReplica(vmIndex);
-    if (!isMember(state.members, state.self)) this.sendJoinRequests(state.self);
+    if (isJoinDue(state)) this.sendJoinRequests(state.self);
     this.stepReplica(vmIndex, { kind: 'tick', nowMs: this.nowMs });
   }
 
--- a/packages/core/test/support/LossModel.ts
+++ b/packages/core/test/support/LossModel.ts
@@ -3,8 +3,8 @@
 import type ConsensusEffect from '../../src/consensus/ConsensusEffect';
 import type ConsensusMessage from '../../src/consensus/ConsensusMessage';
 import findLastIndex from '../../src/consensus/findLastIndex';
+import isJoinDue from '../../src/consensus/isJoinDue';
 import isLeaveSettled from '../../src/consensus/isLeaveSettled';
-import isMember from '../../src/consensus/isMember';
 import type LogEntry from '../../src/consensus/LogEntry';
 import type ReplicaId from '../../src/consensus/ReplicaId';
 import vmNameOf from '../../src/consensus/vmNameOf';
@@ -166,7 +166,7 @@
     const { state } = vm;
     vm.events.push({ kind: 'tick', nowMs: this.nowMs });
     if (vm.isLeaving) this.requestLeave(vm);
-    if (vm.isLeaving || isMember(state.members, state.self) || this.nowMs < vm.nextJoinMs) return;
+    if (vm.isLeaving || !isJoinDue(state) || this.nowMs < vm.nextJoinMs) return;
     Object.assign(vm, { nextJoinMs: this.nowMs + JOIN_INTERVAL_MS });
     this.vms.filter(({ name }) => name !== vm.name).forEach(({ name }) => this.send(vm, name, 'join'));
   }
--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -11,8 +11,8 @@
 import findLastIndex from '@guavayard/core/consensus/findLastIndex';
 import findSilentMembers from '@guavayard/core/consensus/findSilentMembers';
 import findSilentVms from '@guavayard/core/consensus/findSilentVms';
+import isJoinDue from '@guavayard/core/consensus/isJoinDue';
 import isLeaveSettled from '@guavayard/core/consensus/isLeaveSettled';
-import isMember from '@guavayard/core/consensus/isMember';
 import isVoter from '@guavayard/core/consensus/isVoter';
 import type ReplicaId from '@guavayard/core/consensus/ReplicaId';
 import step from '@guavayard/core/consensus/step';
@@ -316,7 +316,7 @@
 
   private joinIfDue(): void {
     const { hub, clock, replica } = this.options;
-    if (this.isLeaving || isMember(this.state.members, replica)) return;
+    if (this.isLeaving || !isJoinDue(this.state)) return;
     if (clock() < this.nextJoinMs) return;
     this.nextJoinMs = clock() + JOIN_RETRY_INTERVAL_MS;
     hub.sendToControl({ kind: 'join', replica });
