Wait for a disk that refuses writes

Operators saw: a control process whose disk refuses one write ended 3 s later with exit code 1, and each start ended as long as the disk went on refusing. Processes that end by themselves in a series are a fault of their own, and their votes are missing meanwhile.

Cause: a refusal of the disk was handled like a fault of the program, after which only the log tells the state. But all effects wait for the sync of what they rest on, so the memory of a replica holds exactly what its next log should. What is not known after a failed write is only the file.

A replica now writes its whole state to a new file until that is synced, and sends, acknowledges and applies nothing before; the file that refused a write is never appended to again. A start tries the folder until it opens. Files are closed when a write to them fails. The gauge `pending_write_seconds` and three log lines tell of it. An exception while an entry is applied still ends the process, as the memory does differ from the log then.

The test `a replica whose write fails stops` asserted the former design. It is replaced by `a replica whose writes fail does nothing until its whole log is written anew`, which asserts the order of all calls: nothing is sent, committed or led before the new log is whole.

`a loss of power after writes that the disk refused keeps what was acknowledged` is new; it fails ("term 0 instead of 6") when a failed write is taken for done.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -192,6 +192,7 @@
       isCurrent: subscription.isFollowing,
       leaderSilenceMs: 0,
       silentMembers: 0,
+      pendingWriteMs: 0,
     }),
     attachMetrics: (metrics) => {
       requestLog.observer = (line) => metrics.observe(line);
--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -2,22 +2,21 @@
 
 import { Ok, type Result } from 'ts-results';
 
-import DataFolder from '@guavayard/disk/DataFolder';
-import openReplica from '@guavayard/disk/openReplica';
 import ControlApi from '@guavayard/platform/ControlApi';
 import RegistryTask from '@guavayard/vm/registry/RegistryTask';
 import splitHostPort from '@guavayard/core/utils/splitHostPort';
 
 import closeServer from '../run/closeServer';
 import createVmClock from '../run/createVmClock';
+import awaitReplica from './awaitReplica';
 import type GatewayContext from './GatewayContext';
 import type GatewayRole from './GatewayRole';
 
 const MS_PER_SECOND = 1000;
 /** Number of missed heartbeats after which a target is considered gone. */
 const MAX_MISSED_HEARTBEATS = 5;
-/** Delay before the process exits after a failed disk write, in milliseconds. */
-const DISK_FAILURE_PAUSE_MS = 3000;
+/** Delay before the process exits after its replica has failed, in milliseconds. */
+const FAILURE_PAUSE_MS = 3000;
 
 /**
  * Starts the control role.
@@ -36,10 +35,13 @@
     settings, identity, hub, log, seeds, listeners,
   } = context;
   const { bounds, vm } = settings;
-  const folder = new DataFolder(folderPath);
-  await folder.prepare();
-  const initialVoters = vm.isFirstStart ? vm.seeds.map((seed) => splitHostPort(seed).host) : [];
-  const opened = await openReplica(folder, identity.name, initialVoters);
+  const opened = await awaitReplica({
+    path: folderPath,
+    vmName: identity.name,
+    initialVoters: vm.isFirstStart ? vm.seeds.map((seed) => splitHostPort(seed).host) : [],
+    log,
+    awaitOthers: async () => listeners.awaitFree(identity.address, 'sessions'),
+  });
   if (opened.err) return opened;
   const { replica, durable, log: store } = opened.val;
   log.info({ replica, term: durable.term, entries: durable.log.length }, 'data folder opened');
@@ -61,7 +63,7 @@
     onFailure: (err) => {
       log.fatal({ err }, 'the replica has failed; exiting to replay its log');
       task.close();
-      setTimeout(() => process.exit(1), DISK_FAILURE_PAUSE_MS);
+      setTimeout(() => process.exit(1), FAILURE_PAUSE_MS);
     },
   });
   task.start();
@@ -79,6 +81,7 @@
       isCurrent: task.isCurrent,
       leaderSilenceMs: task.leaderSilenceMs,
       silentMembers: task.silentMemberCount,
+      pendingWriteMs: task.pendingWriteMs,
     }),
     stop: async () => {
       // At once, so that a caller that holds up the one cannot keep the other from happening.
--- a/packages/cli/src/run/startControl.ts
+++ b/packages/cli/src/run/startControl.ts
@@ -40,7 +40,7 @@
     clock: () => performance.now(),
     random: Math.random,
     onFailure: (err) => {
-      log.fatal({ err }, 'the data folder cannot be written');
+      log.fatal({ err }, 'the replica has failed; exiting to replay its log');
       process.exit(1);
     },
   });
--- a/packages/disk/src/ReplicaLog.ts
+++ b/packages/disk/src/ReplicaLog.ts
@@ -37,6 +37,9 @@
   /** Length of the log, all of which is synced, in bytes. */
   private bytes = 0;
 
+  /** Whether a write has failed, so that only a new file holds what is known. */
+  private isUncertain = false;
+
   /** Start of the log, which tells it from other logs. */
   private start: LogStart = { initialBytes: 0, initialChecksum: 0 };
 
@@ -64,8 +67,13 @@
     records: readonly ConsensusRecord[],
   ): Promise<ReplicaLog> {
     const log = new ReplicaLog(folder, replica, undefined, undefined);
-    await log.replace(records);
-    await log.startMarks(0);
+    try {
+      await log.replace(records);
+      await log.startMarks(0);
+    } catch (err) {
+      await log.close();
+      throw err;
+    }
     return log;
   }
 
@@ -83,40 +91,56 @@
     { bytes, start, sequence }: FoundLog,
   ): Promise<ReplicaLog> {
     const handle = await open(folder.pathOf(FILE), 'a');
-    await handle.truncate(bytes.length);
-    await handle.sync();
-    // The former process may have ended between a rename and the sync of the folder.
-    await folder.sync();
     const log = new ReplicaLog(folder, replica, handle, undefined);
-    log.restart(bytes.length, start ?? describeStart(bytes));
-    await log.startMarks(sequence);
+    try {
+      await handle.truncate(bytes.length);
+      await handle.sync();
+      // The former process may have ended between a rename and the sync of the folder.
+      await folder.sync();
+      log.restart(bytes.length, start ?? describeStart(bytes));
+      await log.startMarks(sequence);
+    } catch (err) {
+      await log.close();
+      throw err;
+    }
     return log;
   }
 
   async append(records: readonly ConsensusRecord[]): Promise<void> {
     if (this.handle === undefined) return;
+    if (this.isUncertain) throw new Error('the log must be replaced after a failed write');
     const bytes = Buffer.concat(records.map(encodeRecord));
+    this.isUncertain = true;
     await writeAtOnce(this.handle, bytes);
     await this.handle.datasync();
+    this.isUncertain = false;
     this.bytes += bytes.length;
   }
 
   async replace(records: readonly ConsensusRecord[]): Promise<void> {
     const identity = { kind: 'identity', replica: this.replica };
     const bytes = Buffer.concat([identity, ...records].map(encodeRecord));
-    const next = await open(this.folder.pathOf(NEW_FILE), 'w');
-    await next.appendFile(bytes);
-    await next.sync();
-    // Marked before it is in use, as its first append may be torn.
     const start = describeStart(bytes);
-    await this.marks?.writeNext(start, bytes.length);
-    await rename(this.folder.pathOf(NEW_FILE), this.folder.pathOf(FILE));
-    await this.folder.sync();
+    this.isUncertain = true;
+    const next = await open(this.folder.pathOf(NEW_FILE), 'w');
+    try {
+      await next.appendFile(bytes);
+      await next.sync();
+      // Marked before it is in use, as its first append may be torn.
+      await this.marks?.writeNext(start, bytes.length);
+      await rename(this.folder.pathOf(NEW_FILE), this.folder.pathOf(FILE));
+      await this.folder.sync();
+    } catch (err) {
+      await next.close();
+      throw err;
+    }
     this.marks?.advance();
-    await this.handle?.close();
+    const former = this.handle;
     // The handle stays valid after the rename, and its position is at the end of the file.
     this.handle = next;
+    this.isUncertain = false;
     this.restart(bytes.length, start);
+    await former?.close();
   }
 
   async markSynced(): Promise<void> {
--- a/packages/disk/test/support/DiskModel.ts
+++ b/packages/disk/test/support/DiskModel.ts
@@ -64,6 +64,9 @@
   /** Number of operations after which the process ends; undefined if it goes on. */
   endsAfter: number | undefined;
 
+  /** Numbers of the operations that the disk refuses. */
+  private refused = { from: Infinity, to: Infinity };
+
   constructor(private readonly random: Random) {}
 
   get operationCount(): number {
@@ -93,6 +96,11 @@
     this.endsAfter = endsAfter;
   }
 
+  /** Refuses operations from one number on, up to another, counted since the process started. */
+  refuse(from: number, to: number): void {
+    this.refused = { from, to };
+  }
+
   /** Forgets what was not synced, or keeps parts of it. */
   losePower(): void {
     this.nameChanges.forEach(({ from, to, file }) => {
@@ -140,6 +148,8 @@
   private count(): void {
     if (this.operations === this.endsAfter) throw new Error('the process has ended');
     this.operations += 1;
+    const isRefused = this.operations > this.refused.from && this.operations <= this.refused.to;
+    if (isRefused) throw Object.assign(new Error('input/output error'), { code: 'EIO' });
   }
 
   private find(path: string): File {
--- a/packages/metrics/src/GatewayMetrics.ts
+++ b/packages/metrics/src/GatewayMetrics.ts
@@ -47,6 +47,7 @@
   readonly isCurrent: boolean;
   readonly leaderSilenceMs: number;
   readonly silentMembers: number;
+  readonly pendingWriteMs: number;
   readonly errors: number;
   readonly unboundListeners: number;
   readonly sharedProtocolVersion: number;
@@ -98,6 +99,7 @@
       ['is_current', ({ isCurrent }) => Number(isCurrent)],
       ['leader_silence_seconds', ({ leaderSilenceMs }) => leaderSilenceMs / MS_PER_SECOND],
       ['silent_members', ({ silentMembers }) => silentMembers],
+      ['pending_write_seconds', ({ pendingWriteMs }) => pendingWriteMs / MS_PER_SECOND],
       ['unexpected_errors_total', ({ errors }) => errors],
       ['unbound_listeners', ({ unboundListeners }) => unboundListeners],
       ['shared_messages_version', ({ sharedProtocolVersion }) => sharedProtocolVersion],
--- a/packages/metrics/src/gatewayMetricTable.ts
+++ b/packages/metrics/src/gatewayMetricTable.ts
@@ -42,6 +42,9 @@
   silent_members: {
     type: 'gauge', tags: [], meaning: 'members of the control group that do not respond to this VM, if it leads',
   },
+  pending_write_seconds: {
+    type: 'gauge', tags: [], meaning: 'time for which a write to the data folder has been running or refused; 0 if there is none, and at entries',
+  },
   build_info: {
     type: 'gauge', tags: ['build'], meaning: 'always 1; the label is the id of the build that the VM runs',
   },
--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -2,7 +2,6 @@
 
 import countConfirmedVoters from '@guavayard/core/consensus/countConfirmedVoters';
 import createConsensusState from '@guavayard/core/consensus/createConsensusState';
-import createConsensusRecords from '@guavayard/core/consensus/createConsensusRecords';
 import Command from '@guavayard/core/consensus/Command';
 import type ConsensusEffect from '@guavayard/core/consensus/ConsensusEffect';
 import type ConsensusEvent from '@guavayard/core/consensus/ConsensusEvent';
@@ -22,6 +21,7 @@
 import type SessionHandler from '../session/SessionHandler';
 import type VmSession from '../session/VmSession';
 import type ConsensusTaskOptions from './ConsensusTaskOptions';
+import LogWriter from './LogWriter';
 import PendingCalls from './PendingCalls';
 
 const TICK_MS = 50;
@@ -31,8 +31,6 @@
 const LEAVE_RETRY_INTERVAL_MS = 50;
 /** Version of the messages from which on leaders understand `leave`. */
 const LEAVE_PROTOCOL_VERSION = 2;
-/** Time without a write after which the log is marked as synced, in milliseconds. */
-const MARK_DELAY_MS = 1000;
 /** Number of entries committed since the last snapshot after which the log is compacted. */
 const COMPACTION_THRESHOLD_ENTRIES = 256;
 
@@ -61,10 +59,7 @@
   /** Whether a leader has told this replica that it may stop. */
   private hasLeft = false;
 
-  private writeStartedAtMs: number | undefined;
-
-  /** When the last write was synced, undefined if the log is marked as synced since. */
-  private unmarkedSinceMs: number | undefined;
+  private readonly writer: LogWriter;
 
   private nextJoinMs = 0;
 
@@ -76,6 +71,7 @@
     } = options;
     this.state = createConsensusState(replica, durable, clock(), random, requiredVoters);
     this.appliedIndex = this.state.commitIndex;
+    this.writer = new LogWriter(options);
   }
 
   /** Starts taking part in the consensus group. */
@@ -87,6 +83,7 @@
   /** Stops taking part in the consensus group. */
   close(): void {
     this.isClosed = true;
+    this.writer.close();
     clearInterval(this.timer);
   }
 
@@ -189,9 +186,9 @@
     return this.options.clock() - this.state.leaderContactAtMs;
   }
 
-  /** Time for which the write in progress has been running, in milliseconds; 0 if there is none. */
+  /** Time for which the write in progress has been running or refused, in milliseconds, or 0. */
   get pendingWriteMs(): number {
-    return this.writeStartedAtMs === undefined ? 0 : this.options.clock() - this.writeStartedAtMs;
+    return this.writer.pendingMs;
   }
 
   /**
@@ -251,13 +248,13 @@
     while (this.events.length > 0 && !this.isClosed) {
       const effects = this.processEvents();
       // eslint-disable-next-line no-await-in-loop -- no message may leave the VM before the sync
-      await this.persist(effects);
+      if (!await this.persist(effects)) return;
       effects.forEach((effect) => this.executeEffect(effect));
       this.recordApplied();
       this.compactIfDue();
       this.joinIfDue();
       // eslint-disable-next-line no-await-in-loop -- the store does one thing at a time
-      await this.markSyncedIfDue();
+      await this.writer.markIfDue(this.state);
     }
     this.isBusy = false;
   }
@@ -276,29 +273,11 @@
     return [...tickEffects, ...eventEffects];
   }
 
-  private async persist(effects: readonly ConsensusEffect[]): Promise<void> {
+  /** @returns whether the effects may be executed, as what they rest on is synced */
+  private async persist(effects: readonly ConsensusEffect[]): Promise<boolean> {
     const records: ConsensusRecord[] = effects
       .flatMap((effect) => (effect.kind === 'write' ? [effect.record] : []));
-    if (records.length === 0) return;
-    const { store, clock } = this.options;
-    this.writeStartedAtMs = clock();
-    if (records.some((record) => record.kind === 'snapshot')) {
-      await store.replace(createConsensusRecords(this.state));
-    } else {
-      await store.append(records);
-    }
-    this.writeStartedAtMs = undefined;
-    this.unmarkedSinceMs = clock();
-  }
-
-  private async markSyncedIfDue(): Promise<void> {
-    const { store, clock } = this.options;
-    if (this.unmarkedSinceMs === undefined) return;
-    if (clock() - this.unmarkedSinceMs < MARK_DELAY_MS) return;
-    this.writeStartedAtMs = clock();
-    await store.markSynced?.();
-    this.writeStartedAtMs = undefined;
-    this.unmarkedSinceMs = undefined;
+    return records.length === 0 || this.writer.write(records, this.state);
   }
 
   private executeEffect(effect: ConsensusEffect): void {
--- a/packages/vm/src/control/ConsensusTaskOptions.ts
+++ b/packages/vm/src/control/ConsensusTaskOptions.ts
@@ -20,9 +20,13 @@
   readonly requiredVoters?: number;
   /** Called with the reason when a command is refused, because no replica could read it back. */
   readonly onMalformedCommand?: (reason: Error) => void;
+  /** Called when a write fails, and from time to time while it goes on failing. */
+  readonly onWriteFailure?: (err: Error) => void;
+  /** Called when the log is written again, with the time since the failure in milliseconds. */
+  readonly onWriteRecovery?: (failedMs: number) => void;
   /**
-   * Called when a write or the processing of an event fails. The replica stops, as its state may
-   * differ from its log; the process must end and replay the log.
+   * Called when the processing of an event fails. The replica stops, as its state may differ from
+   * its log; the process must end and replay the log.
    */
   readonly onFailure: (err: Error) => void;
 }
--- a/packages/vm/src/control/ControlTask.ts
+++ b/packages/vm/src/control/ControlTask.ts
@@ -17,6 +17,7 @@
 import type ControlCall from './ControlCall';
 import type ControlResponse from './ControlResponse';
 import type ControlTaskOptions from './ControlTaskOptions';
+import createWriteReports from './createWriteReports';
 import LeaseTask from './LeaseTask';
 import PatchDecider from './PatchDecider';
 
@@ -39,6 +40,7 @@
     this.patches = new AcceptedPatches(options.durable.snapshot.data);
     this.consensus = new ConsensusTask({
       ...options,
+      ...createWriteReports(options.log),
       listener: {
         onCommit: (entries) => this.applyAll(entries),
         onRestore: (snapshot) => this.restore(snapshot),
--- a/packages/vm/src/control/ControlTaskOptions.ts
+++ b/packages/vm/src/control/ControlTaskOptions.ts
@@ -1,9 +1,11 @@
+import type Logger from 'bunyan';
+
 import type ConsensusTaskOptions from './ConsensusTaskOptions';
 
 /** What the control role is made of. */
 interface ControlTaskOptions extends Omit<ConsensusTaskOptions, 'listener'> {
   readonly vmName: string;
-  readonly log: { info: (fields: object, message: string) => void };
+  readonly log: Pick<Logger, 'info' | 'error'>;
 }
 
 export default ControlTaskOptions;
--- /dev/null
+++ b/packages/vm/src/control/LogWriter.ts
@@ -0,0 +1,107 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+
+import type ConsensusRecord from '@guavayard/core/consensus/ConsensusRecord';
+import type ConsensusStore from '@guavayard/core/consensus/ConsensusStore';
+import createConsensusRecords from '@guavayard/core/consensus/createConsensusRecords';
+import type DurableState from '@guavayard/core/consensus/DurableState';
+import type Clock from '@guavayard/core/types/Clock';
+
+/** Time without a write after which the log is marked as synced, in milliseconds. */
+const MARK_DELAY_MS = 1000;
+const RETRY_INTERVAL_MS = 500;
+/** Shortest time between two reports of writes that fail, in milliseconds. */
+const REPORT_INTERVAL_MS = 60_000;
+
+interface LogWriterOptions {
+  readonly store: ConsensusStore;
+  readonly clock: Clock;
+  /** Time between attempts in milliseconds; by default 500. */
+  readonly retryIntervalMs?: number;
+  readonly onWriteFailure?: (err: Error) => void;
+  readonly onWriteRecovery?: (failedMs: number) => void;
+}
+
+/** Writes the log of one replica, and goes on trying while the disk refuses it. */
+export default class LogWriter {
+  private startedAtMs: number | undefined;
+
+  /** When the last write was synced, undefined if the log is marked as synced since. */
+  private unmarkedSinceMs: number | undefined;
+
+  private isClosed = false;
+
+  constructor(private readonly options: LogWriterOptions) {}
+
+  /** Time for which the write in progress has been running or refused, in milliseconds, or 0. */
+  get pendingMs(): number {
+    return this.startedAtMs === undefined ? 0 : this.options.clock() - this.startedAtMs;
+  }
+
+  /**
+   * Writes records. After a failure it is not known what the file holds, so the whole state is
+   * written to a new file, until that succeeds.
+   *
+   * @param records - the records to write
+   * @param state - the state after these records
+   * @returns whether the records are synced; false if the writer was closed before
+   */
+  async write(records: readonly ConsensusRecord[], state: DurableState): Promise<boolean> {
+    const { store, clock } = this.options;
+    const isReplaced = records.some((record) => record.kind === 'snapshot');
+    const isSynced = await this.attempt(state, async () => (
+      isReplaced ? store.replace(createConsensusRecords(state)) : store.append(records)));
+    this.unmarkedSinceMs = clock();
+    return isSynced;
+  }
+
+  /**
+   * Marks the log as synced if nothing has been written for a while.
+   *
+   * @param state - the state that the log holds
+   * @returns nothing, once the mark is synced or the writer is closed
+   */
+  async markIfDue(state: DurableState): Promise<void> {
+    const { store, clock } = this.options;
+    if (this.unmarkedSinceMs === undefined) return;
+    if (clock() - this.unmarkedSinceMs < MARK_DELAY_MS) return;
+    await this.attempt(state, async () => store.markSynced?.());
+    this.unmarkedSinceMs = undefined;
+  }
+
+  /** Ends all attempts. */
+  close(): void {
+    this.isClosed = true;
+  }
+
+  private async attempt(state: DurableState, write: () => Promise<void>): Promise<boolean> {
+    this.startedAtMs = this.options.clock();
+    try {
+      await write();
+    } catch (err) {
+      await this.rewrite(state, err as Error);
+    }
+    this.startedAtMs = undefined;
+    return !this.isClosed;
+  }
+
+  private async rewrite(state: DurableState, firstError: Error): Promise<void> {
+    const { store, clock, retryIntervalMs = RETRY_INTERVAL_MS } = this.options;
+    const failedAtMs = clock();
+    let reportedAtMs = -Infinity;
+    let err: Error | undefined = firstError;
+    while (err !== undefined && !this.isClosed) {
+      if (clock() - reportedAtMs >= REPORT_INTERVAL_MS) {
+        reportedAtMs = clock();
+        this.options.onWriteFailure?.(err);
+      }
+      // eslint-disable-next-line no-await-in-loop -- attempts are sequential
+      await sleep(retryIntervalMs);
+      // eslint-disable-next-line no-await-in-loop
+      err = await store.replace(createConsensusRecords(state)).then(
+        () => undefined,
+        (reason: Error) => reason,
+      );
+    }
+    if (err === undefined) this.options.onWriteRecovery?.(clock() - failedAtMs);
+  }
+}
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -23,6 +23,7 @@
 import type VmMessage from '../messages/VmMessage';
 import type SessionHandler from '../session/SessionHandler';
 import type VmSession from '../session/VmSession';
+import createWriteReports from '../control/createWriteReports';
 import createVmLocation from './createVmLocation';
 import OrderGate from './OrderGate';
 import OrderSubmitter from './OrderSubmitter';
@@ -91,6 +92,7 @@
     this.consensus = new ConsensusTask({
       ...options,
       onMalformedCommand: (reason) => options.log.error({ err: reason }, 'command refused'),
+      ...createWriteReports(options.log),
       listener: {
         onCommit: (entries) => this.applyAll(entries),
         onRestore: ({ data, lastIndex }) => {
@@ -170,6 +172,11 @@
     return this.watch.leaderSilenceMs;
   }
 
+  /** Time for which the write to the disk in progress has been running or refused, in ms, or 0. */
+  get pendingWriteMs(): number {
+    return this.consensus.pendingWriteMs;
+  }
+
   /** Number of members that do not respond to this replica; 0 unless it leads. */
   get silentMemberCount(): number {
     return this.watch.silentMemberCount;
--- a/packages/vm/src/registry/RegistryTaskOptions.ts
+++ b/packages/vm/src/registry/RegistryTaskOptions.ts
@@ -31,6 +31,7 @@
   readonly dataCentres: ReadonlySet<string> | undefined;
   /** Time of day, in milliseconds since 1970. */
   readonly timeOfDay: () => number;
+  /** Called when the replica has stopped, as its state may differ from its log. */
   readonly onFailure: (err: Error) => void;
 }
 
