Keep no messages while a write hangs

Operators would see: a control process over its memory limit after its disk has hung or refused writes for some seconds; all messages that arrived meanwhile were kept.

Cause: a queue without a bound. The leader sends again what a member has not confirmed, so the queue of a member that cannot write grows faster than the log.

Once a write has been running or refused for a second, messages are dropped, as they are sent again, and proposals and reads are refused at once.

`a replica whose write hangs keeps no messages and refuses calls` failed before: "Promise resolution is still pending", as its proposal had no result.

--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -31,6 +31,11 @@
 const LEAVE_RETRY_INTERVAL_MS = 50;
 /** Version of the messages from which on leaders understand `leave`. */
 const LEAVE_PROTOCOL_VERSION = 2;
+/**
+ * Time after which a write holds up the replica for so long that events are not kept for it, in
+ * milliseconds: the others have elected another leader by then and send again what it missed.
+ */
+const STALLED_WRITE_MS = 1000;
 /** Number of entries committed since the last snapshot after which the log is compacted. */
 const COMPACTION_THRESHOLD_ENTRIES = 256;
 
@@ -238,6 +243,10 @@
 
   private push(event: ConsensusEvent): void {
     if (this.isClosed) return;
+    if (this.pendingWriteMs >= STALLED_WRITE_MS) {
+      if ('token' in event) this.calls.finish(event.token, false);
+      return;
+    }
     this.events.push(event);
     if (this.isBusy) return;
     this.isBusy = true;
--- a/packages/vm/test/replicaFailure.test.ts
+++ b/packages/vm/test/replicaFailure.test.ts
@@ -8,6 +8,7 @@
 import ConsensusTask from '../src/control/ConsensusTask';
 import type ConsensusTaskOptions from '../src/control/ConsensusTaskOptions';
 import type VmHub from '../src/session/VmHub';
+import type VmSession from '../src/session/VmSession';
 import retryUntil from './support/retryUntil';
 
 const REPLICA = 'vm-1#00';
@@ -84,6 +85,60 @@
   assert.equal(await task.propose({ kind: 'noop' }), true);
 });
 
+// Guards against memory that grows, and calls that wait, for as long as a disk hangs.
+test('a replica whose write hangs keeps no messages and refuses calls', async (t) => {
+  let finishWrite = (): void => undefined;
+  const written = new Promise<void>((resolve) => {
+    finishWrite = resolve;
+  });
+  let sent = 0;
+  let nowMs = 0;
+  const peer = 'vm-2#00';
+  const task = new ConsensusTask({
+    replica: REPLICA,
+    durable: createDurableState([REPLICA, peer]),
+    store: { append: async () => written, replace: async () => undefined },
+    hub: {
+      send: () => {
+        sent += 1;
+        return true;
+      },
+      sendToControl: () => undefined,
+    } as unknown as VmHub,
+    listener: {
+      onCommit: () => undefined,
+      onRestore: () => undefined,
+      onLeaderChange: () => undefined,
+      createSnapshot: createConfigurationSnapshot,
+    },
+    clock: () => nowMs,
+    random: () => 0.5,
+    onFailure: (err) => {
+      throw err;
+    },
+  });
+  t.after(() => task.close());
+  const deliver = (): void => task.onMessage({} as VmSession, {
+    kind: 'consensus',
+    from: peer,
+    to: REPLICA,
+    message: {
+      kind: 'append', term: 1, previousIndex: 0, previousTerm: 0, entries: [], commitIndex: 0, round: 1,
+    },
+  });
+  deliver();
+  nowMs = 5000;
+  for (let count = 0; count < 1000; count += 1) deliver();
+  assert.equal(await task.propose({ kind: 'noop' }), false);
+  assert.equal(await task.awaitReadPoint(), false);
+  assert.equal(task.pendingWriteMs, 5000);
+  finishWrite();
+  await retryUntil(async () => assert.equal(task.pendingWriteMs, 0));
+  deliver();
+  await retryUntil(async () => assert.equal(sent >= 2, true));
+  assert.equal(sent < 10, true);
+});
+
 test('a replica that fails to apply an entry stops, as its state may differ from its log', async () => {
   const err = await waitForFailure({
     listener: {
