Tell the scheduler each configuration, so that a busy entry sees data centres return

Targets of a data centre that returned got all their requests at once from an entry that was busy meanwhile, instead of a growing share: 17 at a time where 3 are allowed, seen once in a whole test run beside a load of about 25.

The scheduler polled the configuration in force every 5 ms; a version that was replaced between two readings was never seen. The subscription now tells it each version.

The existing test of the ramp keeps its bound; both share its checks.

--- a/packages/cli/src/run/createScheduler.ts
+++ b/packages/cli/src/run/createScheduler.ts
@@ -32,10 +32,11 @@
     findCandidates: ({ match }) => {
       const configuration = subscription.latest?.configuration;
       if (configuration === undefined) return [];
-      scheduler.observeConfiguration(configuration);
       const targets = directory.targetsOf(match.serviceName);
       return findCandidates(configuration, targets, match, context.identity);
     },
   });
+  // Each version counts: a data centre may leave and return between two requests.
+  subscription.observe(({ configuration }) => scheduler.observeConfiguration(configuration));
   return scheduler;
 }
--- a/packages/cli/src/run/startTargetMonitoring.ts
+++ b/packages/cli/src/run/startTargetMonitoring.ts
@@ -20,8 +20,8 @@
 
 /**
  * Starts the tasks that keep the scheduler's view of targets up to date: its queues, load
- * reports within the region, configuration changes, and probes of owned targets that have not
- * reported their load recently.
+ * reports within the region, and probes of owned targets that have not reported their load
+ * recently.
  *
  * @param context - identity of this VM
  * @param targets - directory of targets and sessions with other entries
@@ -41,9 +41,6 @@
   targets.sessions.addListener(loadReports);
   const prober = new Prober(identity.name, targets.directory, scheduler, clock);
   const schedulerTimer = setInterval(() => {
-    // The scheduler must see data centres leave and return even while there are no requests.
-    const configuration = subscription.latest?.configuration;
-    if (configuration !== undefined) scheduler.observeConfiguration(configuration);
     scheduler.tick();
     loadReports.tick();
   }, SCHEDULER_INTERVAL_MS);
--- a/packages/vm/src/entry/ControlSubscription.ts
+++ b/packages/vm/src/entry/ControlSubscription.ts
@@ -8,6 +8,7 @@
 import type ControlSubscriptionOptions from './ControlSubscriptionOptions';
 import EntryMembership from './EntryMembership';
 import LeaseRenewal from './LeaseRenewal';
+import type SubscriptionListener from './SubscriptionListener';
 
 type LeaseGrant = Extract<VmMessage, { kind: 'leaseGrant' }>;
 
@@ -32,6 +33,8 @@
 
   private readonly timer: NodeJS.Timeout;
 
+  private readonly observers: SubscriptionListener['onConfiguration'][] = [];
+
   constructor(private readonly options: ControlSubscriptionOptions) {
     this.renewal = new LeaseRenewal(options, () => ({
       heldVersion: this.held?.version, membership: this.membership.revision,
@@ -51,6 +54,15 @@
     return this.held !== undefined;
   }
 
+  /**
+   * Adds an observer of configurations.
+   *
+   * @param observer - called with each configuration that is received, in the order of versions
+   */
+  observe(observer: SubscriptionListener['onConfiguration']): void {
+    this.observers.push(observer);
+  }
+
   /** All entries that hold a lease, including this one. */
   get entries(): readonly VmIdentity[] {
     return this.membership.entries;
@@ -104,6 +116,7 @@
     if (this.held !== undefined && latest.version <= this.held.version) return;
     this.held = latest;
     this.options.listener.onConfiguration(latest);
+    this.observers.forEach((observer) => observer(latest));
   }
 
   private applyMembership({ change }: Parameters<EntryMembership['applyChange']>[0]): void {
--- a/test/support/EntryCluster.ts
+++ b/test/support/EntryCluster.ts
@@ -68,10 +68,20 @@
    * @param operations - operations of the patch
    */
   async patch(operations: PatchOperation[]): Promise<void> {
+    await this.submit(operations);
+    await this.awaitVersion();
+  }
+
+  /** Changes the configuration without waiting for entries. */
+  async submit(operations: PatchOperation[]): Promise<void> {
     const client = new OperatorClient(`http://${this.control.address('operator')}`, this.control.token);
     const id = randomBytes(ID_BYTES).toString('hex');
     const version = await client.submit({ id, base: this.version, operations });
     this.version = version.unwrap();
+  }
+
+  /** Waits until the newest configuration is in force on every entry. */
+  async awaitVersion(): Promise<void> {
     await Promise.all(this.entries.map(async (entry) => entry.waitForLine((line) => (
       line.msg === 'configuration in force' && line.version === this.version
     ))));
--- a/test/targets.test.ts
+++ b/test/targets.test.ts
@@ -2,6 +2,7 @@
 import { performance } from 'node:perf_hooks';
 import { after, before, test } from 'node:test';
 
+import type PatchOperation from '@guavayard/core/types/PatchOperation';
 import OperatorClient from '@guavayard/operator/OperatorClient';
 
 import assertNoBreach from './support/assertNoBreach';
@@ -122,22 +123,30 @@
   assert.equal(await cluster.get(2, '/cold'), 200);
 });
 
-test('a returning data centre ramps up gradually', TIMEOUT, async () => {
-  await cluster.addService('ramp');
-  const near = await cluster.startTarget('ramp-1');
-  const far = await cluster.startTarget('ramp-2');
+/**
+ * Checks that targets of a data centre that has returned get a growing share of the requests.
+ *
+ * @param service - name of a service of its own
+ * @param leaveAndReturn - takes the data centre out, and brings it back at the entry beside it;
+ *   returns when it began to bring it back, in milliseconds of the monotonic clock
+ */
+async function checkRamp(
+  service: string,
+  leaveAndReturn: (setState: (state: 'in' | 'out') => PatchOperation[]) => Promise<number>,
+): Promise<void> {
+  await cluster.addService(service);
+  const near = await cluster.startTarget(`${service}-1`);
+  const far = await cluster.startTarget(`${service}-2`);
   await cluster.announce(0, { ...near.announcement, dataCentre: 'munster-2', slots: RETURN_SLOTS });
   await cluster.announce(0, { ...far.announcement, dataCentre: 'munster-1', slots: RETURN_SLOTS });
-  await cluster.waitForTarget(1, 'ramp-2', (known) => known !== undefined);
-  const state = '/dataCentres/munster-2/state';
-  await cluster.patch([{ op: 'replace', path: state, value: 'out' }]);
-  const returnedAtMs = performance.now();
-  await cluster.patch([{ op: 'replace', path: state, value: 'in' }]);
+  await cluster.waitForTarget(1, `${service}-2`, (known) => known !== undefined);
+  const returnedAtMs = await leaveAndReturn((state) => (
+    [{ op: 'replace', path: '/dataCentres/munster-2/state', value: state }]));
   const headers = { 'emulated-service-time-ms': '1000' };
-  const requests = Array.from({ length: 30 }, async () => cluster.get(1, '/ramp', headers));
+  const requests = Array.from({ length: 30 }, async () => cluster.get(1, `/${service}`, headers));
   const waitForRuns = async (): Promise<void> => {
     if (near.target.runs + far.target.runs === requests.length) return;
-    await cluster.waitForTarget(1, 'ramp-1', (known) => known !== undefined);
+    await cluster.waitForTarget(1, `${service}-1`, (known) => known !== undefined);
     await waitForRuns();
   };
   await waitForRuns();
@@ -146,6 +155,28 @@
   assert.ok(mostInFlight <= Math.ceil(share * RETURN_SLOTS) + 1, `${mostInFlight} at ${share}`);
   assert.ok((await Promise.all(requests)).every((status) => status === 200));
   assert.equal(near.target.runs + far.target.runs, 30);
+}
+
+test('a returning data centre ramps up gradually', TIMEOUT, async () => {
+  await checkRamp('ramp', async (setState) => {
+    await cluster.patch(setState('out'));
+    const returnedAtMs = performance.now();
+    await cluster.patch(setState('in'));
+    return returnedAtMs;
+  });
+});
+
+// Guards against a busy entry that takes no notice of a data centre that was out for a moment.
+test('a data centre that leaves and returns while an entry is suspended ramps up', TIMEOUT, async () => {
+  await checkRamp('busy', async (setState) => {
+    process.kill(cluster.entry(1).pid, 'SIGSTOP');
+    await cluster.submit(setState('out'));
+    await cluster.submit(setState('in'));
+    const returnedAtMs = performance.now();
+    process.kill(cluster.entry(1).pid, 'SIGCONT');
+    await cluster.awaitVersion();
+    return returnedAtMs;
+  });
 });
 
 test('probes by the owner of an idle target take at most 1% of its slot time', TIMEOUT, async () => {
