Keep the last response of a connection from being reset by unread bytes

Callers that still sent a body when the entry responded got a reset instead of the response if the connection was to close: on their own `connection: close`, and on every connection of an entry that stops. 8 MB at once against a limit of 1 MB: 0 of 20 got a byte, with a length and in chunks, with and without targets (processes, x86-64).

Cause: node:http closes a connection as soon as its last response is complete; unread bytes make that a reset, and the caller's system drops what it has not read yet. A stop did the same to kept connections whose bodies were still being discarded, as it waited for responses only.

The response is now written at once but ended only when the body has been read or discarded within the bounds of ReplayableBody, and the listener counts a request as active until then.

Failed before: "a caller that asks to close: a response before the end of an upload arrives as a whole" and "a listener that drains: ..." (write EPIPE, nothing received), "a stop waits for uploads whose refusal their callers have yet to read" (read ECONNRESET, write EPIPE).

--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -122,7 +122,7 @@
   }
 
   /**
-   * Tracks a request until its response is complete.
+   * Tracks a request until its response is complete and its body has been read.
    *
    * @returns false if the connection closes before this request can be answered
    */
@@ -144,10 +144,24 @@
     });
     res.once('close', () => {
       clearTimeout(unreadTimer);
-      responses.splice(responses.indexOf(response), 1);
-      if (responses.length === 0) this.active.delete(socket);
-      if (this.active.size === 0) this.drainWaiters.splice(0).forEach((resolve) => resolve());
+      const release = (): void => this.release(socket, response);
+      if (req.complete || req.destroyed) {
+        release();
+        return;
+      }
+      // Closing the connection before the rest of the body is read would reset it.
+      req.once('end', release);
+      req.once('close', release);
     });
     return true;
   }
+
+  private release(socket: Socket, response: ActiveResponse): void {
+    const responses = this.active.get(socket) ?? [];
+    const index = responses.indexOf(response);
+    if (index < 0) return;
+    responses.splice(index, 1);
+    if (responses.length === 0) this.active.delete(socket);
+    if (this.active.size === 0) this.drainWaiters.splice(0).forEach((resolve) => resolve());
+  }
 }
--- a/packages/caller/src/HomeRelayExchange.ts
+++ b/packages/caller/src/HomeRelayExchange.ts
@@ -11,6 +11,7 @@
 import type CallerRequest from './CallerRequest';
 import type EntryServices from './EntryServices';
 import getRequestRecord from './getRequestRecord';
+import endResponse from './endResponse';
 import ReplayableBody from './ReplayableBody';
 import sendFailure from './sendFailure';
 
@@ -73,7 +74,7 @@
 
   onEnd(): void {
     this.release();
-    this.res.end();
+    endResponse(this.res);
   }
 
   onFailure(failure: Failure): void {
--- a/packages/caller/src/ResponseWriter.ts
+++ b/packages/caller/src/ResponseWriter.ts
@@ -4,6 +4,8 @@
 import selectAnswerHeaders from '@guavayard/core/http/selectAnswerHeaders';
 import StoredAnswer from '@guavayard/core/idempotency/StoredAnswer';
 
+import endResponse from './endResponse';
+
 /** Maximum size of a response body that is stored, in bytes. */
 const MAX_STORED_BYTES = 64 * 1024;
 
@@ -87,7 +89,7 @@
 
   /** Ends the response to the caller. */
   end(): void {
-    this.res.end();
+    endResponse(this.res);
   }
 
   private store(chunk: Buffer): void {
--- a/packages/caller/src/sendFailure.ts
+++ b/packages/caller/src/sendFailure.ts
@@ -5,6 +5,7 @@
 import type Failure from '@guavayard/core/errors/Failure';
 import createFailureHeaders from '@guavayard/core/http/createFailureHeaders';
 
+import endResponse from './endResponse';
 import getRequestRecord from './getRequestRecord';
 
 /**
@@ -25,5 +26,5 @@
     ...createFailureHeaders(failure),
     'content-length': Buffer.byteLength(body),
   });
-  res.end(body);
+  endResponse(res, body);
 }
--- a/packages/caller/src/sendStoredResponse.ts
+++ b/packages/caller/src/sendStoredResponse.ts
@@ -2,6 +2,8 @@
 
 import type StoredAnswer from '@guavayard/core/idempotency/StoredAnswer';
 
+import endResponse from './endResponse';
+
 /**
  * Sends the caller the stored response of an earlier run of the same request.
  *
@@ -10,5 +12,5 @@
  */
 export default function sendStoredResponse(res: ServerResponse, stored: StoredAnswer): void {
   res.writeHead(stored.status, { ...stored.headers, 'guavayard-replayed': 'true' });
-  res.end(stored.body);
+  endResponse(res, stored.body);
 }
--- /dev/null
+++ b/packages/caller/test/unreadUpload.test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import type { ServerResponse } from 'node:http';
+import { connect, type AddressInfo } from 'node:net';
+import { test, type TestContext } from 'node:test';
+
+import CallerListener from '../src/CallerListener';
+import endResponse from '../src/endResponse';
+import ReplayableBody from '../src/ReplayableBody';
+
+const BODY = 'the lots are full';
+const CHUNK = Buffer.alloc(64 * 1024, 'x');
+const TRIES = 20;
+/** Sizes of uploads, in bytes: below and beyond what is read without closing the connection. */
+const SIZES = [CHUNK.length * 8, CHUNK.length * 128];
+
+/** Starts a listener that refuses each request before it has read the body. */
+async function startListener(t: TestContext): Promise<{ listener: CallerListener; port: number }> {
+  const listener = new CallerListener({
+    handle: (req, res: ServerResponse) => {
+      res.writeHead(503, { 'content-length': BODY.length });
+      endResponse(res, BODY);
+      new ReplayableBody(req, false).discard();
+    },
+  });
+  listener.server.listen(0, '127.0.0.1');
+  await once(listener.server, 'listening');
+  t.after(() => {
+    listener.server.close();
+    listener.server.closeAllConnections();
+  });
+  return { listener, port: (listener.server.address() as AddressInfo).port };
+}
+
+/** Sends an upload to its end and returns all that was received until the connection closed. */
+async function upload(port: number, bytes: number, header: string): Promise<string> {
+  const socket = connect(port, '127.0.0.1');
+  let received = '';
+  socket.on('data', (data: Buffer) => {
+    received += data.toString();
+  });
+  socket.on('error', () => undefined);
+  socket.on('end', () => socket.end());
+  socket.write(`POST /lots HTTP/1.1\r\nhost: lots.example\r\ncontent-length: ${bytes}\r\n${header}\r\n`);
+  for (let sent = 0; sent < bytes; sent += CHUNK.length) socket.write(CHUNK);
+  await once(socket, 'close');
+  return received;
+}
+
+// Guards against a reset by the close after a last response, which may take the response along.
+[
+  { name: 'a caller that asks to close', header: 'connection: close\r\n', isDraining: false },
+  { name: 'a listener that drains', header: '', isDraining: true },
+].forEach(({ name, header, isDraining }) => {
+  test(`${name}: a response before the end of an upload arrives as a whole`, async (t) => {
+    const { listener, port } = await startListener(t);
+    if (isDraining) listener.startDraining();
+    for (let attempt = 0; attempt < TRIES; attempt += 1) {
+      // eslint-disable-next-line no-await-in-loop -- one upload at a time
+      const received = await upload(port, SIZES[attempt % 2] ?? 0, header);
+      assert.match(received, /^HTTP\/1\.1 503 [^]*\r\n\r\nthe lots are full$/, `try ${attempt}`);
+    }
+  });
+});
+
+test('a stop waits for uploads whose refusal their callers have yet to read', async (t) => {
+  const { listener, port } = await startListener(t);
+  const received = upload(port, SIZES[1] ?? 0, '');
+  await once(listener.server, 'request');
+  listener.startDraining();
+  await Promise.all([listener.stop(), received]);
+  assert.match(await received, /\r\n\r\nthe lots are full$/);
+});
--- a/packages/gateway/src/DirectReply.ts
+++ b/packages/gateway/src/DirectReply.ts
@@ -1,5 +1,6 @@
 import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
 
+import endResponse from '@guavayard/caller/endResponse';
 import type AnswerHeaders from '@guavayard/core/dispatch/AnswerHeaders';
 import type CallerReply from '@guavayard/core/dispatch/CallerReply';
 import type Failure from '@guavayard/core/errors/Failure';
@@ -36,7 +37,7 @@
   }
 
   end(chunk?: Buffer): void {
-    this.res.end(chunk);
+    endResponse(this.res, chunk);
   }
 
   cut(): void {
@@ -49,7 +50,7 @@
     if (this.isStarted) this.cut();
     else {
       this.res.writeHead(status, headers);
-      this.res.end(body);
+      endResponse(this.res, body);
     }
     return status;
   }
--- a/packages/gateway/test/support/FakeResponse.ts
+++ b/packages/gateway/test/support/FakeResponse.ts
@@ -14,6 +14,8 @@
 
   destroyed = false;
 
+  readonly shouldKeepAlive = true;
+
   constructor(private readonly clock: () => number) {
     super();
   }
