Count bodies without a length against the limit, and answer 413 beyond it

Callers that sent 8 MB in chunks against a limit of 1 MB got 503, which asks to come again, in 20 of 20 without a target, and 200 or 503 with two targets that read whole bodies. With a length: 413.

Cause: the limit was compared with the declared length only; the bytes of a body without one were counted nowhere, and a refusal for want of a target came before the first of them.

ReplayableBody counts what arrives; beyond the limit the exchange ends with 413, and what a target was sent breaks off without the end of the body. The response says not-run only if no target had the request. No message, record or field between VMs changes: the entry that the caller reached counts.

--- a/packages/caller/src/ReplayableBody.ts
+++ b/packages/caller/src/ReplayableBody.ts
@@ -20,7 +20,7 @@
 export default class ReplayableBody {
   private recorded: Buffer[] = [];
 
-  private recordedBytes = 0;
+  private receivedBytes = 0;
 
   private isRecording: boolean;
 
@@ -29,6 +29,10 @@
 
   private current: Readable | undefined;
 
+  private maxBytes = Infinity;
+
+  private onExceeded: (() => void) | undefined;
+
   private onPrefix: ((prefix: readonly Buffer[]) => void) | undefined;
 
   /**
@@ -47,7 +51,7 @@
 
   /** Whether the complete body can be sent again. */
   get isReplayable(): boolean {
-    return !this.hasBody || this.isRecorded || this.recordedBytes === 0;
+    return !this.hasBody || this.isRecorded || this.receivedBytes === 0;
   }
 
   /**
@@ -64,6 +68,30 @@
     this.req.resume();
   }
 
+  /**
+   * Limits the body, whose length may not be known before its end.
+   *
+   * @param maxBytes - maximum size, in bytes
+   * @param onExceeded - called once if the body turns out to be larger; nothing of the chunk that
+   *   exceeds the limit reaches a target
+   */
+  limit(maxBytes: number, onExceeded: () => void): void {
+    this.maxBytes = maxBytes;
+    this.onExceeded = onExceeded;
+  }
+
+  /**
+   * Reads the body without keeping it, as no target will get it.
+   *
+   * @param onRead - called once it has ended within the limit
+   */
+  readToEnd(onRead: () => void): void {
+    this.close();
+    this.stopRecording();
+    this.req.once('end', onRead);
+    this.req.resume();
+  }
+
   /**
    * Opens the body for one attempt. The stream of an earlier attempt is destroyed.
    *
@@ -111,15 +139,21 @@
   }
 
   private get isRecorded(): boolean {
-    return this.isRecording && this.recordedBytes <= MAX_RECORDED_BYTES;
+    return this.isRecording && this.receivedBytes <= MAX_RECORDED_BYTES;
   }
 
   private readonly onData = (chunk: Buffer): void => {
-    this.recordedBytes += chunk.length;
+    this.receivedBytes += chunk.length;
+    const { onExceeded } = this;
+    if (this.receivedBytes > this.maxBytes && onExceeded !== undefined) {
+      this.onExceeded = undefined;
+      onExceeded();
+      return;
+    }
     if (this.isRecording) this.recorded.push(chunk);
     if (this.current !== undefined && !this.isRecorded) this.stopRecording();
     if (this.current?.push(chunk) === false) this.req.pause();
-    if (this.recordedBytes > MAX_RECORDED_BYTES) this.endPrefix();
+    if (this.receivedBytes > MAX_RECORDED_BYTES) this.endPrefix();
   };
 
   private readonly onEnd = (): void => {
--- a/packages/core/src/errors/createFailureBody.ts
+++ b/packages/core/src/errors/createFailureBody.ts
@@ -12,6 +12,10 @@
 export default function createFailureBody(failure: Failure): FailureBody {
   const { code, outcome, retryable } = errorTable[failure.kind];
   return {
-    error: failure.kind, code, outcome, retryable, message: describeFailure(failure),
+    error: failure.kind,
+    code,
+    outcome: failure.outcome ?? outcome,
+    retryable,
+    message: describeFailure(failure),
   };
 }
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -16,6 +16,7 @@
 import ResponseForwarder from './ResponseForwarder';
 import type Attempt from './Attempt';
 import AttemptWatchdog from './AttemptWatchdog';
+import BodySizeCheck from './BodySizeCheck';
 import createAttempt from './createAttempt';
 import describeAttempt from './describeAttempt';
 import type GatewayRequest from './GatewayRequest';
@@ -42,6 +43,8 @@
 export default class GatewayExchange {
   private readonly body: ReplayableBody;
 
+  private readonly sizeCheck: BodySizeCheck;
+
   private readonly triedIds: string[];
 
   private readonly attemptLines: ReturnType<typeof describeAttempt>[] = [];
@@ -71,6 +74,12 @@
     private readonly reply: CallerReply,
   ) {
     this.body = new ReplayableBody(request.req, true);
+    this.sizeCheck = new BodySizeCheck(
+      dependencies.clock,
+      request,
+      this.body,
+      (failure) => this.refuseLargeBody(failure),
+    );
     this.triedIds = [...request.triedIds];
     this.forwarder = new ResponseForwarder({
       responseBytes: dependencies.responseBytes, method: request.method, reply,
@@ -342,17 +351,33 @@
 
   private fail(failure: Failure, retryAfterMs: number | undefined): void {
     if (this.isEnded) return;
-    const isNotRun = errorTable[failure.kind].outcome === 'not-run';
+    if (!this.mayHaveRun && this.sizeCheck.mayReplace(failure)) {
+      clearTimeout(this.timer);
+      this.timer = this.sizeCheck.awaitSize(() => this.fail(failure, retryAfterMs));
+      return;
+    }
+    const isNotRun = (failure.outcome ?? errorTable[failure.kind].outcome) === 'not-run';
     const reported: Failure = isNotRun && this.mayHaveRun ? { kind: 'targetFailed', detail: failure.detail } : failure;
     const reportedRetryAfterMs = reported === failure ? retryAfterMs : undefined;
     const status = this.reply.refuse(reported, reportedRetryAfterMs);
     this.finish(reported.kind, status, reported.detail, reportedRetryAfterMs);
   }
 
+  private refuseLargeBody(failure: Failure): void {
+    const isProven = !this.isSent && !this.mayHaveRun;
+    this.fail({ ...failure, outcome: isProven ? 'not-run' : 'unknown' }, undefined);
+    this.dispatch?.abort(failure);
+    this.handover.end(failure);
+  }
+
+  /** Whether a target or another entry has the request now. */
+  private get isSent(): boolean {
+    return (this.attempt !== undefined && !this.attempt.isOver) || this.handover.isSent;
+  }
+
   private expire(): void {
     if (this.isEnded) return;
-    const isSent = (this.attempt !== undefined && !this.attempt.isOver)
-      || this.handover.isSent;
+    const { isSent } = this;
     const kind = isSent || this.mayHaveRun ? 'deadlineExceeded' : 'deadlineBeforeDispatch';
     this.mayHaveRun ||= isSent;
     const attempt = isSent ? this.attempt : undefined;
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -162,6 +162,7 @@
       routeName,
       route,
       service: this.chooseService(routeName, route, relayed),
+      maxBodyBytes: declaration.limits.maxBodyBytes,
       version: declaration.version,
       arrivedAtMs,
       callerDeadlineMs,
--- a/packages/gateway/src/GatewayRequest.ts
+++ b/packages/gateway/src/GatewayRequest.ts
@@ -12,6 +12,8 @@
   readonly routeName: string;
   readonly route: DeclaredRoute;
   readonly service: string;
+  /** Maximum size of the body, in bytes. */
+  readonly maxBodyBytes: number;
   /** Version of the declaration that contains the route. */
   readonly version: number;
   readonly arrivedAtMs: number;
