Do not handle a request on a connection that is closed for writing

A request pipelined behind a refused upload of over 1 MB was passed on to a target, and its caller got the end of the connection instead of a response.

Cause: once more than 1 MB of a refused body has been discarded, the entry closes the connection for writing and reads on; node:http parses what follows the body as the next request, and nothing asked whether it can be answered.

Failed before: "a request behind a large upload whose connection closes is not handled" (handled /lots and /next). The request is left unread now, so its caller may send it again, and the connection is given up after the time that a caller has to read its response.

--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -133,6 +133,11 @@
       earlier.res.headersSent && !earlier.res.shouldKeepAlive
     ));
     if (isClosing) return false;
+    if (socket.writableEnded) {
+      const timer = setTimeout(() => socket.destroy(), this.unreadMs);
+      socket.once('close', () => clearTimeout(timer));
+      return false;
+    }
     const response = { res, mayKeepAlive: res.shouldKeepAlive };
     responses.push(response);
     this.active.set(socket, responses);
--- a/packages/caller/test/unreadUpload.test.ts
+++ b/packages/caller/test/unreadUpload.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
-import { connect, type AddressInfo } from 'node:net';
+import { connect, type AddressInfo, type Socket } from 'node:net';
 import { test, type TestContext } from 'node:test';
 
 import CallerListener from '../src/CallerListener';
@@ -15,9 +15,15 @@
 const SIZES = [CHUNK.length * 8, CHUNK.length * 128];
 
 /** Starts a listener that refuses each request before it has read the body. */
-async function startListener(t: TestContext): Promise<{ listener: CallerListener; port: number }> {
+async function startListener(t: TestContext): Promise<{
+  listener: CallerListener;
+  port: number;
+  handled: (string | undefined)[];
+}> {
+  const handled: (string | undefined)[] = [];
   const listener = new CallerListener({
     handle: (req, res: ServerResponse) => {
+      handled.push(req.url);
       res.writeHead(503, { 'content-length': BODY.length });
       endResponse(res, BODY);
       new ReplayableBody(req, false).discard();
@@ -29,11 +35,16 @@
     listener.server.close();
     listener.server.closeAllConnections();
   });
-  return { listener, port: (listener.server.address() as AddressInfo).port };
+  return { listener, port: (listener.server.address() as AddressInfo).port, handled };
 }
 
-/** Sends an upload to its end and returns all that was received until the connection closed. */
-async function upload(port: number, bytes: number, header: string): Promise<string> {
+/** Sends an upload to its end, then some more. @returns all that was received until the close */
+async function upload(
+  port: number,
+  bytes: number,
+  header: string,
+  more = '',
+): Promise<string> {
   const socket = connect(port, '127.0.0.1');
   let received = '';
   socket.on('data', (data: Buffer) => {
@@ -41,8 +52,10 @@
   });
   socket.on('error', () => undefined);
   socket.on('end', () => socket.end());
-  socket.write(`POST /lots HTTP/1.1\r\nhost: lots.example\r\ncontent-length: ${bytes}\r\n${header}\r\n`);
+  const head = `POST /lots HTTP/1.1\r\nhost: lots.example\r\ncontent-length: ${bytes}\r\n`;
+  socket.write(`${head}${header}\r\n`);
   for (let sent = 0; sent < bytes; sent += CHUNK.length) socket.write(CHUNK);
+  socket.write(more);
   await once(socket, 'close');
   return received;
 }
@@ -71,3 +84,13 @@
   await Promise.all([listener.stop(), received]);
   assert.match(await received, /\r\n\r\nthe lots are full$/);
 });
+
+// Guards against a request that runs although its connection is closed for writing.
+test('a request behind a large upload whose connection closes is not handled', async (t) => {
+  const { listener, port, handled } = await startListener(t);
+  const accepted = once(listener.server, 'connection') as Promise<[Socket]>;
+  const received = upload(port, SIZES[1] ?? 0, '', 'GET /next HTTP/1.1\r\nhost: lots.example\r\n\r\n');
+  const [socket] = await accepted;
+  await Promise.all([received, once(socket, 'close')]);
+  assert.deepEqual(handled, ['/lots']);
+});
