Read the bodies of waiting requests on, so that the close of a caller is noticed

A caller that closed its connection while its upload of more than about 64 KB waited for a target was noticed only when a target was free and the body was read for it: 20 of 20 uploads of 128 KB and 896 KB, closed after 100 ms, 702 to 786 ms after the close (processes, x86-64). Half a second is due.

Cause: a body was read up to the first 64 KB and then only as an attempt asked for it, and the end of a connection comes behind the bytes before it.

While a request waits, its body is read on into memory: 1 MiB of one, 16 MiB of all of an entry. Where these bounds stop the reading, the close cannot be seen, so the request waits for 400 ms more at most. Relayed bodies flow by credits, so the entry that relays reads its caller as well.

Failed before: "the close of a caller is noticed while its 128 KB wait in the queue" and "... 896 KB" (all 10 lines of each later than 600 ms), "an upload beyond what is read of one waits for less than half a second" and "... of all ..." (no response after 500 ms). All pass now; none of the 20 uploads reaches the target. A first form also held back the reading of bodies that were refused; the test of uploads beyond the limit failed on it (108 s, callers without a response), and only bodies that are kept are counted now.

--- a/packages/caller/src/ReplayableBody.ts
+++ b/packages/caller/src/ReplayableBody.ts
@@ -1,9 +1,12 @@
 import { Readable } from 'node:stream';
 
 import type InboundRequest from '@guavayard/core/dispatch/InboundRequest';
+import type ByteBudget from '@guavayard/core/limits/ByteBudget';
 
 /** Maximum size of a body that is buffered for retries, in bytes. */
 const MAX_RECORDED_BYTES = 64 * 1024;
+/** Maximum size of what is read of a body while it waits for a target, in bytes. */
+const MAX_AHEAD_BYTES = 1024 * 1024;
 /** Remainder of a body after which the connection is not kept for another request, in bytes. */
 const MAX_KEPT_BYTES = 1024 * 1024;
 /** Maximum remainder of a body that is read and discarded after the response, in bytes. */
@@ -11,6 +14,12 @@
 /** Maximum time to read and discard the remainder of a body, in milliseconds. */
 const DISCARD_TIMEOUT_MS = 5000;
 
+/** Reads a body on while it waits for a target. */
+interface ReadAhead {
+  readonly budget: ByteBudget;
+  readonly onStalled: () => void;
+}
+
 /**
  * The body of a caller's request, from which each attempt reads through its own stream.
  *
@@ -29,6 +38,11 @@
 
   private current: Readable | undefined;
 
+  private ahead: ReadAhead | undefined;
+
+  /** Bytes of the budget that are reserved for what was read ahead. */
+  private heldBytes = 0;
+
   private maxBytes = Infinity;
 
   private onExceeded: (() => void) | undefined;
@@ -51,7 +65,7 @@
 
   /** Whether the complete body can be sent again. */
   get isReplayable(): boolean {
-    return !this.hasBody || this.isRecorded || this.receivedBytes === 0;
+    return !this.hasBody || this.isRecording || this.receivedBytes === 0;
   }
 
   /**
@@ -92,6 +106,18 @@
     this.req.resume();
   }
 
+  /**
+   * Reads the body on until an attempt opens it: the close of a caller comes behind what it sent.
+   *
+   * @param budget - bounds what all waiting bodies hold beyond what is kept for retries
+   * @param onStalled - called once no more can be read
+   */
+  readAhead(budget: ByteBudget, onStalled: () => void): void {
+    if (!this.hasBody || !this.isRecording || this.req.readableEnded) return;
+    this.ahead = { budget, onStalled };
+    this.req.resume();
+  }
+
   /**
    * Opens the body for one attempt. The stream of an earlier attempt is destroyed.
    *
@@ -100,7 +126,13 @@
   open(): Readable | null {
     if (!this.hasBody) return null;
     this.current?.destroy();
-    const stream = new Readable({ read: () => this.req.resume() });
+    const stream = new Readable({
+      read: () => {
+        this.releaseHeld();
+        this.req.resume();
+      },
+    });
+    stream.once('end', () => this.releaseHeld());
     this.current = stream;
     this.recorded.forEach((chunk) => stream.push(chunk));
     if (!this.isRecorded) this.stopRecording();
@@ -111,6 +143,7 @@
   /** Closes the stream of the current attempt. */
   close(): void {
     this.req.pause();
+    this.releaseHeld();
     this.current?.destroy();
     this.current = undefined;
   }
@@ -150,7 +183,10 @@
       onExceeded();
       return;
     }
-    if (this.isRecording) this.recorded.push(chunk);
+    if (this.isRecording) {
+      this.recorded.push(chunk);
+      if (this.current === undefined) this.hold();
+    }
     if (this.current !== undefined && !this.isRecorded) this.stopRecording();
     if (this.current?.push(chunk) === false) this.req.pause();
     if (this.receivedBytes > MAX_RECORDED_BYTES) this.endPrefix();
@@ -169,6 +205,24 @@
     onPrefix(this.recorded);
   }
 
+  /** Reserves what was read ahead, and reads no further if that is not possible. */
+  private hold(): void {
+    const { ahead, receivedBytes } = this;
+    const bytes = receivedBytes - MAX_RECORDED_BYTES - this.heldBytes;
+    if (ahead === undefined || bytes <= 0) return;
+    if (receivedBytes <= MAX_AHEAD_BYTES && ahead.budget.tryReserve(bytes)) {
+      this.heldBytes += bytes;
+      return;
+    }
+    this.req.pause();
+    ahead.onStalled();
+  }
+
+  private releaseHeld(): void {
+    this.ahead?.budget.release(this.heldBytes);
+    this.heldBytes = 0;
+  }
+
   private stopRecording(): void {
     this.recorded = [];
     this.isRecording = false;
--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -25,6 +25,8 @@
 const MS_PER_SECOND = 1000;
 /** Response bytes that are buffered at most, which leaves a VM of 250 MB the rest of its memory. */
 const RESPONSE_BUFFER_BYTES = 32 * 1024 * 1024;
+/** Bytes of bodies that are read at most while their requests wait for a target. */
+const REQUEST_BUFFER_BYTES = 16 * 1024 * 1024;
 /**
  * Keep-alive timeout in milliseconds of connections to targets that announce none. A probe right
  * before each request checks whether the connection still works.
@@ -154,6 +156,7 @@
     crashes,
     log: requestLog,
     responseBytes: new ByteBudget(RESPONSE_BUFFER_BYTES),
+    requestBytes: new ByteBudget(REQUEST_BUFFER_BYTES),
     relay,
     version: () => subscription.declaration?.version ?? 0,
   }, () => subscription.declaration);
--- a/packages/gateway/src/ExchangeDependencies.ts
+++ b/packages/gateway/src/ExchangeDependencies.ts
@@ -22,6 +22,8 @@
   readonly log: RequestLog;
   /** Bounds the response bytes that all exchanges of the entry buffer. */
   readonly responseBytes: ByteBudget;
+  /** Bounds the bytes of bodies that are read while their requests wait for a target. */
+  readonly requestBytes: ByteBudget;
   /** Relays requests whose targets cannot be reached to other entries. */
   readonly relay: RequestRelay;
   /** Returns the version of the declaration in force, 0 if there is none. */
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -35,6 +35,11 @@
  * jitter of up to the same length spreads the retries.
  */
 const REJECTED_RETRY_AFTER_MS = 30;
+/**
+ * Longest wait of a request whose body cannot be read on, in milliseconds: the close of its caller
+ * would not be noticed.
+ */
+const UNREAD_WAIT_MS = 400;
 const CONNECTION_LIMIT = 16;
 /** Body length in bytes above which a request stays in its region while a target there is alive. */
 const LARGE_BODY_BYTES = 16 * 1024;
@@ -61,6 +66,8 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  private unreadTimer: NodeJS.Timeout | undefined;
+
   private readonly watchdog: AttemptWatchdog;
 
   private isEnded = false;
@@ -117,6 +124,7 @@
 
   /** Finds a target for the next attempt, or another entry if no target can be reached. */
   private findTarget(): void {
+    this.body.readAhead(this.dependencies.requestBytes, () => this.limitWait());
     if (this.handover.isAllowed && this.handover.isNeeded) {
       this.leaveQueue = undefined;
       this.handover.start();
@@ -128,6 +136,17 @@
     if (this.attempt === attempt) this.leaveQueue = leaveQueue;
   }
 
+  /** Refuses the request if it still waits for a target after a time. */
+  private limitWait(): void {
+    clearTimeout(this.unreadTimer);
+    this.unreadTimer = setTimeout(() => {
+      if (this.isSent) return;
+      const failure: Failure = { kind: 'overloaded', detail: 'its body is too long to wait' };
+      this.fail(failure, RETRY_AFTER_MS);
+      this.handover.end(failure);
+    }, UNREAD_WAIT_MS);
+  }
+
   private createPlacementRequest(): PlacementRequest {
     const { request } = this;
     const { route } = request;
@@ -400,6 +419,7 @@
     const { request } = this;
     this.isEnded = true;
     clearTimeout(this.timer);
+    clearTimeout(this.unreadTimer);
     this.watchdog.stop();
     this.handover.end();
     this.leaveQueue?.();
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -30,6 +30,7 @@
   readonly remainingMs?: number;
   readonly caller?: string;
   readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: Buffer;
 }
 
 const alwaysHalf: Random = () => 0.5;
@@ -81,6 +82,8 @@
 
   readonly responseBytes = new ByteBudget(1024 * 1024);
 
+  readonly requestBytes = new ByteBudget(2 * 1024 * 1024);
+
   private nowMs = 0;
 
   private requests = 0;
@@ -135,6 +138,7 @@
       crashes,
       log: new RequestLog(log, clock),
       responseBytes: this.responseBytes,
+      requestBytes: this.requestBytes,
       relay: this.relay,
       version: () => this.version,
     }, () => this.declaration);
@@ -150,7 +154,7 @@
         },
       },
       limits: {
-        maxHeaderBytes: 16384, maxBodyBytes: 1e6, headerTimeoutMs: 3000, idleTimeoutMs: 15000,
+        maxHeaderBytes: 16384, maxBodyBytes: 1e7, headerTimeoutMs: 3000, idleTimeoutMs: 15000,
       },
       source: '',
     };
@@ -196,15 +200,20 @@
 
   /** Sends a request as a caller. */
   request({
-    path = '/lots/1', remainingMs = 4000, headers = {}, caller = '10.9.0.1',
+    path = '/lots/1', remainingMs = 4000, headers = {}, caller = '10.9.0.1', body,
   }: SendOptions = {}): FakeResponse {
     this.requests += 1;
     const all = {
-      host: HOST, id: `r-${this.requests}`, remaining: String(remainingMs), ...headers,
+      host: HOST,
+      id: `r-${this.requests}`,
+      remaining: String(remainingMs),
+      ...(body === undefined ? {} : { 'content-length': String(body.length) }),
+      ...headers,
     };
     const req = Object.assign(new PassThrough(), {
       headers: all, rawHeaders: Object.entries(all).flat(), method: 'GET', url: path, complete: true, socket: { remoteAddress: caller },
     });
+    if (body !== undefined) req.end(body);
     const res = new FakeResponse(() => this.nowMs);
     this.handler.handle(req as unknown as IncomingMessage, res as unknown as ServerResponse);
     return res;
