Look for crashes also after targets that break off within a response

One request that crashes its targets after the head of the response was never quarantined: 8 of 8 calls reached a target in the rig, where crashes before the head end that after the third.

Cause: crash detection asked for attempts without a status, to leave out responses that the entry itself breaks off; a response that was being streamed even cleared the request. Attempts that the entry breaks off are marked now, every other broken one is followed by the probes that tell a crash from a lost connection, and only a complete response clears a request.

Failed before: "a request that crashed its targets within a response of which nothing was sent to the caller is refused" and "... that was being streamed to the caller ..." (sent 8 times, 4 at most are due). A target that breaks off responses but answers probes is not reported, before and after.

--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -244,6 +244,7 @@
         }
         // Any further data on this connection may belong to another request.
         if (state.verdict === 'spoiled') {
+          state.isAborted = true;
           this.dispatch?.abort({ kind: 'targetFailed', detail: isFramed ? 'not its answer' : 'no length' });
         }
       },
@@ -270,8 +271,10 @@
   }
 
   private handleData(attempt: Attempt, chunk: Buffer): boolean {
-    const isWanted = this.forwarder.take(attempt, chunk, () => this.mayStream(attempt));
+    const state = attempt;
+    const isWanted = this.forwarder.take(state, chunk, () => this.mayStream(state));
     if (isWanted === undefined) {
+      state.isAborted = true;
       this.dispatch?.abort({ kind: 'targetFailed', detail: 'its response is too long' });
     }
     return isWanted ?? false;
@@ -322,12 +325,11 @@
   ): void {
     const { crashes } = this.dependencies;
     const { fingerprint } = this.request;
-    const isBroken = failure?.kind === 'targetFailed' && !attempt.isAborted;
     // A target that did not run the request gives no evidence either way.
-    if (verdict === 'answered' || verdict === 'failed') crashes.recordResponse(fingerprint);
-    else if (isBroken && attempt.status === undefined) {
-      crashes.checkForCrash(fingerprint, attempt.target);
-    }
+    if (verdict === 'not-run') return;
+    const isBroken = failure?.kind === 'targetFailed' && !attempt.isAborted;
+    if (isBroken) crashes.checkForCrash(fingerprint, attempt.target);
+    else if (failure === undefined && verdict !== 'spoiled') crashes.recordResponse(fingerprint);
   }
 
   private canRetry(verdict: NonNullable<Attempt['verdict']>): boolean {
--- a/packages/gateway/test/crashes.test.ts
+++ b/packages/gateway/test/crashes.test.ts
@@ -27,6 +27,40 @@
   assert.deepEqual([third.status, rig.sender.sent.length], [503, sent]);
 });
 
+// Guards against requests that go on to crash targets as these had begun their responses.
+[
+  { name: 'of which nothing was sent to the caller', bodyBytes: 1000 },
+  { name: 'that was being streamed to the caller', bodyBytes: 2 * 1024 * 1024 },
+].forEach(({ name, bodyBytes }) => {
+  test(`a request that crashed its targets within a response ${name} is refused`, (t) => {
+    const rig = new GatewayRig(t);
+    Array.from({ length: 8 }, (_, index) => rig.addTarget(`t${index}`, { mode: 'crashes late', bodyBytes }));
+    for (let count = 0; count < 8; count += 1) {
+      rig.request();
+      rig.run(CRASH_CHECK_MS + 400);
+    }
+    // As many as if the targets crashed before the response.
+    assert.ok(rig.sender.sent.length <= 4, `sent ${rig.sender.sent.length} times`);
+    assert.equal(rig.reports.length, rig.sender.sent.length);
+  });
+});
+
+test('a target that breaks off responses but stays alive has not crashed', (t) => {
+  const rig = new GatewayRig(t);
+  const targets = Array.from({ length: 8 }, (_, index) => rig.addTarget(`t${index}`));
+  for (let count = 0; count < 4; count += 1) {
+    targets.forEach((target) => Object.assign(target, { mode: 'crashes late' }));
+    rig.request();
+    rig.run(240);
+    targets.forEach((target) => Object.assign(target, { mode: 'answers' }));
+    rig.run(CRASH_CHECK_MS + 400);
+  }
+  assert.deepEqual(rig.reports, []);
+  const res = rig.request();
+  rig.run(1000);
+  assert.equal(res.status, 200);
+});
+
 test('a request whose crashes other entries reported is refused', (t) => {
   const rig = createRig(t);
   rig.request();
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -138,7 +138,8 @@
     setTimeout(() => {
       state.running -= 1;
       this.waitingProbes.splice(0).forEach((probeAgain) => probeAgain());
-      if (state.mode === 'crashes') {
+      if (state.mode === 'crashes' || state.mode === 'crashes late') {
+        if (state.mode === 'crashes late' && !isOver()) FakeSender.begin(target, req, handler);
         state.mode = 'silent';
         end(() => handler.onFailure({ kind: 'targetFailed', detail: 'reset' }));
         return;
@@ -179,6 +180,14 @@
     complete(() => handler.onEnd());
   }
 
+  /** Sends the head and half of the body of a response. */
+  private static begin(target: FakeTarget, req: TargetRequest, handler: AnswerHandler): void {
+    const bytes = target.bodyBytes ?? CHUNK_BYTES;
+    const id = req.headers[req.headers.indexOf('id') + 1] ?? '';
+    handler.onHeaders(200, { id, signed: 'yes', 'content-length': String(bytes) });
+    handler.onData(Buffer.alloc(Math.floor(bytes / 2)));
+  }
+
   private static describeLimit({ limit }: FakeTarget): Record<string, string> {
     return limit === undefined ? {} : { limit: String(limit) };
   }
--- a/packages/gateway/test/support/FakeTarget.ts
+++ b/packages/gateway/test/support/FakeTarget.ts
@@ -23,10 +23,11 @@
   bodyBytes?: number;
   /**
    * How it handles requests. It answers probes in every mode except `silent`, the mode in which a
-   * target that `crashes` is after the request.
+   * target that `crashes` is after the request; one that `crashes late` has sent half of its
+   * response before.
    */
   mode: 'answers' | 'resets' | 'not-run' | 'foreign' | 'silent' | 'unsigned' | 'busy' | 'fails'
-  | 'unframed' | 'crashes';
+  | 'unframed' | 'crashes' | 'crashes late';
 }
 
 export default FakeTarget;
