--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -174,7 +174,7 @@
   }
 
   /**
-   * Tracks a request until its response is complete.
+   * Tracks a request until its response is complete and its body has been read.
    *
    * @returns false if the connection closes before this request can be answered
    */
@@ -184,7 +184,12 @@
     const isClosing = responses.some((earlier) => (
       earlier.res.headersSent && !earlier.res.shouldKeepAlive
     ));
-    if (isClosing || socket.writableEnded) return false;
+    if (isClosing) return false;
+    if (socket.writableEnded) {
+      const timer = setTimeout(() => socket.destroy(), this.unreadMs);
+      socket.once('close', () => clearTimeout(timer));
+      return false;
+    }
     const response = { res, mayKeepAlive: res.shouldKeepAlive };
     responses.push(response);
     this.active.set(socket, responses);
@@ -196,16 +201,31 @@
     });
     res.once('close', () => {
       clearTimeout(unreadTimer);
-      responses.splice(responses.indexOf(response), 1);
-      if (responses.length === 0) this.release(socket);
-      else if (this.isDraining) closeAfterLast(responses);
-      if (this.active.size === 0) this.drainWaiters.splice(0).forEach((resolve) => resolve());
+      const release = (): void => this.release(socket, response);
+      if (req.complete || req.destroyed) {
+        release();
+        return;
+      }
+      // Closing the connection before the rest of the body is read would reset it.
+      req.once('end', release);
+      req.once('close', release);
     });
     return true;
   }
 
-  /** Records that all requests of a connection have been answered. */
-  private release(socket: Socket): void {
+  /** Records that a request has been answered and read. */
+  private release(socket: Socket, response: ActiveResponse): void {
+    const responses = this.active.get(socket) ?? [];
+    const index = responses.indexOf(response);
+    if (index < 0) return;
+    responses.splice(index, 1);
+    if (responses.length === 0) this.releaseConnection(socket);
+    else if (this.isDraining) closeAfterLast(responses);
+    if (this.active.size === 0) this.drainWaiters.splice(0).forEach((resolve) => resolve());
+  }
+
+  /** Records that all requests of a connection have been answered and read. */
+  private releaseConnection(socket: Socket): void {
     this.active.delete(socket);
     if (!this.connections.has(socket)) return;
     this.connections.set(socket, socket.bytesRead);
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -16,6 +16,7 @@
 import ResponseForwarder from './ResponseForwarder';
 import type Attempt from './Attempt';
 import AttemptWatchdog from './AttemptWatchdog';
+import BodySizeCheck from './BodySizeCheck';
 import createAttempt from './createAttempt';
 import describeAttempt from './describeAttempt';
 import type GatewayRequest from './GatewayRequest';
@@ -34,6 +35,11 @@
  * jitter of up to the same length spreads the retries.
  */
 const REJECTED_RETRY_AFTER_MS = 30;
+/**
+ * Longest wait of a request whose body cannot be read on, in milliseconds: the close of its caller
+ * would not be noticed.
+ */
+const UNREAD_WAIT_MS = 400;
 const CONNECTION_LIMIT = 16;
 /** Body length in bytes above which a request stays in its region while a target there is alive. */
 const LARGE_BODY_BYTES = 16 * 1024;
@@ -42,6 +48,8 @@
 export default class GatewayExchange {
   private readonly body: ReplayableBody;
 
+  private readonly sizeCheck: BodySizeCheck;
+
   private readonly triedIds: string[];
 
   private readonly attemptLines: ReturnType<typeof describeAttempt>[] = [];
@@ -58,6 +66,8 @@
 
   private timer: NodeJS.Timeout | undefined;
 
+  private unreadTimer: NodeJS.Timeout | undefined;
+
   private readonly watchdog: AttemptWatchdog;
 
   private isEnded = false;
@@ -71,6 +81,12 @@
     private readonly reply: CallerReply,
   ) {
     this.body = new ReplayableBody(request.req, true);
+    this.sizeCheck = new BodySizeCheck(
+      dependencies.clock,
+      request,
+      this.body,
+      (failure) => this.refuseLargeBody(failure),
+    );
     this.triedIds = [...request.triedIds];
     this.forwarder = new ResponseForwarder({
       responseBytes: dependencies.responseBytes, method: request.method, reply,
@@ -117,6 +133,7 @@
 
   /** Finds a target for the next attempt, or another entry if no target can be reached. */
   private findTarget(): void {
+    this.body.readAhead(this.dependencies.requestBytes, () => this.limitWait());
     if (this.handover.isAllowed && this.handover.isNeeded) {
       this.leaveQueue = undefined;
       this.handover.start();
@@ -128,6 +145,17 @@
     if (this.attempt === attempt) this.leaveQueue = leaveQueue;
   }
 
+  /** Refuses the request if it still waits for a target after a time. */
+  private limitWait(): void {
+    clearTimeout(this.unreadTimer);
+    this.unreadTimer = setTimeout(() => {
+      if (this.isSent) return;
+      const failure: Failure = { kind: 'overloaded', detail: 'its body is too long to wait' };
+      this.fail(failure, RETRY_AFTER_MS);
+      this.handover.end(failure);
+    }, UNREAD_WAIT_MS);
+  }
+
   private createPlacementRequest(): PlacementRequest {
     const { request } = this;
     const { route } = request;
@@ -225,6 +253,7 @@
         }
         // Any further data on this connection may belong to another request.
         if (state.verdict === 'spoiled') {
+          state.isAborted = true;
           this.dispatch?.abort({ kind: 'targetFailed', detail: isFramed ? 'not its answer' : 'no length' });
         }
       },
@@ -251,8 +280,10 @@
   }
 
   private handleData(attempt: Attempt, chunk: Buffer): boolean {
-    const isWanted = this.forwarder.take(attempt, chunk, () => this.mayStream(attempt));
+    const state = attempt;
+    const isWanted = this.forwarder.take(state, chunk, () => this.mayStream(state));
     if (isWanted === undefined) {
+      state.isAborted = true;
       this.dispatch?.abort({ kind: 'targetFailed', detail: 'its response is too long' });
     }
     return isWanted ?? false;
@@ -303,12 +334,11 @@
   ): void {
     const { crashes } = this.dependencies;
     const { fingerprint } = this.request;
-    const isBroken = failure?.kind === 'targetFailed' && !attempt.isAborted;
     // A target that did not run the request gives no evidence either way.
-    if (verdict === 'answered' || verdict === 'failed') crashes.recordResponse(fingerprint);
-    else if (isBroken && attempt.status === undefined) {
-      crashes.checkForCrash(fingerprint, attempt.target);
-    }
+    if (verdict === 'not-run') return;
+    const isBroken = failure?.kind === 'targetFailed' && !attempt.isAborted;
+    if (isBroken) crashes.checkForCrash(fingerprint, attempt.target);
+    else if (failure === undefined && verdict !== 'spoiled') crashes.recordResponse(fingerprint);
   }
 
   private canRetry(verdict: NonNullable<Attempt['verdict']>): boolean {
@@ -351,13 +381,30 @@
 
   private fail(failure: Failure, retryAfterMs: number | undefined): void {
     if (this.isEnded) return;
-    const isNotRun = errorTable[failure.kind].outcome === 'not-run';
+    if (!this.mayHaveRun && this.sizeCheck.mayReplace(failure)) {
+      clearTimeout(this.timer);
+      this.timer = this.sizeCheck.awaitSize(() => this.refuse(failure, retryAfterMs));
+      return;
+    }
+    this.refuse(failure, retryAfterMs);
+  }
+
+  private refuse(failure: Failure, retryAfterMs: number | undefined): void {
+    if (this.isEnded) return;
+    const isNotRun = (failure.outcome ?? errorTable[failure.kind].outcome) === 'not-run';
     const reported: Failure = isNotRun && this.mayHaveRun ? { kind: 'targetFailed', detail: failure.detail } : failure;
     const reportedRetryAfterMs = reported === failure ? retryAfterMs : undefined;
     const status = this.reply.refuse(reported, reportedRetryAfterMs);
     this.finish(reported.kind, status, reported.detail, reportedRetryAfterMs);
   }
 
+  private refuseLargeBody(failure: Failure): void {
+    const isProven = !this.isSent && !this.mayHaveRun;
+    this.fail({ ...failure, outcome: isProven ? 'not-run' : 'unknown' }, undefined);
+    this.dispatch?.abort(failure);
+    this.handover.end(failure);
+  }
+
   private expire(): void {
     if (this.isEnded) return;
     const { attempt, isSent } = this;
@@ -373,11 +420,11 @@
     return (this.attempt !== undefined && !this.attempt.isOver) || this.handover.isSent;
   }
 
-  /** Responds with a failure and ends what is under way. */
+  /** Responds with a failure at once and ends what is under way. */
   private giveUp(failure: Failure, retryAfterMs: number): void {
     if (this.isEnded) return;
     this.mayHaveRun ||= this.isSent;
-    this.fail(failure, retryAfterMs);
+    this.refuse(failure, retryAfterMs);
     this.dispatch?.abort(failure);
     this.handover.end(failure);
   }
@@ -393,6 +440,7 @@
     const { request } = this;
     this.isEnded = true;
     clearTimeout(this.timer);
+    clearTimeout(this.unreadTimer);
     this.watchdog.stop();
     this.handover.end();
     this.leaveQueue?.();
