Relay: entries that have all refused are asked again soon

Callers of an entry that is cut off from all targets got 503 for up to a second after the other entries were fine again.

At 32.4 s 127.0.0.7 and at 32.5 s 127.0.0.6 hear from no target for 0.7 and 0.6 s. Both refuse 127.0.0.5 as `unreachable` at 32.88. At 33.12 and 33.14 their targets answer again. 127.0.0.5 asks nobody until 34.08 and refuses 24 requests after 33.12, most within 1 ms.

Cause: an entry that refuses as `unreachable` is left out for 1 s, also if no other one is left to ask. A refusal of the past is taken for the present.

Now the two that refused first are asked once all have refused, 200 ms after their refusal at the earliest, and one that takes a request is avoided no more. With most entries cut off nothing changes as long as one is left that has not refused.

`entries that have all refused are asked again soon, a few at a time` failed before: expected cork-1 and cork-2, got none.

--- a/packages/core/src/relay/AvoidedPeers.ts
+++ b/packages/core/src/relay/AvoidedPeers.ts
@@ -20,6 +20,12 @@
     avoided.set(name, avoidPeer(reason, nowMs));
   }
 
+  /** Records that an entry has taken a request of a service. */
+  forget(name: string, service: string): void {
+    this.general.delete(name);
+    this.byService.get(service)?.delete(name);
+  }
+
   /** @returns the entries that are avoided for requests of a service */
   list(service: string, nowMs: number): Map<string, AvoidedPeer> {
     const active = [...this.general, ...this.byService.get(service) ?? []]
--- a/packages/core/src/relay/avoidPeer.ts
+++ b/packages/core/src/relay/avoidPeer.ts
@@ -15,6 +15,9 @@
 export default function avoidPeer(reason: RefusalReason, nowMs: number): AvoidedPeer {
   const isFirm = reason === 'unreachable' || reason === 'stopping';
   return {
-    untilMs: nowMs + (isFirm ? relayLimits.firmAvoidMs : relayLimits.briefAvoidMs), isFirm, reason,
+    sinceMs: nowMs,
+    untilMs: nowMs + (isFirm ? relayLimits.firmAvoidMs : relayLimits.briefAvoidMs),
+    isFirm,
+    reason,
   };
 }
--- a/packages/core/src/relay/rankPeers.ts
+++ b/packages/core/src/relay/rankPeers.ts
@@ -20,6 +20,19 @@
   return peer.region === own.region ? 1 : 2;
 }
 
+/** Ranks entries that have all refused: the longer ago, the more may have changed. */
+function rankRefusing<Peer extends EntryPeer>(
+  peers: readonly Peer[],
+  findAvoided: (peer: Peer) => AvoidedPeer | undefined,
+  nowMs: number,
+): Peer[] {
+  const { firmAskAgainMs, maxAskedAgain } = relayLimits;
+  const sinceMs = (peer: Peer): number => findAvoided(peer)?.sinceMs ?? -Infinity;
+  return peers.filter((peer) => nowMs - sinceMs(peer) >= firmAskAgainMs)
+    .sort((a, b) => sinceMs(a) - sinceMs(b))
+    .slice(0, maxAskedAgain);
+}
+
 /**
  * Ranks the entries that may be asked to serve a request of this entry: near ones first, and a few
  * of each data centre, as a data centre may be cut off as a whole. A hash of both names makes
@@ -41,10 +54,11 @@
     return known !== undefined && known.untilMs > nowMs ? known : undefined;
   };
   const isDoubtful = (peer: EntryPeer): number => Number(findAvoided(peer) !== undefined);
-  const ranked = entries
-    .filter((peer) => peer.name !== own.name
-      && (homeRegions === undefined || homeRegions.includes(peer.region))
-      && findAvoided(peer)?.isFirm !== true)
+  const allowed = entries.filter((peer) => peer.name !== own.name
+    && (homeRegions === undefined || homeRegions.includes(peer.region)));
+  const willing = allowed.filter((peer) => findAvoided(peer)?.isFirm !== true);
+  if (willing.length === 0) return rankRefusing(allowed, findAvoided, nowMs);
+  const ranked = willing
     .map((peer) => ({
       peer,
       isDoubtful: isDoubtful(peer),
--- a/packages/core/src/relay/relayLimits.ts
+++ b/packages/core/src/relay/relayLimits.ts
@@ -14,6 +14,10 @@
   connectMs: 100,
   /** Time for which an entry that cannot take requests is not asked again, in ms. */
   firmAvoidMs: 1000,
+  /** Time after which it is asked all the same if no other entry is left, in milliseconds. */
+  firmAskAgainMs: 200,
+  /** Such entries that are asked for one request. */
+  maxAskedAgain: 2,
   /** Time for which an entry that was busy or did not answer is asked last, in ms. */
   briefAvoidMs: 300,
   /** Pause before the entries are asked again for a request that can still wait, in ms. */
--- a/packages/core/test/relay.test.ts
+++ b/packages/core/test/relay.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
+import AvoidedPeers from '../src/relay/AvoidedPeers';
 import avoidPeer from '../src/relay/avoidPeer';
 import type EntryPeer from '../src/relay/EntryPeer';
 import rankPeers from '../src/relay/rankPeers';
@@ -53,6 +54,28 @@
   assert.ok(names(relayLimits.firmAvoidMs).includes(first.name));
 });
 
+// Guards against requests that are refused for a second after the other entries are fine again.
+test('entries that have all refused are asked again soon, a few at a time', () => {
+  const avoided = new AvoidedPeers();
+  entries.forEach(({ name }, index) => avoided.record(name, 'lots', 'unreachable', index));
+  const rank = (nowMs: number): EntryPeer[] => (
+    rankPeers(entries, createContext(own, { avoided: avoided.list('lots', nowMs), nowMs })));
+  const { firmAskAgainMs, maxAskedAgain } = relayLimits;
+  assert.deepEqual(rank(firmAskAgainMs), []);
+  assert.deepEqual(rank(firmAskAgainMs + 5), entries.slice(1, 1 + maxAskedAgain));
+});
+
+test('an entry that has taken a request is avoided no more', () => {
+  const avoided = new AvoidedPeers();
+  entries.forEach(({ name }) => avoided.record(name, 'lots', 'unreachable', 0));
+  const [, taker] = entries as [EntryPeer, EntryPeer];
+  avoided.forget(taker.name, 'lots');
+  assert.deepEqual(
+    rankPeers(entries, createContext(own, { avoided: avoided.list('lots', 1), nowMs: 1 })),
+    [taker],
+  );
+});
+
 test('an entry that was busy or silent is asked only if no other is left', () => {
   const [first, second] = rankPeers(entries, createContext(own)) as [EntryPeer, EntryPeer];
   const avoided = new Map([
--- a/packages/vm/src/relay/OutgoingRelay.ts
+++ b/packages/vm/src/relay/OutgoingRelay.ts
@@ -29,6 +29,8 @@
   readonly reason: string;
   /** Called with an entry that has not taken the request. */
   readonly onRefusal: (peer: VmLocation, reason: RefusalReason) => void;
+  /** Called with the entry that has taken the request. */
+  readonly onGrant: (peer: VmLocation) => void;
   /** Called once it is over. */
   readonly onEnd: () => void;
 }
@@ -175,6 +177,7 @@
   private start(): void {
     clearTimeout(this.askTimer);
     this.isGranted = true;
+    if (this.peer !== undefined) this.options.onGrant(this.peer);
     this.handler.onGranted(this.peer?.name ?? '');
     if (this.isOver) return;
     const remainingMs = Math.max(1, Math.floor(this.remainingMs - relayLimits.marginMs));
--- a/packages/vm/src/relay/RelayClient.ts
+++ b/packages/vm/src/relay/RelayClient.ts
@@ -68,6 +68,7 @@
         this.avoided.record(peer.name, service, reason, clock());
         this.options.onRefusal(peer.name, reason);
       },
+      onGrant: ({ name }) => this.avoided.forget(name, service),
       onEnd: () => this.relays.delete(id),
     });
     this.relays.set(id, relay);
