Relay: an entry whose targets answer late says busy, not unreachable

An entry that is asked to serve a request of another one probes its targets and waits 25 ms for an answer, 50 ms for targets of other regions. Without one it refused as `unreachable`, and was left out for 1 s by the entry that asked, although nothing told that it had lost its targets. A slow answer was taken for a lost path.

It still agrees only after it has heard from a target, so one that has not noticed its own cut takes nothing.

`an entry whose targets answer late is busy for others, and takes the next request` failed before: expected 'busy', got 'unreachable'.

--- a/packages/gateway/src/RelayAdmission.ts
+++ b/packages/gateway/src/RelayAdmission.ts
@@ -67,8 +67,9 @@
       if (isDecided) return;
       isDecided = true;
       clearTimeout(timer);
-      const isAnswered = reachability.hasAnsweredWithin(service, RECENT_ANSWER_MS);
-      respond(isAnswered ? undefined : 'unreachable');
+      if (reachability.hasAnsweredWithin(service, RECENT_ANSWER_MS)) respond(undefined);
+      // A late answer is no evidence of a lost path: the same entry may be asked again soon.
+      else respond(pool.paths.isCutOff(service) ? 'unreachable' : 'busy');
     };
     const pending = prober.probe(targets, (left) => {
       if (left === 0 || reachability.hasAnsweredWithin(service, RECENT_ANSWER_MS)) decide();
--- a/packages/gateway/test/cutOff.test.ts
+++ b/packages/gateway/test/cutOff.test.ts
@@ -247,3 +247,25 @@
   rig.run(500);
   assert.deepEqual([res.status, res.body], [200, 'new']);
 });
+
+// Guards against cut entries that leave others alone for a second whose targets are only late.
+test('an entry whose targets answer late is busy for others, and takes the next request', (t) => {
+  const rig = createRig(t);
+  rig.targets.forEach((target) => Object.assign(target, { probeMs: 80 }));
+  rig.run(1000);
+  const replies: unknown[] = [];
+  const ask = (): void => rig.admission.decide('lots', 1, (refusal) => replies.push(refusal));
+  ask();
+  rig.run(60);
+  assert.deepEqual(replies, ['busy']);
+  rig.run(40);
+  ask();
+  assert.deepEqual(replies, ['busy', undefined]);
+});
+
+test('an entry whose targets are silent says so to others', (t) => {
+  const rig = createCutOffRig(t);
+  const replies: unknown[] = [];
+  rig.admission.decide('lots', 1, (refusal) => replies.push(refusal));
+  assert.deepEqual(replies, ['unreachable']);
+});
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -119,7 +119,7 @@
         ...(target.leaving === 'all' ? { leaving: '1' } : {}),
       });
       handler.onEnd();
-    }), PROBE_MS);
+    }), target.probeMs ?? PROBE_MS);
   }
 
   private run(
--- a/packages/gateway/test/support/FakeTarget.ts
+++ b/packages/gateway/test/support/FakeTarget.ts
@@ -9,6 +9,8 @@
   /** Service time of one request at the usual speed, in milliseconds. */
   workMs: number;
   coldLeftMs: number;
+  /** Time after which it answers a probe, in milliseconds. */
+  probeMs?: number;
   /** Whether it does not tell its load, and lets probes wait for a free slot. */
   isMute?: boolean;
   /** Requests per second that it says it takes; undefined without a limit. */
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -14,6 +14,7 @@
 import CrashWatch from '../../src/CrashWatch';
 import GatewayHandler from '../../src/GatewayHandler';
 import Placement from '../../src/Placement';
+import RelayAdmission from '../../src/RelayAdmission';
 import RequestLog from '../../src/RequestLog';
 import TargetPool from '../../src/TargetPool';
 import TargetProber from '../../src/TargetProber';
@@ -66,6 +67,8 @@
 
   readonly crashes: CrashWatch;
 
+  readonly admission: RelayAdmission;
+
   /** Fingerprints of the crashes that were reported to the other entries. */
   readonly reports: string[] = [];
 
@@ -125,6 +128,9 @@
       clock, log, pool, prober, report: (fingerprint) => this.reports.push(fingerprint),
     });
     const { crashes } = this;
+    this.admission = new RelayAdmission({
+      pool, prober, placement, version: () => this.version,
+    });
     this.handler = new GatewayHandler({
       clock,
       dialect,
