Reachability: silence counts later where targets usually answer late

Entries took targets that were all slow to answer a probe for a lost path: they relayed or refused what these could have served.

Cause: any target counted as silent 150 ms after a probe, whatever its answers usually take. Now it is twice the slowest answer of late (half-life 5 s), 150 ms at least, and 400 ms at most, which is when the probe is given up. An accepted connection is no evidence: proxies and kernels accept for targets that are out of reach.

`requests are served by targets that all answer late` failed before: 2 of 25 served.

--- a/packages/core/src/reachability/ServiceReachability.ts
+++ b/packages/core/src/reachability/ServiceReachability.ts
@@ -10,6 +10,10 @@
 interface ServiceReachability {
   /** Unanswered probes, by target id. */
   readonly unanswered: Map<string, UnansweredProbes>;
+  /** Longest time that an answer to a probe took lately, in milliseconds. */
+  slowestAnswerMs: number;
+  /** When that answer came, in milliseconds. */
+  slowestAnswerAtMs: number;
   /** When a target of the service last answered, in milliseconds. */
   lastAnswerAtMs: number;
   /** Since when no target can be reached, in milliseconds; undefined while one can. */
--- a/packages/core/src/reachability/recordProbeSent.ts
+++ b/packages/core/src/reachability/recordProbeSent.ts
@@ -1,4 +1,4 @@
-import reachabilityLimits from './reachabilityLimits';
+import findSilenceLimit from './findSilenceLimit';
 import type ServiceReachability from './ServiceReachability';
 
 /**
@@ -14,7 +14,7 @@
   nowMs: number,
 ): void {
   const known = state.unanswered.get(targetId);
-  const silentAtMs = nowMs + reachabilityLimits.silentAfterMs;
+  const silentAtMs = nowMs + findSilenceLimit(state, nowMs);
   state.unanswered.set(targetId, {
     sentAtMs: nowMs, silentAtMs: Math.min(known?.silentAtMs ?? Infinity, silentAtMs),
   });
--- a/packages/core/src/reachability/recordTargetAnswer.ts
+++ b/packages/core/src/reachability/recordTargetAnswer.ts
@@ -1,3 +1,4 @@
+import estimateSlowestAnswer from './estimateSlowestAnswer';
 import type ServiceReachability from './ServiceReachability';
 
 /**
@@ -14,6 +15,11 @@
   nowMs: number,
 ): number | undefined {
   const { unreachableSinceMs } = state;
+  const answerMs = nowMs - (state.unanswered.get(targetId)?.sentAtMs ?? nowMs);
+  if (answerMs >= estimateSlowestAnswer(state, nowMs)) {
+    state.slowestAnswerMs = answerMs;
+    state.slowestAnswerAtMs = nowMs;
+  }
   state.unanswered.delete(targetId);
   state.lastAnswerAtMs = nowMs;
   state.unreachableSinceMs = undefined;
--- a/packages/core/test/reachability.test.ts
+++ b/packages/core/test/reachability.test.ts
@@ -96,3 +96,20 @@
   }
   assert.ok(lost / rounds < 0.05, `${lost} of ${rounds}`);
 });
+
+test('where answers were slow of late, silence takes longer to count, up to a bound', () => {
+  const { maxSilentAfterMs, slowestAnswerHalfLifeMs } = reachabilityLimits;
+  const isLostAfter = (answerMs: number, ageMs: number, waitMs: number): boolean => {
+    const state = createServiceReachability();
+    probe(state, ['a'], 0);
+    recordTargetAnswer(state, 'a', answerMs);
+    probe(state, TARGETS, answerMs + ageMs);
+    return hasLostTargets(state, TARGETS.length, answerMs + ageMs + waitMs);
+  };
+  assert.equal(isLostAfter(10, 1, silentAfterMs), true);
+  assert.equal(isLostAfter(120, 1, 230), false);
+  assert.equal(isLostAfter(120, 1, 240), true);
+  assert.equal(isLostAfter(3000, 1, maxSilentAfterMs - 1), false);
+  assert.equal(isLostAfter(3000, 1, maxSilentAfterMs), true);
+  assert.equal(isLostAfter(120, 10 * slowestAnswerHalfLifeMs, silentAfterMs), true);
+});
--- a/packages/gateway/src/ReachabilityTracker.ts
+++ b/packages/gateway/src/ReachabilityTracker.ts
@@ -2,6 +2,7 @@
 
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import createServiceReachability from '@guavayard/core/reachability/createServiceReachability';
+import findSilenceLimit from '@guavayard/core/reachability/findSilenceLimit';
 import hasAnsweredSince from '@guavayard/core/reachability/hasAnsweredSince';
 import hasLostTargets from '@guavayard/core/reachability/hasLostTargets';
 import isSilentTarget from '@guavayard/core/reachability/isSilentTarget';
@@ -117,6 +118,7 @@
     this.options.log.warn({
       service,
       silentTargets: state.unanswered.size,
+      silentAfterMs: Math.round(findSilenceLimit(state, nowMs)),
       lastAnswerMs: lastAnswerAtMs === -Infinity ? undefined : Math.round(nowMs - lastAnswerAtMs),
       unreachableServices: this.unreachableCount,
       services: this.services.size,
--- a/packages/gateway/test/cutOff.test.ts
+++ b/packages/gateway/test/cutOff.test.ts
@@ -248,6 +248,20 @@
   assert.deepEqual([res.status, res.body], [200, 'new']);
 });
 
+// Guards against entries that take slow targets for a cut and refuse what these would serve.
+test('requests are served by targets that all answer late', (t) => {
+  const rig = createRig(t, false);
+  rig.relay.mode = 'refuses';
+  rig.targets.forEach((target) => Object.assign(target, { probeMs: 250 }));
+  const responses = Array.from({ length: 30 }, () => {
+    const res = rig.request();
+    rig.run(300);
+    return res;
+  });
+  rig.run(1000);
+  assert.ok(served(responses.slice(5)) >= 24, `${served(responses.slice(5))} of 25`);
+});
+
 // Guards against cut entries that leave others alone for a second whose targets are only late.
 test('an entry whose targets answer late is busy for others, and takes the next request', (t) => {
   const rig = createRig(t);
