Probes: time in which the entry stands still is not silence of targets

An entry that had not been scheduled for a moment gave up the probes under way, before it read the answers that had arrived meanwhile, and took all targets for silent: it relayed or refused requests.

Cause: the timeout of a probe and the silence of a target were measured by the clock alone. After a stall the event loop runs timers before network events, so the timeout came first; an exchange that takes several steps, such as a connect and a probe, was charged the stall in each.

Now the timeout runs in eight steps of 50 ms. What a step comes late is time in which this process did not run: silence counts later by as much, and a step that comes late by its own length counts for nothing. The design tells the two apart without a further timer while no probe is under way.

`a time in which the entry stands still is not taken for silence of the targets` failed before: expected 200, got 503. Not seen by itself in a run of processes, where the logs cannot tell a stall of the entry from one of the targets.

--- a/packages/gateway/src/ReachabilityTracker.ts
+++ b/packages/gateway/src/ReachabilityTracker.ts
@@ -7,6 +7,7 @@
 import hasLostTargets from '@guavayard/core/reachability/hasLostTargets';
 import isSilentTarget from '@guavayard/core/reachability/isSilentTarget';
 import recordContactFailure from '@guavayard/core/reachability/recordContactFailure';
+import recordProbeStall from '@guavayard/core/reachability/recordProbeStall';
 import recordProbeSent from '@guavayard/core/reachability/recordProbeSent';
 import recordTargetAnswer from '@guavayard/core/reachability/recordTargetAnswer';
 import type ServiceReachability from '@guavayard/core/reachability/ServiceReachability';
@@ -46,6 +47,11 @@
     recordProbeSent(this.stateOf(record.service), record.id, this.options.clock());
   }
 
+  /** Records for how long this process stood still while a probe was under way, in milliseconds. */
+  recordStall({ record: { id, service } }: PlacedTarget, stalledMs: number): void {
+    recordProbeStall(this.stateOf(service), id, stalledMs, this.options.clock());
+  }
+
   /** Records that a target answered a request or a probe. */
   recordAnswer({ record: { id, service } }: PlacedTarget): void {
     const forMs = recordTargetAnswer(this.stateOf(service), id, this.options.clock());
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -13,8 +13,9 @@
 import isRefusalStatus from './isRefusalStatus';
 import type TargetPool from './TargetPool';
 
-/** Timeout of a probe, in milliseconds. */
-const PROBE_TIMEOUT_MS = 400;
+/** Steps of the timeout of a probe. Those in which this process stood still do not count. */
+const TIMEOUT_STEPS = 8;
+const TIMEOUT_STEP_MS = 50;
 /** Time for which a target that could not be reached is not considered, in milliseconds. */
 const UNREACHABLE_MS = 300;
 /** Share of the limit on probes that the entries use. */
@@ -214,12 +215,22 @@
       },
       handler,
     );
-    if (!isDone) {
+    const awaitStep = (stepsLeft: number): void => {
+      if (isDone) return;
+      const dueAtMs = clock() + TIMEOUT_STEP_MS;
       timer = setTimeout(() => {
+        const stalledMs = Math.max(0, clock() - dueAtMs);
+        paths.reachability.recordStall(target, stalledMs);
+        const left = stalledMs < TIMEOUT_STEP_MS ? stepsLeft - 1 : stepsLeft;
+        if (left > 0) {
+          awaitStep(left);
+          return;
+        }
         isTimedOut = true;
         dispatch.abort({ kind: 'targetUnreachable', detail: 'probe' });
-      }, PROBE_TIMEOUT_MS);
-    }
+      }, TIMEOUT_STEP_MS);
+    };
+    awaitStep(TIMEOUT_STEPS);
   }
 
   private applyResponse(
--- a/packages/gateway/test/cutOff.test.ts
+++ b/packages/gateway/test/cutOff.test.ts
@@ -262,6 +262,17 @@
   assert.ok(served(responses.slice(5)) >= 24, `${served(responses.slice(5))} of 25`);
 });
 
+test('a time in which the entry stands still is not taken for silence of the targets', (t) => {
+  const rig = createRig(t, false);
+  rig.relay.mode = 'refuses';
+  rig.targets.forEach((target) => Object.assign(target, { probeMs: 100 }));
+  const res = rig.request();
+  rig.run(60);
+  rig.stall(600);
+  rig.run(600);
+  assert.equal(res.status, 200);
+});
+
 // Guards against cut entries that leave others alone for a second whose targets are only late.
 test('an entry whose targets answer late is busy for others, and takes the next request', (t) => {
   const rig = createRig(t);
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -57,8 +57,22 @@
   /** Open connections without a request, by address. */
   private readonly ready = new Map<string, number>();
 
+  /** Responses that the entry has not read yet, while it stands still. */
+  private held: (() => void)[] | undefined;
+
   constructor(private readonly targets: readonly FakeTarget[]) {}
 
+  /** Holds back all responses until `release`. */
+  hold(): void {
+    this.held = [];
+  }
+
+  release(): void {
+    const held = this.held ?? [];
+    this.held = undefined;
+    held.forEach((run) => run());
+  }
+
   send(address: SendAddress, req: TargetRequest, handler: AnswerHandler): Dispatch {
     const target = this.targets.find((candidate) => candidate.address === address.address);
     if (target === undefined) throw new Error(`no target at ${address.address}`);
@@ -78,11 +92,17 @@
       }), CONNECT_MS);
       return { resume: () => undefined, abort: (failure) => end(() => handler.onFailure(failure)) };
     }
-    const complete = (run: () => void): void => end(() => {
-      if (isNew) this.onOpened(target.address, true);
-      this.ready.set(target.address, this.countReady(target.address) + 1);
-      run();
-    });
+    const complete = (run: () => void): void => {
+      if (this.held !== undefined) {
+        this.held.push(() => complete(run));
+        return;
+      }
+      end(() => {
+        if (isNew) this.onOpened(target.address, true);
+        this.ready.set(target.address, this.countReady(target.address) + 1);
+        run();
+      });
+    };
     const dispatch: Dispatch = {
       resume: () => undefined,
       abort: (failure) => {
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -88,6 +88,9 @@
 
   private requests = 0;
 
+  /** What runs after pending network events, while the entry stands still. */
+  private deferred: (() => void)[] | undefined;
+
   constructor(private readonly t: TestContext, route: Partial<DeclaredRoute> = {}) {
     t.mock.timers.enable({ apis: ['setTimeout'] });
     Object.assign(this.route, route);
@@ -105,7 +108,10 @@
       onTargetRemoved: () => undefined,
       shareLimit: (notice) => this.notices.push(notice),
       reportLeaving: (id) => this.leavingIds.push(id),
-      defer: (run) => setTimeout(run, 0),
+      defer: (run) => {
+        if (this.deferred === undefined) setTimeout(run, 0);
+        else this.deferred.push(run);
+      },
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a probe
       onSilence: () => prober.startVerifying(),
       countReady: (address) => this.sender.countReady(address),
@@ -223,4 +229,16 @@
       this.t.mock.timers.tick(1);
     }
   }
+
+  /** Lets the entry stand still; afterwards timers run before pending network events. */
+  stall(ms: number): void {
+    const deferred: (() => void)[] = [];
+    this.deferred = deferred;
+    this.sender.hold();
+    this.nowMs += ms;
+    this.t.mock.timers.tick(ms);
+    this.sender.release();
+    this.deferred = undefined;
+    deferred.forEach((run) => run());
+  }
 }
