--- a/packages/gateway/test/cutOff.test.ts
+++ b/packages/gateway/test/cutOff.test.ts
@@ -247,3 +247,50 @@
   rig.run(500);
   assert.deepEqual([res.status, res.body], [200, 'new']);
 });
+
+// Guards against entries that take slow targets for a cut and refuse what these would serve.
+test('requests are served by targets that all answer late', (t) => {
+  const rig = createRig(t, false);
+  rig.relay.mode = 'refuses';
+  rig.targets.forEach((target) => Object.assign(target, { probeMs: 250 }));
+  const responses = Array.from({ length: 30 }, () => {
+    const res = rig.request();
+    rig.run(300);
+    return res;
+  });
+  rig.run(1000);
+  assert.ok(served(responses.slice(5)) >= 24, `${served(responses.slice(5))} of 25`);
+});
+
+test('a time in which the entry stands still is not taken for silence of the targets', (t) => {
+  const rig = createRig(t, false);
+  rig.relay.mode = 'refuses';
+  rig.targets.forEach((target) => Object.assign(target, { probeMs: 100 }));
+  const res = rig.request();
+  rig.run(60);
+  rig.stall(600);
+  rig.run(600);
+  assert.equal(res.status, 200);
+});
+
+// Guards against cut entries that leave others alone for a second whose targets are only late.
+test('an entry whose targets answer late is busy for others, and takes the next request', (t) => {
+  const rig = createRig(t);
+  rig.targets.forEach((target) => Object.assign(target, { probeMs: 80 }));
+  rig.run(1000);
+  const replies: unknown[] = [];
+  const ask = (): void => rig.admission.decide('lots', 1, (refusal) => replies.push(refusal));
+  ask();
+  rig.run(60);
+  assert.deepEqual(replies, ['busy']);
+  rig.run(40);
+  ask();
+  assert.deepEqual(replies, ['busy', undefined]);
+});
+
+test('an entry whose targets are silent says so to others', (t) => {
+  const rig = createCutOffRig(t);
+  const replies: unknown[] = [];
+  rig.admission.decide('lots', 1, (refusal) => replies.push(refusal));
+  assert.deepEqual(replies, ['unreachable']);
+});
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -14,6 +14,7 @@
 import CrashWatch from '../../src/CrashWatch';
 import GatewayHandler from '../../src/GatewayHandler';
 import Placement from '../../src/Placement';
+import RelayAdmission from '../../src/RelayAdmission';
 import RequestLog from '../../src/RequestLog';
 import TargetPool from '../../src/TargetPool';
 import TargetProber from '../../src/TargetProber';
@@ -67,6 +68,8 @@
 
   readonly crashes: CrashWatch;
 
+  readonly admission: RelayAdmission;
+
   /** Fingerprints of the crashes that were reported to the other entries. */
   readonly reports: string[] = [];
 
@@ -88,6 +91,9 @@
 
   private requests = 0;
 
+  /** What runs after pending network events, while the entry stands still. */
+  private deferred: (() => void)[] | undefined;
+
   constructor(private readonly t: TestContext, route: Partial<DeclaredRoute> = {}) {
     t.mock.timers.enable({ apis: ['setTimeout'] });
     Object.assign(this.route, route);
@@ -105,7 +111,10 @@
       onTargetRemoved: () => undefined,
       shareLimit: (notice) => this.notices.push(notice),
       reportLeaving: (id) => this.leavingIds.push(id),
-      defer: (run) => setTimeout(run, 0),
+      defer: (run) => {
+        if (this.deferred === undefined) setTimeout(run, 0);
+        else this.deferred.push(run);
+      },
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a probe
       onSilence: () => prober.startVerifying(),
       countReady: (address) => this.sender.countReady(address),
@@ -128,6 +137,9 @@
       clock, log, pool, prober, report: (fingerprint) => this.reports.push(fingerprint),
     });
     const { crashes } = this;
+    this.admission = new RelayAdmission({
+      pool, prober, placement, version: () => this.version,
+    });
     this.handler = new GatewayHandler({
       clock,
       dialect,
@@ -226,4 +238,16 @@
       this.t.mock.timers.tick(1);
     }
   }
+
+  /** Lets the entry stand still; afterwards timers run before pending network events. */
+  stall(ms: number): void {
+    const deferred: (() => void)[] = [];
+    this.deferred = deferred;
+    this.sender.hold();
+    this.nowMs += ms;
+    this.t.mock.timers.tick(ms);
+    this.sender.release();
+    this.deferred = undefined;
+    deferred.forEach((run) => run());
+  }
 }
