Compact a log of large entries

Operators would see: control processes over their memory limit, all at about the same time, after a series of large configurations.

Cause: the log was compacted after 256 entries, whatever their size, and holds them in memory. It is compacted now, too, once its committed entries are estimated at 16 MB.

--- a/packages/core/src/consensus/selectEntries.ts
+++ b/packages/core/src/consensus/selectEntries.ts
@@ -1,18 +1,10 @@
+import estimateEntryBytes from './estimateEntryBytes';
 import type LogEntry from './LogEntry';
 
 const MAX_ENTRIES = 64;
-/** Estimated size of an entry besides the document that it may hold, in bytes. */
-const ENTRY_BYTES = 1024;
-/** Size of a decoded declaration with its source, as a multiple of the source. */
-const DECLARATION_FACTOR = 3;
 /** Estimated size of an append from which on it takes no further entry, in bytes. */
 const MAX_APPEND_BYTES = 4 * 1024 * 1024;
 
-function estimateBytes({ command }: LogEntry): number {
-  if (command.kind !== 'registry' || command.change.kind !== 'declare') return ENTRY_BYTES;
-  return ENTRY_BYTES + DECLARATION_FACTOR * command.change.declaration.source.length;
-}
-
 /**
  * Selects the entries of one append. A frame that is longer than its receiver allows closes the
  * session, so that a replica which lacks many large entries would never catch up.
@@ -25,7 +17,7 @@
   const entries: LogEntry[] = [];
   let bytes = 0;
   log.slice(start, start + MAX_ENTRIES).every((entry) => {
-    bytes += estimateBytes(entry);
+    bytes += estimateEntryBytes(entry);
     if (entries.length > 0 && bytes > MAX_APPEND_BYTES) return false;
     entries.push(entry);
     return true;
--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -10,6 +10,7 @@
 import findLastIndex from '@guavayard/core/consensus/findLastIndex';
 import findSilentMembers from '@guavayard/core/consensus/findSilentMembers';
 import findSilentVms from '@guavayard/core/consensus/findSilentVms';
+import isCompactionDue from '@guavayard/core/consensus/isCompactionDue';
 import isLeaveSettled from '@guavayard/core/consensus/isLeaveSettled';
 import isMember from '@guavayard/core/consensus/isMember';
 import isVoter from '@guavayard/core/consensus/isVoter';
@@ -36,8 +37,6 @@
  * milliseconds: the others have elected another leader by then and send again what it missed.
  */
 const STALLED_WRITE_MS = 1000;
-/** Number of entries committed since the last snapshot after which the log is compacted. */
-const COMPACTION_THRESHOLD_ENTRIES = 256;
 
 /**
  * Drives one replica: processes queued events, syncs the records that they write, and only then
@@ -314,10 +313,9 @@
   }
 
   private compactIfDue(): void {
-    const { commitIndex, snapshot } = this.state;
-    if (commitIndex - snapshot.lastIndex < COMPACTION_THRESHOLD_ENTRIES) return;
+    if (!isCompactionDue(this.state)) return;
     const data = this.options.listener.createSnapshot();
-    this.events.push({ kind: 'compact', index: commitIndex, data });
+    this.events.push({ kind: 'compact', index: this.state.commitIndex, data });
   }
 
   private joinIfDue(): void {
