Check key and certificates before they come into use

Operators saw: a VM whose private key was being written while it started ended at once with "DECODER routines::unsupported", exit code 1. With an authority's file that was still empty, it came up and trusted no peer for some 5 s. At a reload, such a file came into use as well.

Cause: the files were read while they had two seconds to become whole, but checked only when the first listener was created with them. They are checked where they are read now.

--- a/packages/vm/src/session/TlsTransport.ts
+++ b/packages/vm/src/session/TlsTransport.ts
@@ -1,7 +1,13 @@
+import { X509Certificate } from 'node:crypto';
 import { readFileSync } from 'node:fs';
 import type { Server, Socket } from 'node:net';
 import {
-  checkServerIdentity, connect, createServer, TLSSocket, type Server as TlsServer,
+  checkServerIdentity,
+  connect,
+  createSecureContext,
+  createServer,
+  TLSSocket,
+  type Server as TlsServer,
 } from 'node:tls';
 
 import splitHostPort from '@guavayard/core/utils/splitHostPort';
@@ -17,12 +23,22 @@
   readonly ca: Buffer;
 }
 
+/** @throws Error if the bytes do not begin with a certificate */
+function readCertificate(bytes: Buffer): X509Certificate {
+  return new X509Certificate(bytes);
+}
+
 function readCredentials(files: TlsFiles): Credentials {
-  return {
+  const credentials = {
     cert: readFileSync(files.certificateFile),
     key: readFileSync(files.keyFile),
     ca: readFileSync(files.authorityFile),
   };
+  // Checked here, as a file that is still being written must not come into use.
+  createSecureContext(credentials);
+  // The context takes a file without certificates, with which no peer would be trusted.
+  readCertificate(credentials.ca);
+  return credentials;
 }
 
 /**
@@ -36,7 +52,7 @@
 
   /**
    * @param files - paths of the certificate, its key and the authority's certificate
-   * @throws Error if a file cannot be read
+   * @throws Error if a file cannot be read or is invalid
    */
   constructor(private readonly files: TlsFiles) {
     this.credentials = readCredentials(files);
--- a/packages/vm/test/tls.test.ts
+++ b/packages/vm/test/tls.test.ts
@@ -104,3 +104,34 @@
   assert.throws(() => transport.reload());
   assert.equal(await openSession(t, port, createTransport('other-member')), 'open');
 });
+
+// Guards against files that are not whole at a reload, after which no session could be opened.
+[
+  { name: 'a certificate', file: 'certificateFile' },
+  { name: 'a key', file: 'keyFile' },
+  { name: 'an authority', file: 'authorityFile' },
+].forEach(({ name, file }) => {
+  test(`${name} that is not whole at a start or a reload is an error, and is not put in use`, async (t) => {
+    const folder = mkdtempSync(join(tmpdir(), 'guavayard-tls-'));
+    t.after(() => rmSync(folder, { recursive: true }));
+    const whole = { certificateFile: 'member.pem', keyFile: 'member.key', authorityFile: 'ca.pem' };
+    const files = {
+      certificateFile: join(folder, 'a'), keyFile: join(folder, 'b'), authorityFile: join(folder, 'c'),
+    };
+    const install = (): void => (Object.keys(files) as (keyof typeof files)[])
+      .forEach((key) => copyFileSync(join(CERTIFICATES, whole[key]), files[key]));
+    install();
+    const transport = new TlsTransport(files);
+    const port = await listen(t, transport);
+    const path = files[file as keyof typeof files];
+    ['', '-----BEGIN'].forEach((content) => {
+      writeFileSync(path, content);
+      assert.throws(() => new TlsTransport(files));
+      assert.throws(() => transport.reload());
+    });
+    assert.equal(await openSession(t, port, createTransport('other-member')), 'open');
+    install();
+    transport.reload();
+    assert.equal(await openSession(t, port, createTransport('other-member')), 'open');
+  });
+});
