Keep the roster of entries through starts of control processes

Each control VM killed and started in turn under load: a cold target that may get 12.5 requests a second from all entries got 33, 36 and 8 with 4 entries and 44, 162 and 9 with 18 (processes, x86-64).

Cause: a control process that had just started sent its subscribers an empty roster, which they took for a system without other entries, so each used the whole limit; it got the true one from the leader up to ten seconds later. A leader that had just started published only those entries it had heard of.

A control VM now sends no roster until it knows one, and entries keep their last; the leader sends it again within a second of a connect, and one that knows none waits until all control VMs have reported. An entry that never had one sends nothing to cold targets. No message, field or value changes; entries ignore the empty rosters of older builds.

Changed check: "request limits reach all entries ..." in packages/vm/test/publisher.test.ts expects a roster for a late subscriber, so the test sets one first; its expectations are the same. That nothing is sent without one is a new test.

--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -56,7 +56,8 @@
 
   private evacuated: ReadonlySet<string> = new Set();
 
-  private entries: readonly EntryLocation[] = [];
+  /** The entries of the system; undefined until they are known. */
+  private entries: readonly EntryLocation[] | undefined;
 
   /** Request limits of the targets. */
   readonly limits: RequestLimitTracker;
@@ -86,7 +87,7 @@
 
   /** Number of entries that are known to serve, including this one. */
   get entryCount(): number {
-    return Math.max(1, this.entries.length);
+    return Math.max(1, this.entries?.length ?? 0);
   }
 
   /** Number of known targets. */
@@ -266,14 +267,16 @@
 
   private isWithinColdLimit(target: PlacedTarget, nowMs: number): boolean {
     if (target.coldUntilMs <= nowMs) return true;
-    // Only the entries of a cold target's region share its request limit.
-    if (!this.isNear(target)) return false;
+    // Only the entries of a cold target's region share its request limit, and none knows its share
+    // before it knows them.
+    if (!this.isNear(target) || this.entries === undefined) return false;
     const { coldBurstFactor, coldSlack, location } = this.options;
     const declared = findService(this.declaration, target.record.service);
     const limit: ColdRateLimit = {
       requestsPerSecond: (declared?.coldRequestsPerSecond ?? 0) * coldBurstFactor + coldSlack,
-      entryNames: this.entries.filter(({ region }) => region === location.region)
-        .map(({ name }) => name),
+      // Control may not have heard of this entry yet.
+      entryNames: [...new Set([location.name, ...this.entries
+        .filter(({ region }) => region === location.region).map(({ name }) => name)])],
     };
     return maySendToColdTarget(target, limit, location.name, nowMs);
   }
@@ -291,14 +294,14 @@
       regionsOf.set(record.service, regions.add(region));
     });
     const context = JSON.stringify([
-      this.entries,
+      this.entries ?? [],
       this.declaration?.version,
       [...regionsOf].map(([service, regions]) => `${service} ${[...regions].sort().join()}`).sort(),
     ]);
     if (context === this.limitContext) return;
     this.limitContext = context;
     const routes = Object.values(this.declaration?.routes ?? {});
-    this.limits.setContext({ entries: this.entries, routes, regionsOf });
+    this.limits.setContext({ entries: this.entries ?? [], routes, regionsOf });
   }
 
   private upsert(record: RegisteredTarget): void {
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -110,6 +110,7 @@
       onSilence: () => prober.startVerifying(),
       countReady: (address) => this.sender.countReady(address),
     });
+    this.pool.setEntries([{ name: 'entry-1', region: 'near' }]);
     const { pool, sender } = this;
     sender.onOpened = (address, isWorking) => pool.paths.connections.record(address, isWorking);
     const prober: TargetProber = new TargetProber({
--- a/packages/vm/src/registry/RegistryPublisher.ts
+++ b/packages/vm/src/registry/RegistryPublisher.ts
@@ -38,9 +38,10 @@
   /** Sessions that receive pulses, which say whether this replica is current. */
   private readonly pulseReceivers = new Set<VmSession>();
 
-  private roster: Roster = { controls: [], entries: [] };
+  /** The last roster; undefined until this VM knows one, and entries keep theirs meanwhile. */
+  private roster: Roster | undefined;
 
-  private rosterFrame = encodeRoster(this.roster);
+  private rosterFrame: Buffer | undefined;
 
   /** The encoded view, undefined once the registry has changed. */
   private viewFrame: Buffer | undefined;
@@ -75,9 +76,9 @@
     ));
   }
 
-  /** Locations of all entries of the system, as the last roster lists them. */
-  get knownEntries(): readonly VmLocation[] {
-    return this.roster.entries;
+  /** Locations of all entries of the system; undefined until this VM knows them. */
+  get knownEntries(): readonly VmLocation[] | undefined {
+    return this.roster?.entries;
   }
 
   onOpen(): void {}
@@ -98,7 +99,7 @@
     this.flush();
     this.subscribers.add(session);
     session.sendFrame(this.encodeView());
-    session.sendFrame(this.rosterFrame);
+    if (this.rosterFrame !== undefined) session.sendFrame(this.rosterFrame);
     const notices = this.limits.list();
     if (notices.length > 0) session.send({ kind: 'requestLimits', notices, isRelayed: true });
   }
@@ -122,9 +123,10 @@
   /** Sets the VMs of the system, and sends them to the subscribers if they have changed. */
   setRoster(roster: Roster): void {
     if (JSON.stringify(roster) === JSON.stringify(this.roster)) return;
+    const frame = encodeRoster(roster);
     this.roster = roster;
-    this.rosterFrame = encodeRoster(roster);
-    this.subscribers.forEach((session) => session.sendFrame(this.rosterFrame));
+    this.rosterFrame = frame;
+    this.subscribers.forEach((session) => session.sendFrame(frame));
   }
 
   /**
--- a/packages/vm/src/registry/RegistrySubscription.ts
+++ b/packages/vm/src/registry/RegistrySubscription.ts
@@ -189,6 +189,8 @@
   }
 
   private applyRoster({ controls, entries }: Roster): void {
+    // Older builds send an empty one until they know the entries.
+    if (entries.length === 0) return;
     this.roster = { controls, entries };
     this.options.listener.onRosterChange(this.roster);
   }
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -39,6 +39,11 @@
 const LEADER_TIMEOUT_MS = 700;
 const PULSE_INTERVAL_MS = 250;
 const PRESENCE_INTERVAL_MS = 1000;
+/**
+ * Time after which a new leader that knew no roster has heard of all entries, in milliseconds: they
+ * subscribe within one interval, and the control VMs report it within another.
+ */
+const ROSTER_DELAY_MS = 2 * PRESENCE_INTERVAL_MS;
 /** Number of presence intervals after which an unchanged roster is sent again. */
 const ROSTER_RESEND_INTERVALS = 10;
 /** Longest time for one call. Clients time out after a second and retry on another VM. */
@@ -81,6 +86,9 @@
 
   private lastRoster = '';
 
+  /** When this VM may publish a roster as the leader. */
+  private rosterDueAtMs = 0;
+
   private unsentRosterIntervals = 0;
 
   constructor(private readonly options: RegistryTaskOptions) {
@@ -100,7 +108,9 @@
         onCaughtUp: () => this.publisher.sendPulses(),
         onLeaderChange: (leader) => {
           options.log.info({ leader, term: this.consensus.term }, 'leader changed');
-          this.presence.reset(this.publisher.knownEntries);
+          this.presence.reset(this.publisher.knownEntries ?? []);
+          this.rosterDueAtMs = this.publisher.knownEntries === undefined
+            ? clock() + ROSTER_DELAY_MS : 0;
           this.publisher.sendPulses();
         },
         createSnapshot: (): ConfigurationSnapshot => ({
@@ -205,7 +215,10 @@
   }
 
   onOpen(_session: VmSession, peer: NonNullable<VmSession['peer']>): void {
-    if (peer.roles.includes('control')) this.controlLocations.set(peer.name, createVmLocation(peer));
+    if (!peer.roles.includes('control')) return;
+    this.controlLocations.set(peer.name, createVmLocation(peer));
+    // A process that has just started knows no roster.
+    this.lastRoster = '';
   }
 
   onMessage(_session: VmSession, message: VmMessage): void {
@@ -413,6 +426,7 @@
   }
 
   private publishRoster(): void {
+    if (this.options.clock() < this.rosterDueAtMs) return;
     const voters = new Set(this.consensus.voterNames);
     const controls = [...this.controlLocations.values()]
       .filter(({ name }) => voters.has(name))
--- a/packages/vm/test/publisher.test.ts
+++ b/packages/vm/test/publisher.test.ts
@@ -9,6 +9,13 @@
 import frameLayout from '../src/session/frameLayout';
 import type VmSession from '../src/session/VmSession';
 
+const ROSTER = {
+  controls: [],
+  entries: [{
+    name: '10.1.0.1', region: 'munster', dataCentre: 'cork', address: '10.1.0.1:7000',
+  }],
+};
+
 type Sent = VmMessage['kind'];
 
 interface RecordingSession {
@@ -96,6 +103,7 @@
     (message) => relayed.push(message),
     () => 0,
   );
+  publisher.setRoster(ROSTER);
   const reporter = createSession();
   publisher.onMessage(reporter.session, { kind: 'registrySubscribe' });
   const notice = { targetId: 'i-1', bornAtMs: 7, requestsPerSecond: 1.5 };
@@ -117,3 +125,14 @@
   publisher.onMessage(later.session, { kind: 'registrySubscribe' });
   assert.deepEqual(later.sent, ['registryView', 'roster']);
 });
+
+// Guards against entries that take whole limits for themselves, as they are told of no others.
+test('a control VM that knows no roster sends none to an entry that subscribes', () => {
+  const store = new RegistryStore(() => 0, undefined, 0);
+  const publisher = new RegistryPublisher(store, () => true, () => undefined, () => 0);
+  const early = createSession();
+  publisher.onMessage(early.session, { kind: 'registrySubscribe' });
+  assert.deepEqual(early.sent, ['registryView']);
+  publisher.setRoster(ROSTER);
+  assert.deepEqual(early.sent, ['registryView', 'roster']);
+});
--- a/packages/vm/test/subscription.test.ts
+++ b/packages/vm/test/subscription.test.ts
@@ -93,3 +93,18 @@
     entry.subscription.close();
   });
 });
+
+// Guards against an entry that takes itself for the only one; older builds send such a roster.
+test('a roster without entries does not replace the last one', (t) => {
+  const { subscription, session } = createFollowingEntry(t);
+  const {
+    name, region, dataCentre, address,
+  } = IDENTITY;
+  const entries = [{
+    name, region, dataCentre, address,
+  }];
+  subscription.onMessage(session, { kind: 'roster', controls: [], entries });
+  subscription.onMessage(session, { kind: 'roster', controls: [], entries: [] });
+  assert.deepEqual(subscription.roster.entries, entries);
+  subscription.close();
+});
