--- a/packages/vm/test/groupModel.test.ts
+++ b/packages/vm/test/groupModel.test.ts
@@ -113,6 +113,15 @@
     await group.run(1600);
     await endAll(group, group.lostVms);
   },
+  'a new VM that has not caught up loses its disk, and others do': async (group) => {
+    const young = group.add(`10.0.3.${Math.round(group.nowMs / 1000) % 250}`);
+    await group.wait(2500);
+    await sendChanges(group);
+    const others = pick(group, group.vms.filter((vm) => vm !== young), group.lostVms - 1);
+    group.note(`disks lost: ${[young, ...others].map(({ name }) => name).join()}`);
+    group.vms.forEach((vm) => vm.stop(false));
+    await startAll(group, pick(group, group.vms, group.vms.length), [young, ...others]);
+  },
   'two halves cannot reach each other, a disk may be lost': async (group) => {
     const half = pick(group, group.vms, Math.floor(group.size / 2));
     group.note(`cut off: ${half.map(({ name }) => name).join()}`);
