Do not send an upload whose refusal waits for its size

A target could get a body in chunks without its beginning and run it; the caller got its response. Found in review, not seen by callers.

Cause: an upload whose body cannot be read on is refused after 400 ms in the queue. For one in chunks the refusal waits for the size of the body, which drops what was read; the request stayed in the queue meanwhile, so a slot that became free got the rest. It leaves the queue now.

Evidence: "an upload in chunks that is refused for its wait is not sent when a slot is free" failed before: status 200 and one request sent, where 503 and none are due. Fake requests of the gateway tests send their bodies in chunks of 64 KB now, as one chunk was always read whole; no assertion changes.

--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -383,6 +383,9 @@
     if (this.isEnded) return;
     if (!this.mayHaveRun && this.sizeCheck.mayReplace(failure)) {
       clearTimeout(this.timer);
+      // The body is not kept from here on, so no target may get it.
+      this.leaveQueue?.();
+      this.leaveQueue = undefined;
       this.timer = this.sizeCheck.awaitSize(() => this.refuse(failure, retryAfterMs));
       return;
     }
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -25,6 +25,7 @@
 import PlainDialect from './PlainDialect';
 
 const HOST = 'shop.example';
+const CHUNK_BYTES = 64 * 1024;
 
 interface SendOptions {
   readonly path?: string;
@@ -225,7 +226,12 @@
     const req = Object.assign(new PassThrough(), {
       headers: all, rawHeaders: Object.entries(all).flat(), method: 'GET', url: path, complete: true, socket: { remoteAddress: caller },
     });
-    if (body !== undefined) req.end(body);
+    if (body !== undefined) {
+      for (let at = 0; at < body.length; at += CHUNK_BYTES) {
+        req.write(body.subarray(at, at + CHUNK_BYTES));
+      }
+      req.end();
+    }
     const res = new FakeResponse(() => this.nowMs);
     this.handler.handle(req as unknown as IncomingMessage, res as unknown as ServerResponse);
     return res;
--- a/packages/gateway/test/waitingUploads.test.ts
+++ b/packages/gateway/test/waitingUploads.test.ts
@@ -46,3 +46,16 @@
     assert.equal(rig.requestBytes.usedBytes, reserved);
   });
 });
+
+// Guards against targets that get a body without its beginning.
+test('an upload in chunks that is refused for its wait is not sent when a slot is free', async (t) => {
+  const rig = createRig(t);
+  const body = Buffer.alloc(1536 * KB);
+  const res = rig.request({ body, headers: { 'transfer-encoding': 'chunked' } });
+  await readBodies();
+  rig.run(450);
+  rig.targets.forEach((target) => Object.assign(target, { running: 0 }));
+  rig.run(400);
+  await readBodies();
+  assert.deepEqual([res.status, rig.sender.sent.length], [503, 0]);
+});
