Read on from paused connections that are closed gracefully

Callers that send more than the kernel buffers would get a reset 5 s after the last response of their connection. Refusals and responses of targets wait for the body instead (endResponse); bodies of requests behind the last response, which nobody reads, come to it.

Cause: the runtime stops the handle when a body is not taken, and starts it again in a listener that it removes together with its parser. The parser is detached only once the connection reads again.

Evidence: "a caller that sends more than the kernel buffers meets no reset after the last response" failed before, "write EPIPE" after 5.0 s, 2 of 2; now 3 of 3 pass. By hand, bodies of 8 MB: 65,536 bytes were read before, up to the end of the caller's side now.

--- a/packages/caller/src/closeGracefully.ts
+++ b/packages/caller/src/closeGracefully.ts
@@ -3,6 +3,17 @@
 /** Time for a caller to close its side of a connection, in milliseconds. */
 const CLOSE_TIMEOUT_MS = 5000;
 
+/** Discards what arrives. A paused connection must read again before its parser is detached. */
+function discard(socket: Socket): void {
+  if (socket.isPaused()) {
+    socket.once('resume', () => discard(socket));
+    return;
+  }
+  // The parser of the server reads from the connection until another listener does.
+  socket.removeAllListeners('data');
+  socket.on('data', () => undefined);
+}
+
 /**
  * Closes a connection of the HTTP server without a reset: ends the sending side, then discards what
  * still arrives until the caller closes its side, too. Closing at once would reset the connection
@@ -12,9 +23,7 @@
  */
 export default function closeGracefully(socket: Socket): void {
   if (socket.destroyed || socket.writableEnded) return;
-  // The parser of the server reads from the connection until another listener does.
-  socket.removeAllListeners('data');
-  socket.on('data', () => undefined);
+  discard(socket);
   socket.resume();
   const timer = setTimeout(() => socket.destroy(), CLOSE_TIMEOUT_MS).unref();
   socket.once('close', () => clearTimeout(timer));
--- a/packages/caller/test/gracefulClose.test.ts
+++ b/packages/caller/test/gracefulClose.test.ts
@@ -96,6 +96,22 @@
   await send(socket, Buffer.alloc(100_000));
 });
 
+// Guards against a paused connection that is not read on, and reset once the time to close is over.
+test('a caller that sends more than the kernel buffers meets no reset after the last response', { timeout: 10_000 }, async (t) => {
+  const listener = await startListener(t, (_req, res) => {
+    res.shouldKeepAlive = false;
+    res.writeHead(503).end('refused');
+  });
+  const socket = await open(t, listener);
+  const reading = readAll(socket);
+  const bytes = 32 * LONG_BYTES;
+  socket.write(`POST /lots HTTP/1.1\r\nhost: lots.example\r\ncontent-length: ${bytes}\r\n\r\n`);
+  await send(socket, Buffer.alloc(bytes));
+  const { text, err } = await reading;
+  assert.equal(err, undefined);
+  assert.match(text, /^HTTP\/1\.1 503 [^]*refused/);
+});
+
 test('a caller that goes on sending after malformed bytes gets the response', { timeout: 10_000 }, async (t) => {
   const listener = await startListener(t, (_req, res) => {
     res.end('the lots');
