--- a/packages/caller/test/unreadUpload.test.ts
+++ b/packages/caller/test/unreadUpload.test.ts
@@ -94,3 +94,37 @@
   await Promise.all([received, once(socket, 'close')]);
   assert.deepEqual(handled, ['/lots']);
 });
+
+// Guards against responses whose end their callers wait for while they still send.
+['1.1', '1.0'].forEach((version) => {
+  test(`a response without a length to HTTP/${version} ends before the upload does`, async (t) => {
+    const listener = new CallerListener({
+      handle: (req, res: ServerResponse) => {
+        res.writeHead(503);
+        endResponse(res, BODY);
+        new ReplayableBody(req, false).discard();
+      },
+    });
+    listener.server.listen(0, '127.0.0.1');
+    await once(listener.server, 'listening');
+    t.after(() => {
+      listener.server.close();
+      listener.server.closeAllConnections();
+    });
+    const { port } = listener.server.address() as AddressInfo;
+    const socket = connect({ port, host: '127.0.0.1', allowHalfOpen: true });
+    const [connection] = await once(listener.server, 'connection') as [Socket];
+    let received = '';
+    socket.on('data', (data: Buffer) => {
+      received += data.toString();
+    });
+    socket.on('error', () => undefined);
+    socket.write(`POST /lots HTTP/${version}\r\nhost: lots.example\r\nconnection: close\r\n`);
+    socket.write(`content-length: ${CHUNK.length}\r\n\r\nfirst`);
+    await once(socket, 'end');
+    assert.match(received, version === '1.0' ? /the lots are full$/ : /the lots are full\r\n0\r\n\r\n$/);
+    socket.end(CHUNK);
+    if (!connection.closed) await once(connection, 'close');
+    assert.ok(connection.bytesRead > CHUNK.length);
+  });
+});
