Bound what is read of connections after their last response

A caller that sends without end kept an entry busy for 5 s after its last response: what arrives is discarded until the caller closes, without a bound on the bytes. Found in review.

Now 32 MB are discarded, as of the rest of a body, then the connection is closed.

--- a/packages/caller/src/closeGracefully.ts
+++ b/packages/caller/src/closeGracefully.ts
@@ -2,6 +2,8 @@
 
 /** Time for a caller to close its side of a connection, in milliseconds. */
 const CLOSE_TIMEOUT_MS = 5000;
+/** Maximum that is read and discarded of a connection until then, in bytes. */
+const MAX_DISCARDED_BYTES = 32 * 1024 * 1024;
 
 /** Discards what arrives. A paused connection must read again before its parser is detached. */
 function discard(socket: Socket): void {
@@ -11,7 +13,10 @@
   }
   // The parser of the server reads from the connection until another listener does.
   socket.removeAllListeners('data');
-  socket.on('data', () => undefined);
+  const endBytes = socket.bytesRead + MAX_DISCARDED_BYTES;
+  socket.on('data', () => {
+    if (socket.bytesRead > endBytes) socket.destroy();
+  });
 }
 
 /**
--- a/packages/caller/test/gracefulClose.test.ts
+++ b/packages/caller/test/gracefulClose.test.ts
@@ -10,6 +10,9 @@
 /** More than the kernel passes on while the caller reads nothing, less than it buffers. */
 const LONG_BYTES = 400 * 1024;
 
+/** Most that is read of a connection after its last response, in bytes. */
+const MAX_DISCARDED_BYTES = 32 * 1024 * 1024;
+
 type Handle = (req: IncomingMessage, res: ServerResponse) => void;
 
 async function startListener(t: TestContext, handle: Handle): Promise<CallerListener> {
@@ -214,3 +217,24 @@
   [slow, late].forEach((socket) => socket.end());
   await stopped;
 });
+
+// Guards against an entry that spends its time on a caller that sends without end.
+test('a caller that sends without end after the last response is cut off', { timeout: 10_000 }, async (t) => {
+  const listener = await startListener(t, (_req, res) => {
+    res.shouldKeepAlive = false;
+    res.writeHead(503).end('refused');
+  });
+  const accepted = once(listener.server, 'connection') as Promise<[Socket]>;
+  const socket = await open(t, listener);
+  const [connection] = await accepted;
+  const closed = once(connection, 'close');
+  socket.on('error', () => undefined);
+  socket.write('POST /lots HTTP/1.1\r\nhost: lots.example\r\ntransfer-encoding: chunked\r\n\r\n');
+  const write = (): void => {
+    while (!socket.destroyed && socket.write(`10000\r\n${'x'.repeat(65536)}\r\n`));
+  };
+  socket.on('drain', write);
+  write();
+  await closed;
+  assert.ok(connection.bytesRead < 2 * MAX_DISCARDED_BYTES, `${connection.bytesRead} bytes read`);
+});
