Control: refuse configurations without a reset

An operator or target that reads only once it has sent everything got EPIPE instead of the refusal (503, 404) of a body that control does not read: it could not tell whether its change was taken. Found in review; the 503 is new with the bound on configurations that are read at once, 404 and others had it before.

Cause: the same as at entries, the runtime closes the connection of a last response with bytes unread.

Evidence: "a configuration that is refused before it has arrived meets no reset" failed before, "write EPIPE", in 3 of 3 runs; passes in 3 of 3.

--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -4,6 +4,7 @@
 import type { Socket } from 'node:net';
 import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises';
 
+import avoidResets from './avoidResets';
 import closeGracefully from './closeGracefully';
 import respondToBadRequest from './respondToBadRequest';
 import type CallerLimits from './CallerLimits';
@@ -109,9 +110,8 @@
       this.accepted += 1;
       this.connections.set(socket, 0);
       socket.once('close', () => this.connections.delete(socket));
-      // Called by the server after a response that ends the connection.
-      Object.assign(socket, { destroySoon: () => closeGracefully(socket) });
     });
+    avoidResets(this.server);
     // Called by the server when it closes, too.
     this.server.closeIdleConnections = () => this.closeIdleConnections();
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
