End probes in an entry whose timers are all late

Targets that no longer answer would not have been found out by probes of an entry that is busy all the time. Found in review, not seen by callers.

Cause: steps of a probe's timeout that come late by their own length count for nothing, without a bound, so a probe had no end where all of them do; no other probe of that target starts meanwhile. It takes 16 steps at most now, twice the usual number.

Evidence: "a probe of a silent target ends also while all timers of the entry are late" failed before: no probe had been given up after 3 s with timers 2.5 times as late.

--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -15,6 +15,8 @@
 
 /** Steps of the timeout of a probe. Those in which this process stood still do not count. */
 const TIMEOUT_STEPS = 8;
+/** Maximum number of steps, so that probes end in a process whose timers are all late. */
+const MAX_TIMEOUT_STEPS = 2 * TIMEOUT_STEPS;
 const TIMEOUT_STEP_MS = 50;
 /** Time for which a target that could not be reached is not considered, in milliseconds. */
 const UNREACHABLE_MS = 300;
@@ -215,22 +217,22 @@
       },
       handler,
     );
-    const awaitStep = (stepsLeft: number): void => {
+    const awaitStep = (stepsLeft: number, maxLeft: number): void => {
       if (isDone) return;
       const dueAtMs = clock() + TIMEOUT_STEP_MS;
       timer = setTimeout(() => {
         const stalledMs = Math.max(0, clock() - dueAtMs);
         paths.reachability.recordStall(target, stalledMs);
         const left = stalledMs < TIMEOUT_STEP_MS ? stepsLeft - 1 : stepsLeft;
-        if (left > 0) {
-          awaitStep(left);
+        if (left > 0 && maxLeft > 1) {
+          awaitStep(left, maxLeft - 1);
           return;
         }
         isTimedOut = true;
         dispatch.abort({ kind: 'targetUnreachable', detail: 'probe' });
       }, TIMEOUT_STEP_MS);
     };
-    awaitStep(TIMEOUT_STEPS);
+    awaitStep(TIMEOUT_STEPS, MAX_TIMEOUT_STEPS);
   }
 
   private applyResponse(
--- a/packages/gateway/test/cutOff.test.ts
+++ b/packages/gateway/test/cutOff.test.ts
@@ -273,6 +273,17 @@
   assert.equal(res.status, 200);
 });
 
+// Guards against probes without end, and targets that are taken for well meanwhile.
+test('a probe of a silent target ends also while all timers of the entry are late', (t) => {
+  const rig = createRig(t);
+  cut(rig);
+  rig.run(1000);
+  const targets = rig.pool.findNearTargets();
+  rig.request();
+  rig.run(3000, 2.5);
+  assert.ok(targets.some(({ silentProbes }) => silentProbes > 0));
+});
+
 // Guards against cut entries that leave others alone for a second whose targets are only late.
 test('an entry whose targets answer late is busy for others, and takes the next request', (t) => {
   const rig = createRig(t);
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -237,10 +237,10 @@
     return res;
   }
 
-  /** Advances the virtual clock. */
-  run(ms: number): void {
-    for (let passed = 0; passed < ms; passed += 1) {
-      this.nowMs += 1;
+  /** Advances the virtual clock, in steps of 1 ms of the timers or more, which are late then. */
+  run(ms: number, stepMs = 1): void {
+    for (let passed = 0; passed < ms; passed += stepMs) {
+      this.nowMs += stepMs;
       this.t.mock.timers.tick(1);
     }
   }
