Reset connections whose end would complete a response that is cut

Callers of HTTP/1.0 took a part of a response for all of it if its target broke off: a response in chunks has no length for them and ends with its connection, which was closed as after a whole one.

Cause: a response is cut by closing its connection, which is also the sign of its end in HTTP/1.0. The connection is reset there now.

--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -6,6 +6,7 @@
 
 import avoidResets from './avoidResets';
 import closeGracefully from './closeGracefully';
+import cutResponse from './cutResponse';
 import respondToBadRequest from './respondToBadRequest';
 import type CallerLimits from './CallerLimits';
 import defaultLimits from './defaultLimits';
@@ -91,7 +92,7 @@
           handler.handle(req, res);
         } catch (err) {
           // Whether the request has run is unknown, so no status would be true.
-          res.destroy();
+          cutResponse(res);
           onError(err as Error);
         }
       };
--- a/packages/caller/src/Exchange.ts
+++ b/packages/caller/src/Exchange.ts
@@ -24,6 +24,7 @@
 import ResponseWriter from './ResponseWriter';
 import type CallerRequest from './CallerRequest';
 import checkDispatch from './checkDispatch';
+import cutResponse from './cutResponse';
 import type EntryServices from './EntryServices';
 import getRequestRecord from './getRequestRecord';
 import type ReplayableBody from './ReplayableBody';
@@ -223,7 +224,7 @@
     if (!isEnded) return;
     // The response is complete, but the caller is not reading it.
     getRequestRecord(this.res).failure = 'deadlineExceeded';
-    this.res.destroy();
+    cutResponse(this.res);
   }
 
   private handleCallerClose(): void {
@@ -256,7 +257,7 @@
   private abortResponse(failure: Failure): void {
     this.onKeyOutcome?.({ kind: 'unknown' });
     getRequestRecord(this.res).failure = failure.kind;
-    this.res.destroy();
+    cutResponse(this.res);
     this.release();
   }
 
--- a/packages/caller/src/sendFailure.ts
+++ b/packages/caller/src/sendFailure.ts
@@ -5,6 +5,7 @@
 import type Failure from '@guavayard/core/errors/Failure';
 import createFailureHeaders from '@guavayard/core/http/createFailureHeaders';
 
+import cutResponse from './cutResponse';
 import endResponse from './endResponse';
 import getRequestRecord from './getRequestRecord';
 
@@ -18,7 +19,7 @@
 export default function sendFailure(res: ServerResponse, failure: Failure): void {
   getRequestRecord(res).failure = failure.kind;
   if (res.headersSent) {
-    res.destroy();
+    cutResponse(res);
     return;
   }
   const body = JSON.stringify(createFailureBody(failure));
--- a/packages/gateway/src/DirectReply.ts
+++ b/packages/gateway/src/DirectReply.ts
@@ -1,5 +1,6 @@
 import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
 
+import cutResponse from '@guavayard/caller/cutResponse';
 import endResponse from '@guavayard/caller/endResponse';
 import type AnswerHeaders from '@guavayard/core/dispatch/AnswerHeaders';
 import type CallerReply from '@guavayard/core/dispatch/CallerReply';
@@ -41,7 +42,7 @@
   }
 
   cut(): void {
-    this.res.destroy();
+    cutResponse(this.res);
   }
 
   refuse(failure: Failure, retryAfterMs: number | undefined): number {
