--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -4,8 +4,10 @@
 import type { Socket } from 'node:net';
 import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises';
 
+import avoidResets from './avoidResets';
 import closeGracefully from './closeGracefully';
 import closeIdle from './closeIdle';
+import cutResponse from './cutResponse';
 import respondToBadRequest from './respondToBadRequest';
 import type CallerLimits from './CallerLimits';
 import defaultLimits from './defaultLimits';
@@ -91,7 +93,7 @@
           handler.handle(req, res);
         } catch (err) {
           // Whether the request has run is unknown, so no status would be true.
-          res.destroy();
+          cutResponse(res);
           onError(err as Error);
         }
       };
@@ -110,9 +112,8 @@
       this.accepted += 1;
       this.connections.set(socket, 0);
       socket.once('close', () => this.connections.delete(socket));
-      // Called by the server after a response that ends the connection.
-      Object.assign(socket, { destroySoon: () => closeGracefully(socket) });
     });
+    avoidResets(this.server);
     // Called by the server when it closes, too.
     this.server.closeIdleConnections = () => this.closeIdleConnections();
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -25,6 +25,7 @@
 import PlainDialect from './PlainDialect';
 
 const HOST = 'shop.example';
+const CHUNK_BYTES = 64 * 1024;
 
 interface SendOptions {
   readonly path?: string;
@@ -226,16 +227,21 @@
     const req = Object.assign(new PassThrough(), {
       headers: all, rawHeaders: Object.entries(all).flat(), method: 'GET', url: path, complete: true, socket: { remoteAddress: caller },
     });
-    if (body !== undefined) req.end(body);
+    if (body !== undefined) {
+      for (let at = 0; at < body.length; at += CHUNK_BYTES) {
+        req.write(body.subarray(at, at + CHUNK_BYTES));
+      }
+      req.end();
+    }
     const res = new FakeResponse(() => this.nowMs);
     this.handler.handle(req as unknown as IncomingMessage, res as unknown as ServerResponse);
     return res;
   }
 
-  /** Advances the virtual clock. */
-  run(ms: number): void {
-    for (let passed = 0; passed < ms; passed += 1) {
-      this.nowMs += 1;
+  /** Advances the virtual clock, in steps of 1 ms of the timers or more, which are late then. */
+  run(ms: number, stepMs = 1): void {
+    for (let passed = 0; passed < ms; passed += stepMs) {
+      this.nowMs += stepMs;
       this.t.mock.timers.tick(1);
     }
   }
