Relay: an entry that is only asked by others finds out that it is cut off

Now probed targets that are all silent suffice for `unreachable`, as the question is whether those can serve.

`an entry that is only asked by others finds out that its targets are silent` failed before: expected 'busy', 'unreachable', got 'busy', 'busy'.

--- a/packages/gateway/src/RelayAdmission.ts
+++ b/packages/gateway/src/RelayAdmission.ts
@@ -67,9 +67,11 @@
       if (isDecided) return;
       isDecided = true;
       clearTimeout(timer);
+      const isSilent = targets.length > 0
+        && targets.every((target) => reachability.isSilent(target));
       if (reachability.hasAnsweredWithin(service, RECENT_ANSWER_MS)) respond(undefined);
       // A late answer is no evidence of a lost path: the same entry may be asked again soon.
-      else respond(pool.paths.isCutOff(service) ? 'unreachable' : 'busy');
+      else respond(isSilent || pool.paths.isCutOff(service) ? 'unreachable' : 'busy');
     };
     const pending = prober.probe(targets, (left) => {
       if (left === 0 || reachability.hasAnsweredWithin(service, RECENT_ANSWER_MS)) decide();
--- a/packages/gateway/test/cutOff.test.ts
+++ b/packages/gateway/test/cutOff.test.ts
@@ -294,3 +294,18 @@
   rig.admission.decide('lots', 1, (refusal) => replies.push(refusal));
   assert.deepEqual(replies, ['unreachable']);
 });
+
+// Guards against entries without requests of their own that never tell that they are cut off.
+test('an entry that is only asked by others finds out that its targets are silent', (t) => {
+  const rig = createRig(t);
+  for (let index = 0; index < TARGETS; index += 1) rig.addTarget(`more-${index}`);
+  rig.run(1000);
+  cut(rig);
+  const replies: unknown[] = [];
+  const ask = (): void => rig.admission.decide('lots', 1, (refusal) => replies.push(refusal));
+  ask();
+  rig.run(300);
+  ask();
+  rig.run(30);
+  assert.deepEqual(replies, ['busy', 'unreachable']);
+});
