Make the later build of tests out of the compaction limit where it is now

platform/test/mixedBuilds.test.ts made no later build since the log is compacted by size as well: "packages/vm/src/control/ConsensusTask.ts contains 0 times: COMPACTION_THRESHOLD_ENTRIES = 256;". The limit is MAX_ENTRIES of isCompactionDue.ts; the edit replaces it by 8 as before.

--- a/scripts/build/variant/sourceEdits.ts
+++ b/scripts/build/variant/sourceEdits.ts
@@ -114,9 +114,9 @@
   },
   // Snapshots are taken often enough for a test to reach them.
   {
-    path: 'packages/vm/src/control/ConsensusTask.ts',
-    from: 'COMPACTION_THRESHOLD_ENTRIES = 256;',
-    to: 'COMPACTION_THRESHOLD_ENTRIES = 8;',
+    path: 'packages/core/src/consensus/isCompactionDue.ts',
+    from: 'MAX_ENTRIES = 256;',
+    to: 'MAX_ENTRIES = 8;',
   },
 ];
 
