Mark the log as synced within a second also while writes go on

Found in review: the mark that tells torn writes from damage of synced records came a second after the last write, so under steady writes it stayed behind, and damage of any record since would have been cut as a torn write.

--- a/packages/vm/src/control/LogWriter.ts
+++ b/packages/vm/src/control/LogWriter.ts
@@ -6,7 +6,7 @@
 import type DurableState from '@guavayard/core/consensus/DurableState';
 import type Clock from '@guavayard/core/types/Clock';
 
-/** Time without a write after which the log is marked as synced, in milliseconds. */
+/** Time after a write at which the log is marked as synced, in milliseconds. */
 const MARK_DELAY_MS = 1000;
 const RETRY_INTERVAL_MS = 500;
 /** Shortest time between two reports of writes that fail, in milliseconds. */
@@ -25,7 +25,7 @@
 export default class LogWriter {
   private startedAtMs: number | undefined;
 
-  /** When the last write was synced, undefined if the log is marked as synced since. */
+  /** When the first write since the last mark was synced, undefined if there was none. */
   private unmarkedSinceMs: number | undefined;
 
   private isClosed = false;
@@ -50,12 +50,12 @@
     const isReplaced = records.some((record) => record.kind === 'snapshot');
     const isSynced = await this.attempt(state, async () => (
       isReplaced ? store.replace(createConsensusRecords(state)) : store.append(records)));
-    this.unmarkedSinceMs = clock();
+    this.unmarkedSinceMs ??= clock();
     return isSynced;
   }
 
   /**
-   * Marks the log as synced if nothing has been written for a while.
+   * Marks the log as synced a while after a write.
    *
    * @param state - the state that the log holds
    * @returns nothing, once the mark is synced or the writer is closed
