Relay: keep no requests that wait no more for a session

An entry that is asked for relays but can't be reached kept a function for each request that had asked it, and with it the request, until a session opened or nothing had asked it for 10 s. Found by reading, in a review; what it takes was not measured. A request stops waiting now once it asks another entry or ends.

Evidence: "a session that opens late is not passed to requests that wait no more" fails before as there is nothing to stop a wait ("stopWaiting is not a function"). relay, sessionModel and overlappingStarts tests pass (15, one run).

--- a/packages/vm/src/relay/OutgoingRelay.ts
+++ b/packages/vm/src/relay/OutgoingRelay.ts
@@ -44,6 +44,8 @@
 
   private askTimer: NodeJS.Timeout | undefined;
 
+  private stopWaiting: () => void = () => undefined;
+
   private isGranted = false;
 
   private isOver = false;
@@ -70,6 +72,7 @@
   /** Asks the next entry, or reports that none is left. */
   askNext(): void {
     clearTimeout(this.askTimer);
+    this.stopWaiting();
     if (this.isOver) return;
     const peer = this.options.peers.shift();
     this.peer = peer;
@@ -85,7 +88,7 @@
       + (isOpen ? 0 : connectMs);
     this.askTimer = setTimeout(() => this.refuse('no answer'), askMs);
     const { head: { service }, version } = this.request;
-    this.options.sessions.use(peer, (session) => {
+    this.stopWaiting = this.options.sessions.use(peer, (session) => {
       if (this.isOver || this.peer !== peer) return;
       this.session = session;
       session.send({
@@ -219,6 +222,7 @@
   private end(): void {
     this.isOver = true;
     clearTimeout(this.askTimer);
+    this.stopWaiting();
     this.body?.destroy();
     this.options.onEnd();
   }
--- a/packages/vm/src/relay/PeerSessions.ts
+++ b/packages/vm/src/relay/PeerSessions.ts
@@ -23,7 +23,7 @@
   /** Sessions that this entry maintains, by name of the peer. */
   private readonly opened = new Map<string, OpenedSession>();
 
-  private readonly waiters = new Map<string, ((session: VmSession) => void)[]>();
+  private readonly waiters = new Map<string, Set<(session: VmSession) => void>>();
 
   private checkTimer: NodeJS.Timeout | undefined;
 
@@ -42,20 +42,24 @@
    *
    * @param peer - the entry
    * @param onOpen - called with the session, now or once it is open; not called if it never opens
+   * @returns a function that stops waiting for the session
    */
-  use(peer: VmLocation, onOpen: (session: VmSession) => void): void {
+  use(peer: VmLocation, onOpen: (session: VmSession) => void): () => void {
     const opened = this.opened.get(peer.name);
     if (opened !== undefined) opened.usedAtMs = this.clock();
     const session = this.open.find(peer.name);
     if (session !== undefined) {
       onOpen(session);
-      return;
+      return () => undefined;
     }
-    this.waiters.set(peer.name, [...this.waiters.get(peer.name) ?? [], onOpen]);
-    if (opened !== undefined) return;
-    this.opened.set(peer.name, { address: peer.address, usedAtMs: this.clock() });
-    this.hub.connect(peer.address);
-    this.checkTimer ??= setInterval(() => this.closeUnused(), CHECK_INTERVAL_MS);
+    const waiters = this.waiters.get(peer.name) ?? new Set();
+    this.waiters.set(peer.name, waiters.add(onOpen));
+    if (opened === undefined) {
+      this.opened.set(peer.name, { address: peer.address, usedAtMs: this.clock() });
+      this.hub.connect(peer.address);
+      this.checkTimer ??= setInterval(() => this.closeUnused(), CHECK_INTERVAL_MS);
+    }
+    return () => waiters.delete(onOpen);
   }
 
   /** Stops looking for unused sessions. */
@@ -66,9 +70,9 @@
   onOpen(session: VmSession, peer: VmIdentity): void {
     if (!peer.roles.includes('entry')) return;
     this.open.add(session, peer);
-    const waiters = this.waiters.get(peer.name) ?? [];
+    const waiters = this.waiters.get(peer.name);
     this.waiters.delete(peer.name);
-    waiters.forEach((run) => run(session));
+    waiters?.forEach((run) => run(session));
   }
 
   onMessage(session: VmSession): void {
--- a/packages/vm/test/peerSessions.test.ts
+++ b/packages/vm/test/peerSessions.test.ts
@@ -23,3 +23,16 @@
   sessions.onClose(older);
   assert.equal(sessions.find('b'), undefined);
 });
+
+// Guards against requests that are kept for as long as an entry cannot be reached.
+test('a session that opens late is not passed to requests that wait no more', (t) => {
+  const sessions = new PeerSessions({ connect() {} } as unknown as VmHub, () => 0);
+  t.after(() => sessions.close());
+  const peer = createPeer('b', ['entry']);
+  const used: string[] = [];
+  const stopWaiting = sessions.use(peer, () => used.push('given up'));
+  sessions.use(peer, () => used.push('waiting'));
+  stopWaiting();
+  sessions.onOpen({ peer } as unknown as VmSession, peer);
+  assert.deepEqual(used, ['waiting']);
+});
