Model of control VMs whose syncs are slow, failing

The group model gets disks whose syncs take as long as a test says, with marks and replacements of the log synced one by one.

Plays of groupModel.test.ts draw as before.

--- a/packages/vm/test/support/simulation/SimulatedControl.ts
+++ b/packages/vm/test/support/simulation/SimulatedControl.ts
@@ -11,6 +11,7 @@
 import type VmIdentity from '../../../src/session/VmIdentity';
 import VmHub from '../../../src/session/VmHub';
 import type SimulatedClock from './SimulatedClock';
+import type DiskSpeed from './DiskSpeed';
 import SimulatedHost from './SimulatedHost';
 import type SimulatedNetwork from './SimulatedNetwork';
 
@@ -21,13 +22,15 @@
   readonly seeds: readonly string[];
   readonly founders: readonly ReplicaId[];
   readonly requiredVoters: number;
+  readonly disks: DiskSpeed;
   readonly log: (line: string) => void;
   readonly onMembers: (members: { index: number; voters: readonly string[] }) => void;
 }
 
 const KEY = 'the key of all VMs';
 const PORT = 7540;
-const MAX_SYNC_MS = 30;
+/** Syncs of a log that is replaced: the new file, its mark and the folder. */
+const REPLACE_SYNCS = 3;
 const TARGET_TIMEOUT_MS = 60_000;
 
 /** A control VM: its disk, and its process while it runs. */
@@ -111,12 +114,15 @@
         replica: this.replica,
         durable: replayRecords(this.disk).unwrap(),
         store: {
-          append: async (records) => this.write(host, () => {
+          append: async (records) => this.write(host, settings.disks.drawSyncMs(), () => {
             this.disk.push(...records);
           }),
-          replace: async (records) => this.write(host, () => {
+          replace: async (records) => this.write(host, this.drawReplaceMs(), () => {
             this.disk = [...records];
           }),
+          markSynced: async () => {
+            if (settings.disks.hasMarks) await this.write(host, settings.disks.drawSyncMs());
+          },
         },
         hub,
         identity,
@@ -135,11 +141,21 @@
     });
   }
 
-  private async write(host: SimulatedHost, apply: () => void): Promise<void> {
+  private drawReplaceMs(): number {
+    const { disks } = this.settings;
+    const syncs = disks.hasMarks ? REPLACE_SYNCS : 1;
+    return Array.from({ length: syncs }, () => disks.drawSyncMs()).reduce((sum, ms) => sum + ms, 0);
+  }
+
+  private async write(
+    host: SimulatedHost,
+    durationMs: number,
+    apply: () => void = () => undefined,
+  ): Promise<void> {
     if (host.isDown) return new Promise(() => {});
     this.unsynced = apply;
     return new Promise((resolve) => {
-      this.settings.clock.after(this.settings.random() * MAX_SYNC_MS, () => {
+      this.settings.clock.after(durationMs, () => {
         if (host.isDown) return;
         this.unsynced = undefined;
         apply();
--- a/packages/vm/test/support/simulation/SimulatedGroup.ts
+++ b/packages/vm/test/support/simulation/SimulatedGroup.ts
@@ -1,6 +1,7 @@
 import type Declaration from '@guavayard/core/registry/Declaration';
 import type Random from '@guavayard/core/types/Random';
 
+import type DiskSpeed from './DiskSpeed';
 import type SimulatedClock from './SimulatedClock';
 import SimulatedControl from './SimulatedControl';
 import SimulatedNetwork from './SimulatedNetwork';
@@ -9,7 +10,8 @@
 const ACK_MS = 4000;
 const RETRY_MS = 100;
 const SEEDS = 3;
-const MAX_LINES = 2000;
+const MAX_LINES = 20_000;
+const MAX_SYNC_MS = 30;
 
 function createDeclaration(version: number): Declaration {
   return {
@@ -34,6 +36,11 @@
 
   readonly lines: string[] = [];
 
+  /** Disks of all VMs. */
+  readonly disks: DiskSpeed = {
+    drawSyncMs: () => this.random() * MAX_SYNC_MS, hasMarks: false,
+  };
+
   /** The voters of the newest change of the members that any VM has logged. */
   private members: { readonly index: number; readonly voters: readonly string[] } = {
     index: 0, voters: [],
@@ -74,6 +81,7 @@
       seeds: this.seeds.map(SimulatedControl.addressOf),
       founders,
       requiredVoters: this.size,
+      disks: this.disks,
       log: (line) => {
         this.lines.push(line);
         if (this.lines.length > MAX_LINES) this.lines.shift();
@@ -100,9 +108,18 @@
 
   /** Sends a change to a VM. */
   change(vm: SimulatedControl): void {
-    if (!vm.isUp) return;
+    this.declare(vm, this.createVersion());
+  }
+
+  /** @returns a version that has not been sent */
+  createVersion(): number {
     this.sent += 1;
-    const version = this.sent;
+    return this.sent;
+  }
+
+  /** Sends a version to a VM; it may have been sent before. */
+  declare(vm: SimulatedControl, version: number): void {
+    if (!vm.isUp) return;
     vm.act(() => {
       vm.task.declare(createDeclaration(version)).then((result) => {
         if (result.ok && vm.isUp) this.acknowledged = Math.max(this.acknowledged, version);
