Give elections the time that slow syncs of votes take

Callers saw no configuration for as long as each sync took some 0.7 s or more after a start of the whole group: no election succeeded.

Cause: an election needs the sync of the candidate's vote and of the voters' votes, but both draw their timeouts before, 700 to 1300 ms, at a start 80 to 400. Candidates gave up before the votes arrived, and voters before the leader could be heard; each try made all sync a higher term again.

After a slow sync of a term or vote (100 ms or more) the next election is due only after the shortest timeout and twice that time (at most 1.5 s each), with a spread that is wider by that time, so that fewer candidates meet. Quick disks draw as before.

--- a/packages/core/src/consensus/receiveSync.ts
+++ b/packages/core/src/consensus/receiveSync.ts
@@ -3,6 +3,7 @@
 import type ConsensusEvent from './ConsensusEvent';
 import type ConsensusState from './ConsensusState';
 import findTerm from './findTerm';
+import postponeElection from './postponeElection';
 
 type SyncedEvent = Extract<ConsensusEvent, { kind: 'synced' }>;
 
@@ -14,10 +15,11 @@
  */
 export default function receiveSync(state: ConsensusState, event: SyncedEvent): void {
   const {
-    nowMs, lastIndex, lastTerm, votes,
+    nowMs, lastIndex, lastTerm, votes, durationMs,
   } = event;
   state.nowMs = nowMs;
   state.unsyncedVotes -= votes;
+  if (votes > 0) postponeElection(state, durationMs);
   // Entries that were truncated during the write are not those that it has synced.
   if (findTerm(state, lastIndex) === lastTerm) {
     state.syncedIndex = Math.max(state.syncedIndex, lastIndex);
--- a/packages/core/test/slowDisks.test.ts
+++ b/packages/core/test/slowDisks.test.ts
@@ -72,6 +72,14 @@
   assert.deepEqual(kindsOf(step(state, { kind: 'tick', nowMs: TIMEOUT_MS + SYNC_MS })), []);
 });
 
+test('a slow sync of a vote delays the next election by the syncs of the others', () => {
+  const state = createReplica();
+  stand(state);
+  sync(state, TIMEOUT_MS + SYNC_MS, 1);
+  step(state, { kind: 'tick', nowMs: TIMEOUT_MS + 3 * SYNC_MS + 600 });
+  assert.equal(state.role, 'candidate');
+});
+
 test('a leader sends its entries before they are synced, and counts itself after', () => {
   const state = createReplica();
   const effects = lead(state);
