Request votes again that have not arrived

With syncs of 1.5 s and three control VMs, no change was acknowledged within 15 s after a start of the whole group: each VM opens new sessions with the others after 1.5 s without a leader, as the record shows, and the vote requests that were on their way over the former ones were lost. Nobody sent them again before the next election.

A candidate whose own vote is synced now requests missing votes every 500 ms.

The test of the resend in slowDisks.test.ts fails without it (no vote requests).

--- a/packages/core/src/consensus/ConsensusState.ts
+++ b/packages/core/src/consensus/ConsensusState.ts
@@ -53,6 +53,8 @@
   /** Index of the no-op entry that the leader appended when its term began. */
   termStartIndex: number;
   heartbeatDueMs: number;
+  /** When a candidate requests votes again. */
+  requestDueMs: number;
   round: number;
   reads: PendingRead[];
   joining: ReplicaId | undefined;
--- a/packages/core/src/consensus/createConsensusState.ts
+++ b/packages/core/src/consensus/createConsensusState.ts
@@ -50,6 +50,7 @@
     progress: new Map(),
     termStartIndex: 0,
     heartbeatDueMs: 0,
+    requestDueMs: 0,
     round: 0,
     reads: [],
     joining: undefined,
--- a/packages/core/src/consensus/requestVotes.ts
+++ b/packages/core/src/consensus/requestVotes.ts
@@ -2,9 +2,10 @@
 import findLastIndex from './findLastIndex';
 import findTerm from './findTerm';
 import send from './send';
+import timing from './timing';
 
 /**
- * Requests votes or pre-votes from all other voters.
+ * Requests votes or pre-votes from all voters that have not granted theirs.
  *
  * @param state - the candidate or pre-candidate
  * @param kind - whether to request votes or non-binding pre-votes
@@ -17,7 +18,8 @@
 ): void {
   const lastIndex = findLastIndex(state);
   const lastTerm = findTerm(state, lastIndex) ?? 0;
-  state.members.voters.filter((voter) => voter !== state.self).forEach((voter) => {
+  state.requestDueMs = state.nowMs + timing.voteResendMs;
+  state.members.voters.filter((voter) => !state.votes.has(voter)).forEach((voter) => {
     send(state, voter, {
       kind, term, lastIndex, lastTerm,
     });
--- a/packages/core/src/consensus/tick.ts
+++ b/packages/core/src/consensus/tick.ts
@@ -3,6 +3,7 @@
 import type ConsensusState from './ConsensusState';
 import isQuorum from './isQuorum';
 import isVoter from './isVoter';
+import requestVotes from './requestVotes';
 import startPreVote from './startPreVote';
 import timing from './timing';
 
@@ -31,4 +32,7 @@
   if (state.unsyncedVotes > 0) return;
   const canStand = isVoter(state) && !state.leaving.has(state.self);
   if (state.nowMs >= state.electionDeadlineMs && canStand) startPreVote(state);
+  else if (state.role === 'candidate' && state.nowMs >= state.requestDueMs) {
+    requestVotes(state, 'voteRequest', state.term);
+  }
 }
--- a/packages/core/src/consensus/timing.ts
+++ b/packages/core/src/consensus/timing.ts
@@ -14,6 +14,8 @@
   startMaxMs: 400,
   /** Time after the start of a replica during which the startup election timeouts apply. */
   startPhaseMs: 2000,
+  /** Time without a response after which a candidate requests a vote again. */
+  voteResendMs: 500,
   /** Duration of a write from which on elections take into account that disks are slow. */
   slowSyncMs: 100,
   /** Longest duration of a sync for which an election is given more time. */
--- a/packages/core/test/slowDisks.test.ts
+++ b/packages/core/test/slowDisks.test.ts
@@ -65,11 +65,14 @@
   return effects.map((effect) => (effect.kind === 'send' ? effect.message.kind : effect.kind));
 }
 
-test('a candidate takes part in no other election until its vote is synced', () => {
+test('a candidate requests votes only once its own is synced, and again if none arrives', () => {
   const state = createReplica();
   stand(state);
   assert.equal(mustAwaitSync(state, { kind: 'leader', leader: undefined }), true);
   assert.deepEqual(kindsOf(step(state, { kind: 'tick', nowMs: TIMEOUT_MS + SYNC_MS })), []);
+  sync(state, TIMEOUT_MS + SYNC_MS, 1);
+  const effects = step(state, { kind: 'tick', nowMs: TIMEOUT_MS + SYNC_MS + 600 });
+  assert.deepEqual(kindsOf(effects), ['voteRequest', 'voteRequest']);
 });
 
 test('a slow sync of a vote delays the next election by the syncs of the others', () => {
