Acknowledge a change once it is applied, whoever has proposed it

Callers saw 503 for changes that were in force a moment later, for over 4 s, while syncs took 1.5 s.

Cause: a call waits 0.9 s, each forward to the leader 0.4 s, and a change needs a sync. Each forward and each resend of the operator proposed the same version again and waited for its own entry only, so that the calls for the first were gone when it was committed, and the log grew by each.

A control VM now ends all its calls for a version once it has applied it or a higher one, as it does with calls that come later, and a leader keeps one proposal of a version at a time. Neither changes a message.

--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -25,6 +25,7 @@
 import type VmSession from '../session/VmSession';
 import createWriteReports from '../control/createWriteReports';
 import createVmLocation from './createVmLocation';
+import DeclarationGate from './DeclarationGate';
 import OrderGate from './OrderGate';
 import OrderSubmitter from './OrderSubmitter';
 import PresenceTable from './PresenceTable';
@@ -71,6 +72,8 @@
 
   private readonly orders: OrderGate;
 
+  private readonly declarations = new DeclarationGate();
+
   private readonly submitter: OrderSubmitter;
 
   /** Targets that announced themselves to this VM since its last presence report to the leader. */
@@ -105,6 +108,7 @@
         onCommit: (entries) => this.applyAll(entries),
         onRestore: ({ data, lastIndex }) => {
           this.store.restore(data.registry, lastIndex);
+          this.declarations.handleApplied(this.version);
           this.publisher.schedule();
         },
         onCaughtUp: () => this.publisher.sendPulses(),
@@ -247,8 +251,9 @@
     if (errors.length > 0) return fail('invalidPatch', errors.join('; '));
     const { version } = declaration;
     // Applied versions are committed, so this version is in force already or superseded for good.
-    if ((this.store.state.declaration?.version ?? -1) >= version) return Ok(undefined);
-    const accepted = await this.submitChange({ kind: 'declare', declaration });
+    if (this.hasApplied(version)) return Ok(undefined);
+    const call = this.submitChange({ kind: 'declare', declaration });
+    const accepted = await this.declarations.awaitApplied(version, call) ?? Ok(undefined);
     const outcome = accepted.ok ? 'accepted' : accepted.val.kind;
     this.options.log.info({ version, outcome, leader: this.consensus.leaderName }, 'declaration');
     return accepted;
@@ -334,6 +339,10 @@
     return nearest?.name;
   }
 
+  private hasApplied(version: number): boolean {
+    return (this.store.state.declaration?.version ?? -1) >= version;
+  }
+
   private async submitChange(
     change: RegistryChange,
     basis?: number,
@@ -372,6 +381,12 @@
     if (!hasRequiredVoters) return undefined;
     const { change, basis } = call;
     const propose = async (): Promise<boolean> => this.consensus.propose({ kind: 'registry', change });
+    if (change.kind === 'declare') {
+      const { version } = change.declaration;
+      const isCommitted = this.hasApplied(version)
+        || await this.declarations.propose(version, propose);
+      return isCommitted ? { kind: 'changed' } : undefined;
+    }
     if (basis === undefined) return await propose() ? { kind: 'changed' } : undefined;
     // Until then entries of earlier terms may be missing that the change would undo.
     if (!this.consensus.hasCommittedInTerm) return undefined;
@@ -387,6 +402,7 @@
       if (command.kind === 'registry') this.store.apply(index, command.change, term === currentTerm);
       else this.store.advance(index);
     });
+    this.declarations.handleApplied(this.version);
     this.publisher.schedule();
   }
 
