--- a/scripts/buildVariant.ts
+++ b/scripts/buildVariant.ts
@@ -1,7 +1,10 @@
 import buildVariant from './build/variant/buildVariant';
+import slowDiskEdits from './build/variant/slowDiskEdits';
 import sourceEdits from './build/variant/sourceEdits';
 
-buildVariant(process.argv[2] ?? 'dist/variant', sourceEdits).catch((err: Error) => {
+const [folder = 'dist/variant', kind = 'later'] = process.argv.slice(2);
+
+buildVariant(folder, kind === 'slow-disks' ? slowDiskEdits : sourceEdits).catch((err: Error) => {
   process.stderr.write(`${err.stack}\n`);
   process.exitCode = 1;
 });
