Log writes to the data folder that are slow

Neither logs nor metrics told how long a sync took unless one was read while it was pending, so that a group without a leader on slow disks looked like one whose VMs do not hear each other. Control VMs now log 'writes to the data folder are slow' after writes of 0.3 s or more, at most each five seconds, with their number and the longest time.

--- a/packages/vm/src/control/ConsensusTaskOptions.ts
+++ b/packages/vm/src/control/ConsensusTaskOptions.ts
@@ -24,6 +24,8 @@
   readonly onWriteFailure?: (err: Error) => void;
   /** Called when the log is written again, with the time since the failure in milliseconds. */
   readonly onWriteRecovery?: (failedMs: number) => void;
+  /** Called after slow writes, with their number since the last call and the longest time. */
+  readonly onSlowWrites?: (slow: { count: number; longestMs: number }) => void;
   /**
    * Called when the processing of an event fails. The replica stops, as its state may differ from
    * its log; the process must end and replay the log.
--- a/packages/vm/src/control/LogWriter.ts
+++ b/packages/vm/src/control/LogWriter.ts
@@ -11,6 +11,10 @@
 const RETRY_INTERVAL_MS = 500;
 /** Shortest time between two reports of writes that fail, in milliseconds. */
 const REPORT_INTERVAL_MS = 60_000;
+/** Duration from which on a write is reported as slow, in milliseconds. */
+const SLOW_WRITE_MS = 300;
+/** Shortest time between two reports of slow writes, in milliseconds. */
+const SLOW_REPORT_INTERVAL_MS = 5000;
 
 interface LogWriterOptions {
   readonly store: ConsensusStore;
@@ -19,6 +23,7 @@
   readonly retryIntervalMs?: number;
   readonly onWriteFailure?: (err: Error) => void;
   readonly onWriteRecovery?: (failedMs: number) => void;
+  readonly onSlowWrites?: (slow: { count: number; longestMs: number }) => void;
 }
 
 /** Writes the log of one replica, and goes on trying while the disk refuses it. */
@@ -32,6 +37,11 @@
 
   private isRefusing = false;
 
+  /** Slow writes since the last report. */
+  private slow = { count: 0, longestMs: 0 };
+
+  private slowReportedAtMs = -Infinity;
+
   /** Records of the whole state after the last write. */
   private whole: readonly ConsensusRecord[] = [];
 
@@ -92,10 +102,24 @@
     } catch (err) {
       await this.rewrite(err as Error);
     }
+    this.reportSlowWrite();
     this.startedAtMs = undefined;
     return !this.isClosed;
   }
 
+  private reportSlowWrite(): void {
+    const { pendingMs } = this;
+    if (pendingMs < SLOW_WRITE_MS) return;
+    const { clock, onSlowWrites } = this.options;
+    this.slow = {
+      count: this.slow.count + 1, longestMs: Math.max(this.slow.longestMs, Math.round(pendingMs)),
+    };
+    if (clock() - this.slowReportedAtMs < SLOW_REPORT_INTERVAL_MS) return;
+    onSlowWrites?.(this.slow);
+    this.slow = { count: 0, longestMs: 0 };
+    this.slowReportedAtMs = clock();
+  }
+
   private async rewrite(firstError: Error): Promise<void> {
     const { store, clock, retryIntervalMs = RETRY_INTERVAL_MS } = this.options;
     const failedAtMs = clock();
--- a/packages/vm/test/logWriter.test.ts
+++ b/packages/vm/test/logWriter.test.ts
@@ -31,3 +31,30 @@
   }
   assert.equal(calls.filter((call) => call === 'mark').length, 2);
 });
+
+test('slow writes are reported with their number, at most each five seconds', async () => {
+  let nowMs = 0;
+  let durationMs = 10;
+  const reports: unknown[] = [];
+  const writer = new LogWriter({
+    clock: () => nowMs,
+    store: {
+      append: async () => {
+        nowMs += durationMs;
+      },
+      replace: async () => undefined,
+    },
+    onSlowWrites: (slow) => reports.push(slow),
+  });
+  const state = createDurableState(['a#00']);
+  const write = async (takesMs: number): Promise<void> => {
+    durationMs = takesMs;
+    await writer.write([{ kind: 'vote', term: 1 }], state);
+  };
+  await write(10);
+  await write(900);
+  await write(1500);
+  await write(4000);
+  await write(700);
+  assert.deepEqual(reports, [{ count: 1, longestMs: 900 }, { count: 2, longestMs: 4000 }]);
+});
