Elections of a bare quorum: candidates give way to each other

Operators saw control VMs without a leader for seconds, though all that remained were connected: after the leader and another VM were lost, each of the other three votes of five is needed. Two of them that asked for votes at about the same time each voted for themselves, so that both elections failed, and the next try came 0.7 to 1.3 s later, often with the same end. After 1.5 s the members took each other for silent as well and replaced their sessions. Members that have to be replaced wait for that leader; when two more disks were lost 4 s after the first, the group had lost its majority for good.

A voter that grants a pre-vote now leaves the election to that candidate for 0.3 s, and a pre-candidate that grants one to a candidate whose name sorts after its own gives up its own attempt. Its request arrives before its grant, so where each vote is needed, two candidates never both go on to an election. Pre-votes are granted as before, so a candidate that cannot win does not stop another for good. Only deadlines and roles change, no messages and nothing that is synced.

--- a/packages/core/src/consensus/receiveVoteRequest.ts
+++ b/packages/core/src/consensus/receiveVoteRequest.ts
@@ -25,9 +25,20 @@
   return state.nowMs - state.leaderContactAtMs < timing.electionMinMs;
 }
 
+/**
+ * Gives way to another candidate. Where each remaining vote is needed, two elections at a time
+ * would both fail; of two that ask at the same moment, the one whose name sorts first gives way.
+ */
+function giveWay(state: ConsensusState, from: ReplicaId): void {
+  if (state.role === 'preCandidate' && state.self < from) state.role = 'follower';
+  const earliestMs = state.nowMs + timing.otherElectionMs;
+  state.electionDeadlineMs = Math.max(state.electionDeadlineMs, earliestMs);
+}
+
 function respondToPreVote(state: ConsensusState, from: ReplicaId, request: VoteRequest): void {
   const isGranted = request.term > state.term && isUpToDate(state, request);
   const term = isGranted ? request.term : state.term;
+  if (isGranted) giveWay(state, from);
   send(state, from, { kind: 'preVoteAnswer', term, isGranted });
 }
 
--- a/packages/core/src/consensus/timing.ts
+++ b/packages/core/src/consensus/timing.ts
@@ -14,6 +14,8 @@
   startMaxMs: 400,
   /** Time after the start of a replica during which the startup election timeouts apply. */
   startPhaseMs: 2000,
+  /** Time for which a voter leaves the election to a replica to which it has granted a pre-vote. */
+  otherElectionMs: 300,
   snapshotResendMs: 2000,
   /** Time without a response after which a voter that the group can do without may be removed. */
   lostVoterMs: 1500,
