Learners become voters beside continuous writes

A control VM that came back without its disk was not a voter again within the 4 s after which others may lose theirs, if the group kept writing and syncs took longer than the pause between two writes. The leader took a learner for caught up only at a moment at which it held every committed entry; such a learner is always some entries behind. Two more lost disks then took the majority with them for good: all VMs connected, none leads, no read and no change.

A learner is now caught up once it holds all that the leader's log had when the leader began to send to it, and lacks 64 committed entries at most. The first is what safety needs: whatever the former member on that VM had acknowledged was in the log by then, and what is committed later needs a quorum of the members of that time. The second keeps quorums from waiting for one that is far behind.

The test of it in membership.test.ts fails on the former sources; the fixtures of two tests have the new field of Progress.

--- a/packages/core/src/consensus/Progress.ts
+++ b/packages/core/src/consensus/Progress.ts
@@ -8,6 +8,8 @@
   round: number;
   /** When the replica last responded, or when tracking of it began, in milliseconds. */
   lastContactAtMs: number;
+  /** Last index of the leader's log when tracking of the replica began. */
+  readonly initialLastIndex: number;
   /** When the last snapshot was sent to the replica, in milliseconds. */
   snapshotSentAtMs: number;
 }
--- a/packages/core/src/consensus/maintainMembers.ts
+++ b/packages/core/src/consensus/maintainMembers.ts
@@ -9,12 +9,20 @@
 import vmNameOf from './vmNameOf';
 
 const MAX_VOTERS = 7;
+/** Number of committed entries that a learner may lack when it becomes a voter. */
+const MAX_MISSING_ENTRIES = 64;
 
+/**
+ * Returns whether a learner holds all that was in the log when it joined, and nearly all since.
+ * Under continuous writes it may never hold every committed entry at the same moment as the leader.
+ */
 function isCaughtUp(state: ConsensusState, replica: ReplicaId): boolean {
   const progress = state.progress.get(replica);
   if (progress === undefined) return false;
-  const isReachable = state.nowMs - progress.lastContactAtMs < timing.electionMinMs;
-  return isReachable && progress.matchIndex >= state.commitIndex;
+  const { initialLastIndex, lastContactAtMs, matchIndex } = progress;
+  const isReachable = state.nowMs - lastContactAtMs < timing.electionMinMs;
+  const missing = state.commitIndex - matchIndex;
+  return isReachable && matchIndex >= initialLastIndex && missing <= MAX_MISSING_ENTRIES;
 }
 
 function addLearner(state: ConsensusState): Members | undefined {
--- a/packages/core/src/consensus/replicate.ts
+++ b/packages/core/src/consensus/replicate.ts
@@ -15,11 +15,13 @@
 }
 
 function createProgress(state: ConsensusState, replica: ReplicaId): Progress {
+  const initialLastIndex = findLastIndex(state);
   return {
     matchIndex: 0,
-    nextIndex: findLastIndex(state) + 1,
+    nextIndex: initialLastIndex + 1,
     round: 0,
     lastContactAtMs: findLastContact(state, replica),
+    initialLastIndex,
     snapshotSentAtMs: -Infinity,
   };
 }
--- a/packages/core/test/membership.test.ts
+++ b/packages/core/test/membership.test.ts
@@ -27,6 +27,7 @@
     nextIndex: 1,
     round: 0,
     lastContactAtMs: replica === 'e#0' ? state.nowMs - unreachableMs : state.nowMs,
+    initialLastIndex: 0,
     snapshotSentAtMs: -Infinity,
   }));
   return state;
@@ -56,6 +57,24 @@
   assert.deepEqual([...state.members.voters].sort(), ['a#0', 'b#0', 'c#0', 'f#1', 'g#1']);
 });
 
+// Guards against a replacement that never votes, as each check finds it behind by some entries.
+test('a learner becomes a voter under continuous writes once it holds the log of when it joined', () => {
+  const state = createLeader(0, ['f#1']);
+  Object.assign(state, { commitIndex: 300 });
+  Object.assign(state.progress.get('f#1') as object, { matchIndex: 279, initialLastIndex: 280 });
+  assert.equal(maintainMembers(state), false);
+  Object.assign(state.progress.get('f#1') as object, { matchIndex: 299 });
+  assert.equal(maintainMembers(state), true);
+  assert.equal(state.members.voters.includes('f#1'), true);
+});
+
+test('a learner that lacks many entries does not become a voter', () => {
+  const state = createLeader(0, ['f#1']);
+  Object.assign(state, { commitIndex: 300 });
+  Object.assign(state.progress.get('f#1') as object, { matchIndex: 200, initialLastIndex: 0 });
+  assert.equal(maintainMembers(state), false);
+});
+
 test('a replacement takes the place of a voter that is gone in a group of the largest size', () => {
   const state = createLeader(timing.lostVoterMs, ['f#1', 'g#1', 'h#1']);
   applyAllChanges(state);
--- a/packages/core/test/silentMembers.test.ts
+++ b/packages/core/test/silentMembers.test.ts
@@ -38,6 +38,7 @@
     nextIndex: 1,
     round: 0,
     lastContactAtMs: state.nowMs - (member === replica ? silentMs : 0),
+    initialLastIndex: 0,
     snapshotSentAtMs: -Infinity,
   }));
   assert.deepEqual(findSilentMembers(state), expected);
@@ -57,6 +58,7 @@
     nextIndex: 1,
     round: 0,
     lastContactAtMs: state.nowMs - silentMs,
+    initialLastIndex: 0,
     snapshotSentAtMs: -Infinity,
   }));
   assert.deepEqual(findSilentMembers(state), ['b#0', 'c#0']);
