A replica that joins takes the place of its VM's former member at once

To replace a control VM that lost its disk took three changes of the members: take the new replica in, remove the former one once the new one had caught up, make it a voter once it had caught up again. Two VMs took six, one after the other, each of several syncs; with syncs of 0.1 to 0.4 s and writes that was longer than the 4 s after which two other disks may be lost.

The entry that takes the replica in now also removes the former member, unless that has responded within an election timeout: it can never vote again. One change still adds or removes one voter at most, so quorums overlap as before; a learner has no vote. The former member stays if it seems to respond, so that a delayed request of a former member cannot remove the voter that runs.

--- a/packages/core/src/consensus/maintainMembers.ts
+++ b/packages/core/src/consensus/maintainMembers.ts
@@ -12,6 +12,11 @@
 /** Number of committed entries that a learner may lack when it becomes a voter. */
 const MAX_MISSING_ENTRIES = 64;
 
+function isReachable(state: ConsensusState, replica: ReplicaId): boolean {
+  const { lastContactAtMs = -Infinity } = state.progress.get(replica) ?? {};
+  return state.nowMs - lastContactAtMs < timing.electionMinMs;
+}
+
 /**
  * Returns whether a learner holds all that was in the log when it joined, and nearly all since.
  * Under continuous writes it may never hold every committed entry at the same moment as the leader.
@@ -19,19 +24,25 @@
 function isCaughtUp(state: ConsensusState, replica: ReplicaId): boolean {
   const progress = state.progress.get(replica);
   if (progress === undefined) return false;
-  const { initialLastIndex, lastContactAtMs, matchIndex } = progress;
-  const isReachable = state.nowMs - lastContactAtMs < timing.electionMinMs;
-  const missing = state.commitIndex - matchIndex;
-  return isReachable && matchIndex >= initialLastIndex && missing <= MAX_MISSING_ENTRIES;
+  const missing = state.commitIndex - progress.matchIndex;
+  return isReachable(state, replica) && progress.matchIndex >= progress.initialLastIndex
+    && missing <= MAX_MISSING_ENTRIES;
 }
 
+/** Adds a replica that asks to join, and removes the former member of its VM. */
 function addLearner(state: ConsensusState): Members | undefined {
   const { joining, members } = state;
   state.joining = undefined;
   if (joining === undefined || isMember(members, joining)) return undefined;
   if (vmNameOf(joining) === vmNameOf(state.self)) return undefined;
   const others = members.learners.filter((learner) => vmNameOf(learner) !== vmNameOf(joining));
-  return { voters: members.voters, learners: [...others, joining] };
+  // A delayed request of a former member must not remove the one that runs.
+  const former = members.voters
+    .find((voter) => vmNameOf(voter) === vmNameOf(joining) && !isReachable(state, voter));
+  return {
+    voters: members.voters.filter((voter) => voter !== former),
+    learners: [...others, joining],
+  };
 }
 
 function removeVoter(
--- a/packages/core/test/membership.test.ts
+++ b/packages/core/test/membership.test.ts
@@ -185,3 +185,18 @@
   });
   assert.equal(state.joining === 'z#0' || state.members.learners.includes('z#0'), true);
 });
+
+// Guards against replacements that take so many changes that the next loss comes first.
+test('a replica that joins takes the place of the former member of its VM in one change', () => {
+  const state = createLeader(timing.electionMinMs, []);
+  step(state, { kind: 'join', replica: 'e#1' });
+  assert.equal(maintainMembers(state), true);
+  assert.deepEqual(state.members, { voters: VOTERS.slice(0, 4), learners: ['e#1'] });
+});
+
+test('a delayed request to join of a former member removes no voter that responds', () => {
+  const state = createLeader(0, []);
+  step(state, { kind: 'join', replica: 'e#former' });
+  assert.equal(maintainMembers(state), true);
+  assert.deepEqual(state.members, { voters: VOTERS, learners: ['e#former'] });
+});
