no leader heard: log members and votes, too

The line named open sessions only, so a record of a group without a leader could not tell a majority that is lost for good from sessions that cannot be sent to and from elections that fail one after the other. It now has the VMs that can be sent to, role, term, last and committed index, voters, learners and the votes of the latest attempt. The test of the line expects them.

--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -7,6 +7,8 @@
 import type ConsensusEvent from '@guavayard/core/consensus/ConsensusEvent';
 import type ConsensusRecord from '@guavayard/core/consensus/ConsensusRecord';
 import type ConsensusState from '@guavayard/core/consensus/ConsensusState';
+import describeElection from '@guavayard/core/consensus/describeElection';
+import type ElectionState from '@guavayard/core/consensus/ElectionState';
 import findLastIndex from '@guavayard/core/consensus/findLastIndex';
 import findSilentMembers from '@guavayard/core/consensus/findSilentMembers';
 import findSilentVms from '@guavayard/core/consensus/findSilentVms';
@@ -152,6 +154,11 @@
     return this.state.members.learners.map(vmNameOf);
   }
 
+  /** What decides whether this replica can be elected. */
+  get electionState(): ElectionState {
+    return describeElection(this.state);
+  }
+
   /** Members that have not responded to this replica for some time, if it leads. */
   get silentMembers(): ReplicaId[] {
     return findSilentMembers(this.state);
--- a/packages/vm/src/control/GroupWatch.ts
+++ b/packages/vm/src/control/GroupWatch.ts
@@ -9,7 +9,7 @@
 import type ConsensusTask from './ConsensusTask';
 
 interface GroupWatchOptions {
-  readonly consensus: Pick<ConsensusTask, 'isLeader' | 'silentMembers' | 'silentVms' | 'timeSinceLeaderContactMs'>;
+  readonly consensus: Pick<ConsensusTask, 'electionState' | 'isLeader' | 'silentMembers' | 'silentVms' | 'timeSinceLeaderContactMs'>;
   readonly hub: Pick<VmHub, 'controlSessions' | 'namesOf'>;
   readonly log: Pick<Logger, 'info' | 'warn'>;
   readonly clock: Clock;
@@ -75,7 +75,9 @@
   }
 
   private checkLeader(): void {
-    const { clock, log, hub } = this.options;
+    const {
+      clock, consensus, log, hub,
+    } = this.options;
     const silenceMs = this.leaderSilenceMs;
     this.heardAtMs = Math.max(this.heardAtMs, clock() - silenceMs);
     const hasLeader = silenceMs < timing.lostVoterMs;
@@ -83,8 +85,12 @@
     this.hasLeader = hasLeader;
     if (hasLeader) log.info('leader heard again');
     else {
-      const sessions = Object.fromEntries(hub.controlSessions);
-      log.warn({ silenceMs: Math.round(silenceMs), sessions }, 'no leader heard');
+      log.warn({
+        silenceMs: Math.round(silenceMs),
+        sessions: Object.fromEntries(hub.controlSessions),
+        reachable: hub.namesOf('control'),
+        ...consensus.electionState,
+      }, 'no leader heard');
     }
   }
 
--- a/packages/vm/test/groupWatch.test.ts
+++ b/packages/vm/test/groupWatch.test.ts
@@ -6,6 +6,10 @@
 
 import GroupWatch from '../src/control/GroupWatch';
 
+const ELECTION = {
+  role: 'preCandidate', term: 5, lastIndex: 9, commitIndex: 8, voters: ['a#0', 'b#1', 'c#0'], learners: [], votes: ['a#0'],
+} as const;
+
 interface Rig {
   readonly watch: GroupWatch;
   readonly lines: string[];
@@ -23,6 +27,7 @@
   const watch = new GroupWatch({
     clock: () => rig.nowMs,
     consensus: {
+      electionState: ELECTION,
       get isLeader() {
         return consensus.isLeader;
       },
@@ -70,7 +75,8 @@
   rig.consensus.contactAtMs = rig.nowMs;
   rig.watch.tick();
   assert.deepEqual(rig.lines, [
-    `no leader heard {"silenceMs":${timing.lostVoterMs},"sessions":{"b":1}}`,
+    `no leader heard {"silenceMs":${timing.lostVoterMs},"sessions":{"b":1},"reachable":[],"role":"preCandidate",`
+      + '"term":5,"lastIndex":9,"commitIndex":8,"voters":["a#0","b#1","c#0"],"learners":[],"votes":["a#0"]}',
     'new session opened as nothing is heard {"peer":"b","sessions":1}',
     'reopen b',
     'leader heard again',
--- a/packages/vm/test/slowLink.test.ts
+++ b/packages/vm/test/slowLink.test.ts
@@ -83,6 +83,9 @@
   const watch = new GroupWatch({
     clock: () => performance.now(),
     consensus: {
+      electionState: {
+        role: 'leader', term: 1, lastIndex: 0, commitIndex: 0, voters: [], learners: [], votes: [],
+      },
       isLeader: true,
       get silentMembers() {
         return isSilent() ? ['b#1'] : [];
