--- a/packages/core/src/consensus/maintainMembers.ts
+++ b/packages/core/src/consensus/maintainMembers.ts
@@ -9,21 +9,40 @@
 import vmNameOf from './vmNameOf';
 
 const MAX_VOTERS = 7;
+/** Number of committed entries that a learner may lack when it becomes a voter. */
+const MAX_MISSING_ENTRIES = 64;
 
+function isReachable(state: ConsensusState, replica: ReplicaId): boolean {
+  const { lastContactAtMs = -Infinity } = state.progress.get(replica) ?? {};
+  return state.nowMs - lastContactAtMs < timing.electionMinMs;
+}
+
+/**
+ * Returns whether a learner holds all that was in the log when it joined, and nearly all since.
+ * Under continuous writes it may never hold every committed entry at the same moment as the leader.
+ */
 function isCaughtUp(state: ConsensusState, replica: ReplicaId): boolean {
   const progress = state.progress.get(replica);
   if (progress === undefined) return false;
-  const isReachable = state.nowMs - progress.lastContactAtMs < timing.electionMinMs;
-  return isReachable && progress.matchIndex >= state.commitIndex;
+  const missing = state.commitIndex - progress.matchIndex;
+  return isReachable(state, replica) && progress.matchIndex >= progress.initialLastIndex
+    && missing <= MAX_MISSING_ENTRIES;
 }
 
+/** Adds a replica that asks to join, and removes the former member of its VM. */
 function addLearner(state: ConsensusState): Members | undefined {
   const { joining, members } = state;
   state.joining = undefined;
   if (joining === undefined || isMember(members, joining)) return undefined;
   if (vmNameOf(joining) === vmNameOf(state.self)) return undefined;
   const others = members.learners.filter((learner) => vmNameOf(learner) !== vmNameOf(joining));
-  return { voters: members.voters, learners: [...others, joining] };
+  // A delayed request of a former member must not remove the one that runs.
+  const former = members.voters
+    .find((voter) => vmNameOf(voter) === vmNameOf(joining) && !isReachable(state, voter));
+  return {
+    voters: members.voters.filter((voter) => voter !== former),
+    learners: [...others, joining],
+  };
 }
 
 function removeVoter(
--- a/packages/core/src/consensus/timing.ts
+++ b/packages/core/src/consensus/timing.ts
@@ -20,6 +20,8 @@
   slowSyncMs: 100,
   /** Longest duration of a sync for which an election is given more time. */
   maxSyncMs: 1500,
+  /** Time for which a voter leaves the election to a replica to which it has granted a pre-vote. */
+  otherElectionMs: 300,
   snapshotResendMs: 2000,
   /** Time without a response after which a voter that the group can do without may be removed. */
   lostVoterMs: 1500,
