Apply entries in order while a write is in progress

What operators would see: a control VM with a slow disk applies a committed entry before an earlier one, so that its configuration differs from the others' for good (a patch is skipped, the older of two evacuations wins), and a call whose entry commits before it is tracked is answered 503.

Cause: effects of a replica on itself wait behind others that wait. Compared were only those that waited for the next write, not those of the write in progress. A follower that syncs a new term keeps its commits for the second write; while that write runs, the term is synced, and the next commit is executed at once.

GroupModel has the same rule, and is stricter: it throws if an entry is applied that does not follow the last one.

--- a/packages/core/test/support/GroupModel.ts
+++ b/packages/core/test/support/GroupModel.ts
@@ -29,6 +29,8 @@
 interface Replica {
   state: ConsensusState;
   patches: AcceptedPatches;
+  /** Index of the last entry that has been applied. */
+  appliedIndex: number;
   disk: ConsensusRecord[];
   /** Effects that wait for a write to start. */
   waiting: ConsensusEffect[];
@@ -249,6 +251,7 @@
     return {
       state,
       patches: new AcceptedPatches(durable.snapshot.data),
+      appliedIndex: durable.snapshot.lastIndex,
       disk,
       waiting: [],
       batch: undefined,
@@ -272,10 +275,11 @@
   }
 
   private executeLate(replica: Replica, effects: readonly ConsensusEffect[]): void {
-    const { state, waiting } = replica;
+    const { state, waiting, batch } = replica;
     if (state.role === 'leader') this.recordLeader(state);
     effects.forEach((effect) => {
-      const isOvertaking = isLocal(effect) && waiting.some(isLocal);
+      const isOvertaking = isLocal(effect)
+        && [...batch?.effects ?? [], ...waiting].some(isLocal);
       const mayWait = effect.kind === 'write' || this.options.sendsUnsynced !== true;
       if (isOvertaking || (mayWait && mustAwaitSync(state, effect))) waiting.push(effect);
       else this.execute(replica, effect);
@@ -317,8 +321,19 @@
     if (effect.kind === 'send') {
       this.packets.push({ from: self, to: effect.to, message: structuredClone(effect.message) });
     }
-    if (effect.kind === 'commit') effect.entries.forEach((entry) => this.commit(state, entry));
-    if (effect.kind === 'restore') state.patches = new AcceptedPatches(effect.snapshot.data);
+    if (effect.kind === 'commit') {
+      effect.entries.forEach((entry) => {
+        if (entry.index !== state.appliedIndex + 1) {
+          throw new Error(`entry ${entry.index} is applied after entry ${state.appliedIndex}`);
+        }
+        this.commit(state, entry);
+        state.appliedIndex = entry.index;
+      });
+    }
+    if (effect.kind === 'restore') {
+      state.patches = new AcceptedPatches(effect.snapshot.data);
+      state.appliedIndex = effect.snapshot.lastIndex;
+    }
     if (effect.kind === 'leader' && role === 'leader') this.recordLeader(state.state);
   }
 
--- a/packages/vm/src/control/EffectQueue.ts
+++ b/packages/vm/src/control/EffectQueue.ts
@@ -31,8 +31,12 @@
  * are requested during a write are synced together.
  */
 export default class EffectQueue {
+  /** Effects that wait for the next write. */
   private waiting: ConsensusEffect[] = [];
 
+  /** Effects that wait for the write in progress. */
+  private batch: readonly ConsensusEffect[] = [];
+
   private isWriting = false;
 
   private isClosed = false;
@@ -47,7 +51,8 @@
   add(effects: readonly ConsensusEffect[]): void {
     const { state, execute } = this.options;
     effects.forEach((effect) => {
-      const isOvertaking = isLocal(effect) && this.waiting.some(isLocal);
+      const isOvertaking = isLocal(effect)
+        && (this.batch.some(isLocal) || this.waiting.some(isLocal));
       if (isOvertaking || mustAwaitSync(state, effect)) this.waiting.push(effect);
       else execute(effect);
     });
@@ -66,9 +71,11 @@
     const { writer, onSynced } = this.options;
     do {
       const effects = this.waiting.splice(0);
+      this.batch = effects;
       // eslint-disable-next-line no-await-in-loop -- writes are sequential
       const event = effects.length === 0 ? undefined : await this.sync(effects);
       if (this.isClosed) return;
+      this.batch = [];
       if (event !== undefined) onSynced(effects, event);
       // eslint-disable-next-line no-await-in-loop
       await writer.markIfDue();
