--- a/packages/vm/test/effectOrder.test.ts
+++ b/packages/vm/test/effectOrder.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { setImmediate } from 'node:timers/promises';
 
 import createConfigurationSnapshot from '@guavayard/core/configuration/createConfigurationSnapshot';
 import createDurableState from '@guavayard/core/consensus/createDurableState';
@@ -11,6 +12,7 @@
 
 const REPLICA = 'vm-1#00';
 const LEADER = 'vm-2#00';
+const VOTERS = [REPLICA, LEADER, 'vm-3#00'];
 
 interface SlowReplica {
   readonly task: ConsensusTask;
@@ -20,8 +22,8 @@
   readonly append: (index: number, commitIndex: number) => void;
 }
 
-/** Creates a follower whose writes end when the test says so. */
-function createSlowReplica(): SlowReplica {
+/** Creates a replica whose writes end when the test says so. */
+function createSlowReplica(voters: readonly string[]): SlowReplica {
   const applied: number[] = [];
   const writes: (() => void)[] = [];
   const write = async (): Promise<void> => new Promise((resolve) => {
@@ -29,7 +31,7 @@
   });
   const task = new ConsensusTask({
     replica: REPLICA,
-    durable: createDurableState([REPLICA, LEADER, 'vm-3#00']),
+    durable: createDurableState(voters),
     store: { append: write, replace: write },
     hub: { send: () => true, sendToControl: () => undefined } as unknown as VmHub,
     listener: {
@@ -70,12 +72,11 @@
 test('a replica applies entries in order while its writes are slow', async (t) => {
   const {
     task, applied, awaitWrite, finishWrite, append,
-  } = createSlowReplica();
+  } = createSlowReplica(VOTERS);
   t.after(() => task.close());
   append(1, 0);
   append(2, 1);
   finishWrite();
-  // The write of entry 2, which the commit of entry 1 waits for as well.
   await awaitWrite();
   append(3, 2);
   finishWrite();
@@ -84,3 +85,20 @@
   await retryUntil(async () => assert.equal(applied.length, 2));
   assert.deepEqual(applied, [1, 2]);
 });
+
+// Guards against a read of a state that lacks committed entries.
+test('a read waits until what is committed is applied while writes are slow', async (t) => {
+  const {
+    task, applied, awaitWrite, finishWrite,
+  } = createSlowReplica([REPLICA]);
+  t.after(() => task.close());
+  task.start();
+  const isAccepted = task.propose({ kind: 'noop' });
+  finishWrite();
+  await awaitWrite();
+  const read = task.awaitReadPoint().then((isReady) => ({ isReady, firstApplied: applied[0] }));
+  await setImmediate();
+  finishWrite();
+  assert.deepEqual(await read, { isReady: true, firstApplied: 1 });
+  assert.equal(await isAccepted, true);
+});
