--- a/packages/core/test/slowDisks.test.ts
+++ b/packages/core/test/slowDisks.test.ts
@@ -135,3 +135,17 @@
   });
   assert.equal(state.syncedIndex, 0);
 });
+
+test('a follower that syncs a new term applies what it hears, and answers nothing', () => {
+  const state = createReplica();
+  append(state, 1);
+  const effects = step(state, {
+    kind: 'message',
+    from: 'b#0',
+    message: {
+      kind: 'append', term: 1, previousIndex: 1, previousTerm: 1, entries: [], commitIndex: 1, round: 2,
+    },
+  });
+  assert.deepEqual(kindsOf(effects), ['commit', 'appendAnswer']);
+  assert.deepEqual(effects.map((effect) => mustAwaitSync(state, effect)), [false, true]);
+});
--- a/packages/vm/test/effectOrder.test.ts
+++ b/packages/vm/test/effectOrder.test.ts
@@ -102,3 +102,13 @@
   assert.deepEqual(await read, { isReady: true, firstApplied: 1 });
   assert.equal(await isAccepted, true);
 });
+
+// Guards against entries that follow a control VM which calls itself current, but is not.
+test('a follower applies what is committed while it syncs a new term', (t) => {
+  const { task, applied, append } = createSlowReplica(VOTERS);
+  t.after(() => task.close());
+  append(1, 0);
+  append(2, 1);
+  assert.equal(task.timeSinceLeaderContactMs, 0);
+  assert.deepEqual(applied, [1]);
+});
