Treat a status outside of 100 to 599 as no response

Where another entry served the request, the message with that status was malformed, and the session between the two entries ended with all requests on it.

Cause: classifyResponse takes any status from 300 on for a failure of the target, which callers get as it is; nothing checked the range.

UndiciDispatch, through which requests to targets, probes and relays of both engines go, fails the exchange instead, as for bytes that are no response. Callers get 502, whole, and the session stays.

The other tests show cases that hold: early responses that are cut, around the end of an upload, streamed, interim responses, odd probes.

--- a/packages/core/src/dispatch/AnswerHandler.ts
+++ b/packages/core/src/dispatch/AnswerHandler.ts
@@ -5,7 +5,7 @@
 interface AnswerHandler {
   /** Called when the request has a connection: from now on, bytes of it may reach the target. */
   onConnected: () => void;
-  /** Called when the status line and the headers have arrived. */
+  /** Called when the status line, with a status of 200 to 599, and the headers have arrived. */
   onHeaders: (status: number, headers: AnswerHeaders) => void;
   /**
    * Called when a chunk of the body has arrived.
--- a/packages/target/src/UndiciDispatch.ts
+++ b/packages/target/src/UndiciDispatch.ts
@@ -6,7 +6,9 @@
 
 import describeSendError from './describeSendError';
 
+const FIRST_STATUS = 100;
 const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
 /** Number of informational responses (1xx) before the final one. */
 const MAX_INFORMATIONAL_RESPONSES = 16;
 
@@ -61,6 +63,10 @@
   ): void {
     this.connection.onResponse();
     if (this.isFinished) return;
+    if (status < FIRST_STATUS || status > LAST_STATUS) {
+      this.abort({ kind: 'targetFailed', detail: `status ${status}` });
+      return;
+    }
     if (status < FIRST_FINAL_STATUS) {
       this.countInformational();
       return;
--- a/packages/target/test/truncatedResponse.test.ts
+++ b/packages/target/test/truncatedResponse.test.ts
@@ -70,3 +70,10 @@
     });
   });
 });
+
+['000', '099', '600', '999'].forEach((status) => {
+  test(`a response with status ${status} is no response`, async (t) => {
+    const outcome = await receive(t, `HTTP/1.1 ${status} Trouble\r\n${HEADERS}content-length: 12\r\n\r\nhello world!`, false);
+    assert.deepEqual(outcome, { end: 'targetFailed', hasLength: false, status: undefined });
+  });
+});
