Keep the limit of a cold target while entries start, join, freeze or are lost

A cold target that may get 12.5 requests a second from all entries together got up to 22 as 14 entries joined 4, 16 as 18 entries were killed and started one by one, and 17 as half of them went on after a freeze of 6 s. A target that gets well above its limit crashes.

Each entry kept its share by the memory of its process and its newest roster alone. One that started again sent its share twice within a second. One that joined counted itself before the others did, and one that control had dropped went on with its old share after the others had taken it over.

An entry now has the least share that any roster of the last 3 s gives it, and sends nothing to cold targets in its first second. So a share grows only once all entries know of the change and the window has passed. Of the quarter of the limit that no entry used, one part is for entries that have just started and one for those without control for 2 s, or that stood still for as long: control may have dropped them. An entry that its roster does not list sends nothing. No message changes.

After a start of all VMs a cold target gets its full rate 3 s later than before, and 2 of 12.5 requests a second until then.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -19,6 +19,7 @@
 import RelayClient from '@guavayard/vm/relay/RelayClient';
 import RelayServer from '@guavayard/vm/relay/RelayServer';
 
+import createVmClock from '../run/createVmClock';
 import type GatewayContext from './GatewayContext';
 import type GatewayRole from './GatewayRole';
 
@@ -88,6 +89,7 @@
   const dialect = new PlatformDialect();
   const pool: TargetPool = new TargetPool({
     clock,
+    elapsedClock: createVmClock(),
     random: Math.random,
     log,
     location: { name: identity.name, region: identity.region },
@@ -140,7 +142,10 @@
       onRosterChange: ({ entries }) => pool.setEntries(entries),
       onRequestLimits: (notices) => pool.recordLimitNotices(notices),
       onCrash: (fingerprint) => crashes.recordReportedCrash(fingerprint),
-      onSourceChange: (control, reason) => log.info({ control, reason, version: subscription.declaration?.version }, 'control VM changed'),
+      onSourceChange: (control, reason) => {
+        pool.setFollowing(control !== undefined);
+        log.info({ control, reason, version: subscription.declaration?.version }, 'control VM changed');
+      },
     },
   });
   const requestLog = new RequestLog(log, clock);
@@ -184,6 +189,7 @@
   subscription.start();
   const keepAliveTimer = setInterval(
     () => {
+      pool.observeTime();
       prober.keepConnectionsAlive();
       prober.verifyLimits();
     },
--- a/packages/core/src/placement/ColdRateLimit.ts
+++ b/packages/core/src/placement/ColdRateLimit.ts
@@ -1,9 +1,11 @@
+import type RosterSpan from './RosterSpan';
+
 /** Rate limit of a cold target, shared by all entries. */
 interface ColdRateLimit {
   /** Requests per second that all entries together may send to the target. */
   readonly requestsPerSecond: number;
-  /** Entries that send to the target. */
-  readonly entryNames: readonly string[];
+  /** What this entry has recently known of the entries that send to the target. */
+  readonly rosters: readonly RosterSpan[];
 }
 
 export default ColdRateLimit;
--- a/packages/core/src/placement/placementLimits.ts
+++ b/packages/core/src/placement/placementLimits.ts
@@ -50,9 +50,22 @@
   keepForMs: 60_000,
   ejectMs: 1500,
   maxEjectMs: 8000,
-  /** Share of the cold rate limit that entries use; the rest covers clock and link jitter. */
+  /**
+   * Share of the cold rate limit for the entries that know each other; the rest is for those that
+   * have just started and those that control may have lost.
+   */
   coldRateShare: 0.75,
   coldWindowMs: 1000,
+  /**
+   * Time without control after which an entry may be missing from the rosters of the others, in
+   * milliseconds. Control drops it after three seconds, and the others wait for `rosterSettleMs`.
+   */
+  rosterLostMs: 2000,
+  /**
+   * Time for which a share must also fit earlier rosters, in milliseconds: the longest time by
+   * which entries learn of a roster at different moments, and the window of the limit.
+   */
+  rosterSettleMs: 3000,
 } as const;
 
 export default placementLimits;
--- a/packages/core/test/placement.test.ts
+++ b/packages/core/test/placement.test.ts
@@ -80,12 +80,13 @@
   [1, 6, 19, 40].forEach((entries) => {
     [8.75, 18.8, 40].forEach((requestsPerSecond) => {
       const entryNames = Array.from({ length: entries }, (_, index) => `entry-${index}`);
+      const rosters = [{ entryNames, membership: 'settled' as const, sinceMs: 0 }];
       let sent = 0;
       entryNames.forEach((name) => {
         const target = createTarget('cold');
         target.coldUntilMs = 1000;
         for (let tries = 0; tries < 50; tries += 1) {
-          if (maySendToColdTarget(target, { requestsPerSecond, entryNames }, name, 500)) {
+          if (maySendToColdTarget(target, { requestsPerSecond, rosters }, name, 500)) {
             target.coldSends.push(500);
             sent += 1;
           }
@@ -100,7 +101,8 @@
 test('the rate limit of a cold target has a window of one second', () => {
   const target = createTarget('cold');
   target.coldUntilMs = 5000;
-  const bound = { requestsPerSecond: 4, entryNames: ['a'] };
+  const rosters = [{ entryNames: ['a'], membership: 'settled' as const, sinceMs: 0 }];
+  const bound = { requestsPerSecond: 4, rosters };
   target.coldSends = [100, 100, 100];
   assert.equal(maySendToColdTarget(target, bound, 'a', 500), false);
   assert.equal(maySendToColdTarget(target, bound, 'a', 1200), true);
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -1,9 +1,9 @@
 import type Logger from 'bunyan';
 
-import type ColdRateLimit from '@guavayard/core/placement/ColdRateLimit';
 import createPlacedTarget from '@guavayard/core/placement/createPlacedTarget';
 import maySendToColdTarget from '@guavayard/core/placement/maySendToColdTarget';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
+import RosterHistory from '@guavayard/core/placement/RosterHistory';
 import type Declaration from '@guavayard/core/registry/Declaration';
 import findAnnouncementMistake from '@guavayard/core/registry/findAnnouncementMistake';
 import findService from '@guavayard/core/registry/findService';
@@ -26,6 +26,8 @@
 
 interface TargetPoolOptions {
   readonly clock: Clock;
+  /** Monotonic clock that counts suspends of the VM. */
+  readonly elapsedClock: Clock;
   readonly random: Random;
   readonly log: Logger;
   /** This entry. */
@@ -68,9 +70,13 @@
   /** Which paths to targets work. */
   readonly paths: TargetPaths;
 
+  /** The entries of this entry's region, of late: only these send to its cold targets. */
+  private readonly nearRosters: RosterHistory;
+
   private limitContext = '';
 
   constructor(private readonly options: TargetPoolOptions) {
+    this.nearRosters = new RosterHistory(options.elapsedClock());
     this.limits = new RequestLimitTracker({
       clock: options.clock,
       log: options.log,
@@ -98,9 +104,22 @@
   /** Replaces the list of entries of the system. */
   setEntries(entries: readonly EntryLocation[]): void {
     this.entries = entries;
+    const names = entries.filter(({ region }) => region === this.options.location.region)
+      .map(({ name }) => name);
+    this.nearRosters.setEntries(names, this.options.elapsedClock());
     this.updateLimitContext();
   }
 
+  /** Records whether this entry follows control. */
+  setFollowing(isFollowing: boolean): void {
+    this.nearRosters.setFollowing(isFollowing, this.options.elapsedClock());
+  }
+
+  /** Records that the process runs; called at least once a second. */
+  observeTime(): void {
+    this.nearRosters.observe(this.options.elapsedClock());
+  }
+
   /**
    * Applies the state that the control VMs registered.
    *
@@ -267,18 +286,16 @@
 
   private isWithinColdLimit(target: PlacedTarget, nowMs: number): boolean {
     if (target.coldUntilMs <= nowMs) return true;
-    // Only the entries of a cold target's region share its request limit, and none knows its share
-    // before it knows them.
-    if (!this.isNear(target) || this.entries === undefined) return false;
-    const { coldBurstFactor, coldSlack, location } = this.options;
+    // Only the entries of a cold target's region share its request limit.
+    if (!this.isNear(target)) return false;
+    const {
+      coldBurstFactor, coldSlack, location, elapsedClock,
+    } = this.options;
     const declared = findService(this.declaration, target.record.service);
-    const limit: ColdRateLimit = {
+    return maySendToColdTarget(target, {
       requestsPerSecond: (declared?.coldRequestsPerSecond ?? 0) * coldBurstFactor + coldSlack,
-      // Control may not have heard of this entry yet.
-      entryNames: [...new Set([location.name, ...this.entries
-        .filter(({ region }) => region === location.region).map(({ name }) => name)])],
-    };
-    return maySendToColdTarget(target, limit, location.name, nowMs);
+      rosters: this.nearRosters.findRecent(elapsedClock()),
+    }, location.name, nowMs);
   }
 
   private isServing({ record, leaving }: PlacedTarget): boolean {
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -103,6 +103,7 @@
     const dialect = new PlainDialect();
     this.pool = new TargetPool({
       clock,
+      elapsedClock: clock,
       random: () => this.random(),
       log,
       location: { name: 'entry-1', region: 'near' },
@@ -120,6 +121,7 @@
       onSilence: () => prober.startVerifying(),
       countReady: (address) => this.sender.countReady(address),
     });
+    this.pool.setFollowing(true);
     this.pool.setEntries([{ name: 'entry-1', region: 'near' }]);
     const { pool, sender } = this;
     sender.onOpened = (address, isWorking) => pool.paths.connections.record(address, isWorking);
