Tell entries that start of the requests that have crashed targets

A request that had crashed three targets was refused by all entries, but each entry that started afterwards sent it to targets again: 16 more crashes as six entries started one by one, 24 as a control VM started beside each. Three are allowed.

Crashes were in the memory of entries only, and control relayed a report to the subscribers of that moment. An entry that had just started knew none.

Control VMs keep the crashes of the last 300 s, of 1024 requests at most, and send them to an entry right before its view. The entry takes the larger of that number and its own, so following another control VM adds nothing, and what a response has cleared since stays cleared. Control VMs that connect tell each other which requests are refused, and pass none of these reports on twice.

The message is crashReport as before. Entries of older builds ignore messages of a control VM before its view. Older control VMs pass on reports of refused requests once more, which changes nothing at entries that refuse them.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -142,6 +142,7 @@
       onRosterChange: ({ entries }) => pool.setEntries(entries),
       onRequestLimits: (notices) => pool.recordLimitNotices(notices),
       onCrash: (fingerprint) => crashes.recordReportedCrash(fingerprint),
+      onKnownCrashes: (fingerprint, count) => crashes.recordKnownCrashes(fingerprint, count),
       onSourceChange: (control, reason) => {
         pool.setFollowing(control !== undefined);
         log.info({ control, reason, version: subscription.declaration?.version }, 'control VM changed');
--- a/packages/core/src/quarantine/CrashHistory.ts
+++ b/packages/core/src/quarantine/CrashHistory.ts
@@ -1,5 +1,5 @@
-/** Number of crashes after which a request is refused. */
-const CRASH_LIMIT = 3;
+import CRASH_LIMIT from './crashLimit';
+
 /** Time after its last crash at which a request is forgotten, in milliseconds. */
 const RETENTION_MS = 300_000;
 /** Maximum number of tracked requests; the one that crashed least recently is evicted first. */
@@ -7,7 +7,14 @@
 
 interface CrashRecord {
   count: number;
-  atMs: number;
+  readonly atMs: number;
+}
+
+/** A request that has crashed targets. */
+interface CrashedRequest {
+  readonly fingerprint: string;
+  /** Number of crashes, at most those after which it is refused. */
+  readonly count: number;
 }
 
 /**
@@ -42,9 +49,34 @@
     return record.count;
   }
 
+  /**
+   * Records how many crashes another VM knows of, which may include those that are recorded here.
+   * What a response has cleared since is not restored.
+   *
+   * @param fingerprint - fingerprint of the request
+   * @param count - number of crashes
+   * @param nowMs - time on the monotonic clock, in milliseconds
+   */
+  recordKnownCrashes(fingerprint: string, count: number, nowMs: number): void {
+    const known = this.find(fingerprint, nowMs);
+    if (known?.count === 0) return;
+    for (let recorded = known?.count ?? 0; recorded < count; recorded += 1) {
+      this.recordCrash(fingerprint, nowMs);
+    }
+  }
+
   /** Records that a target answered a request, which clears the request of earlier crashes. */
   recordResponse(fingerprint: string): void {
-    this.records.delete(fingerprint);
+    const record = this.records.get(fingerprint);
+    if (record !== undefined) record.count = 0;
+  }
+
+  /** @returns the requests that have crashed targets of late, the most recent last */
+  list(nowMs: number): CrashedRequest[] {
+    return [...this.records.keys()].flatMap((fingerprint) => {
+      const count = Math.min(CRASH_LIMIT, this.find(fingerprint, nowMs)?.count ?? 0);
+      return count > 0 ? [{ fingerprint, count }] : [];
+    });
   }
 
   /**
--- a/packages/core/test/quarantine.test.ts
+++ b/packages/core/test/quarantine.test.ts
@@ -27,6 +27,26 @@
   assert.equal(history.isQuarantined('a', 3), false);
 });
 
+test('crashes that another VM knows of are not added to those that are recorded', () => {
+  const history = new CrashHistory();
+  history.recordCrash('a', 1);
+  history.recordKnownCrashes('a', 2, 2);
+  assert.deepEqual(history.list(2), [{ fingerprint: 'a', count: 2 }]);
+  history.recordKnownCrashes('a', 2, 3);
+  assert.equal(history.isQuarantined('a', 3), false);
+  history.recordKnownCrashes('a', 3, 4);
+  assert.equal(history.isQuarantined('a', 4), true);
+  assert.equal(history.isQuarantined('a', 300_005), false);
+});
+
+test('crashes that another VM knows of do not undo a response', () => {
+  const history = new CrashHistory();
+  history.recordCrash('a', 1);
+  history.recordResponse('a');
+  history.recordKnownCrashes('a', 3, 2);
+  assert.deepEqual([history.isQuarantined('a', 2), history.list(2)], [false, []]);
+});
+
 test('crashes expire, and the oldest are evicted above the size limit', () => {
   const history = new CrashHistory();
   [1, 2, 3].forEach((nowMs) => history.recordCrash('a', nowMs));
--- a/packages/gateway/src/CrashWatch.ts
+++ b/packages/gateway/src/CrashWatch.ts
@@ -63,6 +63,11 @@
     this.recordCrash(fingerprint, undefined);
   }
 
+  /** Records the crashes of a request that control has known when this entry began to follow it. */
+  recordKnownCrashes(fingerprint: string, count: number): void {
+    this.history.recordKnownCrashes(fingerprint, count, this.options.clock());
+  }
+
   /** Records that a target answered a request, which clears the request of earlier crashes. */
   recordResponse(fingerprint: string): void {
     if (!this.history.isEmpty) this.history.recordResponse(fingerprint);
--- a/packages/vm/src/registry/RegistryListener.ts
+++ b/packages/vm/src/registry/RegistryListener.ts
@@ -10,6 +10,8 @@
   onRosterChange: (roster: Roster) => void;
   /** Another entry has reported that a target crashed while it ran a request. */
   onCrash: (fingerprint: string) => void;
+  /** Control knew of crashes under a request when the entry began to follow it. */
+  onKnownCrashes: (fingerprint: string, count: number) => void;
   /** Other entries have learnt the request limits of targets. */
   onRequestLimits: (notices: readonly RequestLimitNotice[]) => void;
   /** The entry has switched to another control VM, or follows none. */
--- a/packages/vm/src/registry/RegistryPublisher.ts
+++ b/packages/vm/src/registry/RegistryPublisher.ts
@@ -1,8 +1,11 @@
+import CRASH_LIMIT from '@guavayard/core/quarantine/crashLimit';
+import CrashHistory from '@guavayard/core/quarantine/CrashHistory';
 import type Clock from '@guavayard/core/types/Clock';
 
 import type VmMessage from '../messages/VmMessage';
 import encodeFrame from '../session/encodeFrame';
 import type SessionHandler from '../session/SessionHandler';
+import type VmIdentity from '../session/VmIdentity';
 import type VmSession from '../session/VmSession';
 import createVmLocation from './createVmLocation';
 import type RegistryStore from './RegistryStore';
@@ -52,6 +55,9 @@
 
   private readonly limits: RequestLimitBoard;
 
+  /** Crashes that entries have reported. They are not replicated. */
+  private readonly crashes = new CrashHistory();
+
   private limitsTimer: NodeJS.Timeout | undefined;
 
   /**
@@ -81,7 +87,10 @@
     return this.roster?.entries;
   }
 
-  onOpen(): void {}
+  onOpen(session: VmSession, peer: VmIdentity): void {
+    // A control VM that has started knows of none. Entries that do need no more reports.
+    if (peer.roles.includes('control')) this.sendCrashes(session, CRASH_LIMIT);
+  }
 
   onMessage(session: VmSession, message: VmMessage): void {
     if (message.kind === 'registryAsk') {
@@ -97,6 +106,8 @@
     }
     // The view includes pending changes, so they are sent to the other subscribers first.
     this.flush();
+    // An entry counts the reports before its view as what is known, not as further crashes.
+    this.sendCrashes(session, 1);
     this.subscribers.add(session);
     session.sendFrame(this.encodeView());
     if (this.rosterFrame !== undefined) session.sendFrame(this.rosterFrame);
@@ -143,6 +154,11 @@
   }
 
   private broadcastCrash(session: VmSession, report: CrashReport): void {
+    const nowMs = this.clock();
+    const isKnown = this.crashes.isQuarantined(report.fingerprint, nowMs);
+    if (!isKnown) this.crashes.recordCrash(report.fingerprint, nowMs);
+    // Control VMs repeat what they know when they connect.
+    if (isKnown && report.isRelayed) return;
     const relayed: CrashReport = { ...report, isRelayed: true };
     const frame = encodeFrame(relayed);
     [...this.subscribers].filter((subscriber) => subscriber !== session)
@@ -150,6 +166,17 @@
     if (!report.isRelayed) this.relay(relayed);
   }
 
+  /** Sends the crashes of all requests that have crashed targets at least so many times. */
+  private sendCrashes(session: VmSession, minCount: number): void {
+    this.crashes.list(this.clock()).filter(({ count }) => count >= minCount)
+      .forEach(({ fingerprint, count }) => {
+        const frame = encodeFrame({
+          kind: 'crashReport', fingerprint, isRelayed: true,
+        } satisfies VmMessage);
+        for (let sent = 0; sent < count; sent += 1) session.sendFrame(frame);
+      });
+  }
+
   private recordLimits({ notices, isRelayed }: RequestLimits): void {
     notices.forEach((notice) => this.limits.record(notice, isRelayed));
     this.limitsTimer ??= setTimeout(() => this.flushLimits(), LIMITS_BATCH_MS);
--- a/packages/vm/src/registry/RegistrySubscription.ts
+++ b/packages/vm/src/registry/RegistrySubscription.ts
@@ -65,6 +65,9 @@
   /** The subscribe request whose view has not arrived: its session and the time it was sent. */
   private pendingView: { readonly session: VmSession; readonly atMs: number } | undefined;
 
+  /** Crashes that the control VM reported before its view, by the fingerprint of the request. */
+  private knownCrashes = new Map<string, number>();
+
   private readonly connectedAddresses = new Set<string>();
 
   /** Open sessions with control VMs. */
@@ -128,8 +131,9 @@
   onMessage(session: VmSession, message: VmMessage): void {
     if (session === this.source) this.silenceTimer?.refresh();
     if (message.kind === 'registryPulse') this.handlePulse(session, message.isCurrent);
-    if (message.kind === 'registryView' && session === this.pendingView?.session) {
-      this.applyView(session, message);
+    if (session === this.pendingView?.session) {
+      if (message.kind === 'crashReport') this.countKnownCrash(message.fingerprint);
+      if (message.kind === 'registryView') this.applyView(session, message);
     }
     if (session !== this.source) return;
     if (message.kind === 'registryUpdate') this.applyUpdate(message);
@@ -157,6 +161,7 @@
       && nowMs - this.pendingView.atMs <= VIEW_TIMEOUT_MS;
     if (!isCurrent || !isWanted || isViewPending) return;
     this.pendingView = { session, atMs: nowMs };
+    this.knownCrashes.clear();
     session.send({ kind: 'registrySubscribe' });
   }
 
@@ -175,10 +180,17 @@
     view.targets.forEach((target) => this.targets.set(target.id, target));
     this.index = view.index;
     this.disconnectOthers(session.peer?.address);
+    this.knownCrashes.forEach((count, fingerprint) => (
+      this.options.listener.onKnownCrashes(fingerprint, count)));
+    this.knownCrashes.clear();
     this.options.listener.onSourceChange(session.peer?.name, 'subscribed');
     this.options.listener.onChange();
   }
 
+  private countKnownCrash(fingerprint: string): void {
+    this.knownCrashes.set(fingerprint, (this.knownCrashes.get(fingerprint) ?? 0) + 1);
+  }
+
   private applyUpdate(update: Update): void {
     if (update.declaration !== undefined) this.declaration = update.declaration;
     if (update.evacuated !== undefined) this.evacuated = new Set(update.evacuated);
--- a/packages/vm/test/publisher.test.ts
+++ b/packages/vm/test/publisher.test.ts
@@ -7,14 +7,13 @@
 import RegistryPublisher from '../src/registry/RegistryPublisher';
 import RegistryStore from '../src/registry/RegistryStore';
 import frameLayout from '../src/session/frameLayout';
+import type VmIdentity from '../src/session/VmIdentity';
 import type VmSession from '../src/session/VmSession';
 
-const ROSTER = {
-  controls: [],
-  entries: [{
-    name: '10.1.0.1', region: 'munster', dataCentre: 'cork', address: '10.1.0.1:7000',
-  }],
+const VM = {
+  name: '10.1.0.1', region: 'munster', dataCentre: 'cork', address: '10.1.0.1:7000',
 };
+const ROSTER = { controls: [], entries: [VM] };
 
 type Sent = VmMessage['kind'];
 
@@ -38,6 +37,11 @@
   return { session: session as unknown as VmSession, sent, frames };
 }
 
+function createPublisher(): RegistryPublisher {
+  const store = new RegistryStore(() => 0, undefined, 0);
+  return new RegistryPublisher(store, () => true, () => undefined, () => 0);
+}
+
 test('a crash report of an entry is relayed to control, a relayed one only to subscribers', () => {
   const relayed: VmMessage[] = [];
   const publisher = new RegistryPublisher(
@@ -60,6 +64,40 @@
   assert.equal(relayed.length, 1);
 });
 
+// Guards against entries that crash targets again after a start, as they know no earlier reports.
+test('an entry is told of earlier crashes before its view', () => {
+  const publisher = createPublisher();
+  const reporter = createSession();
+  ['a', 'a', 'b', 'a', 'a'].forEach((fingerprint) => (
+    publisher.onMessage(reporter.session, { kind: 'crashReport', fingerprint, isRelayed: false })));
+  const started = createSession();
+  publisher.onMessage(started.session, { kind: 'registrySubscribe' });
+  assert.deepEqual(started.sent, [...Array.from({ length: 4 }, () => 'crashReport'), 'registryView']);
+});
+
+// Guards against entries that crash targets again as a started control VM knows no reports.
+test('a control VM is told which requests are refused, and tells its entries once', () => {
+  const publisher = createPublisher();
+  const reporter = createSession();
+  ['a', 'a', 'b', 'a'].forEach((fingerprint) => (
+    publisher.onMessage(reporter.session, { kind: 'crashReport', fingerprint, isRelayed: false })));
+  const peer: VmIdentity = {
+    ...VM, roles: ['control'], startId: '00',
+  };
+  const started = createSession();
+  publisher.onOpen(started.session, peer);
+  assert.deepEqual(started.sent, ['crashReport', 'crashReport', 'crashReport']);
+  const entry = createSession();
+  publisher.onOpen(entry.session, { ...peer, roles: ['entry'] });
+  assert.deepEqual(entry.sent, []);
+  const other = createPublisher();
+  other.onMessage(entry.session, { kind: 'registrySubscribe' });
+  for (let count = 0; count < 6; count += 1) {
+    other.onMessage(started.session, { kind: 'crashReport', fingerprint: 'a', isRelayed: true });
+  }
+  assert.deepEqual(entry.sent, ['registryView', 'crashReport', 'crashReport', 'crashReport']);
+});
+
 test('entries that subscribe at once share one encoded view, until it changes or gets old', () => {
   let nowMs = 1000;
   const store = new RegistryStore(() => nowMs, undefined, 0);
--- a/packages/vm/test/subscription.test.ts
+++ b/packages/vm/test/subscription.test.ts
@@ -26,6 +26,8 @@
   readonly reasons: string[];
   /** Messages sent to the control VM. */
   readonly sent: VmMessage[];
+  /** Crashes that it was told of. */
+  readonly crashes: string[];
 }
 
 /** Creates an entry that follows one control VM, on a virtual clock. */
@@ -39,6 +41,7 @@
     addHandler: () => undefined, connect: () => undefined, disconnect: () => undefined,
   } as unknown as VmHub;
   const reasons: string[] = [];
+  const crashes: string[] = [];
   const subscription = new RegistrySubscription({
     hub,
     identity: IDENTITY,
@@ -47,7 +50,8 @@
     listener: {
       onChange: () => undefined,
       onRosterChange: () => undefined,
-      onCrash: () => undefined,
+      onCrash: (fingerprint) => crashes.push(fingerprint),
+      onKnownCrashes: (fingerprint, count) => crashes.push(`${count} known of ${fingerprint}`),
       onRequestLimits: () => undefined,
       onSourceChange: (_control, reason) => reasons.push(reason),
     },
@@ -60,7 +64,7 @@
   });
   assert.deepEqual(sent.map(({ kind }) => kind), ['registryAsk', 'registrySubscribe']);
   return {
-    subscription, session, reasons, sent,
+    subscription, session, reasons, sent, crashes,
   };
 }
 
@@ -108,3 +112,22 @@
   assert.deepEqual(subscription.roster.entries, entries);
   subscription.close();
 });
+
+// Guards against entries that count crashes twice when they begin to follow another control VM.
+test('crashes that control knew before the view are told apart from later ones', (t) => {
+  const entry = createFollowingEntry(t);
+  const session = Object.create(entry.session) as VmSession;
+  entry.subscription.onClose(entry.session, 'closed');
+  entry.crashes.length = 0;
+  entry.subscription.onMessage(session, { kind: 'registryPulse', isCurrent: true });
+  const report: VmMessage = { kind: 'crashReport', fingerprint: 'a', isRelayed: true };
+  entry.subscription.onMessage(session, report);
+  entry.subscription.onMessage(session, report);
+  assert.deepEqual(entry.crashes, []);
+  entry.subscription.onMessage(session, {
+    kind: 'registryView', index: 2, evacuated: [], targets: [],
+  });
+  entry.subscription.onMessage(session, report);
+  assert.deepEqual(entry.crashes, ['2 known of a', 'a']);
+  entry.subscription.close();
+});
--- a/packages/vm/test/support/RegistryGroup.ts
+++ b/packages/vm/test/support/RegistryGroup.ts
@@ -82,6 +82,7 @@
         onRosterChange: () => undefined,
         onSourceChange: () => undefined,
         onCrash,
+        onKnownCrashes: () => undefined,
         onRequestLimits: () => undefined,
       },
     });
