Keep the retry budget over starts of entries

Services got more repeated arrivals in ten seconds than the ratio of the requests plus the slack, once entries had been killed and started: each process forgot what it had retried and began with its whole budget, and before its first roster an entry took itself for the only one and had the whole slack.

In any part of a window, an entry now retries at most half of the window's budget plus what accrues of the other half, and a new process has only what accrues: whatever its predecessors did, they stay within the budget together. The first process of a system that starts for the first time has no predecessor and is not limited so. Without a roster there is no share of the slack. A share is a lease of 2.5 s, as control drops entries after 3 s; a roster that shrinks counts a window later, as those that are gone have used their share in this window; a share that was lost or is new accrues.

packages/core/test/retryBudget.test.ts draws kills, freezes, cuts from control, starts of control and failing targets for 4, 18 and 311 entries and counts by the rule's text, with 0.8 of the slack.

Changed tests: "all entries together keep the retry budget" names the start and the share of its entries; its bounds are the same. The harness of the gateway's tests stands for an entry that has run for 10 s and hears control. The limit on probes takes the number of entries as before.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -94,6 +94,7 @@
     regionOf: (dataCentre) => regions[dataCentre] ?? '',
     coldBurstFactor: bounds.coldBurstFactor,
     coldSlack: bounds.coldSlack,
+    shareWindowMs: bounds.retryWindowSeconds * MS_PER_SECOND,
     onTargetRemoved: (address) => sender.closeConnections(address),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a response
     shareLimit: (notice) => subscription.shareLimit(notice),
@@ -115,6 +116,8 @@
     retryRatio: bounds.retryRatio,
     retrySlack: bounds.retrySlack,
     retryWindowMs: bounds.retryWindowSeconds * MS_PER_SECOND,
+    // At the first start of the system, no earlier process has retried anything.
+    startedAtMs: settings.vm.isFirstStart ? -Infinity : clock(),
   });
   const crashes = new CrashWatch({
     clock,
@@ -137,6 +140,7 @@
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- set by then
         caller.server.keepAliveTimeout = declaration.limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
       },
+      onContact: () => pool.share.recordContact(clock()),
       onRosterChange: ({ entries }) => pool.setEntries(entries),
       onRequestLimits: (notices) => pool.recordLimitNotices(notices),
       onCrash: (fingerprint) => crashes.recordReportedCrash(fingerprint),
--- a/packages/core/src/placement/RetryBudget.ts
+++ b/packages/core/src/placement/RetryBudget.ts
@@ -1,3 +1,5 @@
+import type EntryShare from './EntryShare';
+
 /** Limit on retries that all entries together keep. */
 interface RetryBudgetOptions {
   /** Retries for each first attempt. */
@@ -5,17 +7,24 @@
   /** Retries beyond the ratio, for all entries together. */
   readonly slack: number;
   readonly windowMs: number;
+  /** Start of this process, by the monotonic clock. */
+  readonly startedAtMs: number;
 }
 
 /** Share of the ratio that is used, because the windows of the entries are not aligned. */
 const RATIO_SHARE = 0.9;
 /** Share of the slack that is used, because entries learn the entry count with a delay. */
 const SLACK_SHARE = 0.7;
+/**
+ * Share of the budget that may be used at once; the rest accrues over the window. A new process has
+ * the latter only, so that it and its predecessors stay within the budget.
+ */
+const BURST_SHARE = 0.5;
 
 /**
  * Counts first attempts and retries to one service in a sliding window. Each entry applies the
  * ratio to its own requests and takes an equal part of the slack, so that all entries together
- * stay within the limit.
+ * stay within the limit, also while their processes start again and again.
  */
 export default class RetryBudget {
   private firstAttemptsAtMs: number[] = [];
@@ -33,29 +42,52 @@
    * Returns whether the budget allows a retry.
    *
    * @param nowMs - monotonic clock
-   * @param entryCount - entries that share the slack
+   * @param share - share of this entry in the slack; undefined if it has none
    * @returns false if the budget is exhausted
    */
-  hasLeft(nowMs: number, entryCount: number): boolean {
-    const { ratio, slack, windowMs } = this.options;
+  hasLeft(nowMs: number, share: EntryShare | undefined): boolean {
+    const {
+      ratio, slack, windowMs, startedAtMs,
+    } = this.options;
     const since = nowMs - windowMs;
     this.firstAttemptsAtMs = this.firstAttemptsAtMs.filter((atMs) => atMs > since);
     this.retriesAtMs = this.retriesAtMs.filter((atMs) => atMs > since);
-    const ownSlack = slack / Math.max(1, entryCount);
-    const bound = RATIO_SHARE * ratio * this.firstAttemptsAtMs.length + SLACK_SHARE * ownSlack;
-    return this.retriesAtMs.length + 1 <= bound;
+    const ownRatio = RATIO_SHARE * ratio;
+    const ownSlack = (SLACK_SHARE * slack) / Math.max(1, share?.entryCount ?? Infinity);
+    const heldMs = Math.min(windowMs, nowMs - (share?.sinceMs ?? nowMs));
+    const burstOf = (firsts: number): number => BURST_SHARE * ownRatio * firsts;
+    const accrued = (firsts: number, ms: number): number => (
+      (1 - BURST_SHARE) * (ownRatio * firsts + (ownSlack * Math.min(ms, heldMs)) / windowMs));
+    const firstCount = this.firstAttemptsAtMs.length;
+    const isOld = nowMs - startedAtMs >= windowMs;
+    const slackBurst = heldMs >= windowMs ? BURST_SHARE * ownSlack : 0;
+    const total = (isOld ? burstOf(firstCount) : 0) + slackBurst + accrued(firstCount, windowMs);
+    const count = this.retriesAtMs.length;
+    if (count + 1 > total) return false;
+    const burst = burstOf(firstCount) + BURST_SHARE * ownSlack * (heldMs / windowMs);
+    return this.retriesAtMs.every((fromMs, index) => (
+      count - index + 1 <= burst + accrued(this.countFirstsSince(fromMs), nowMs - fromMs)));
   }
 
   /**
    * Takes one retry from the budget.
    *
    * @param nowMs - monotonic clock
-   * @param entryCount - entries that share the slack
+   * @param share - share of this entry in the slack; undefined if it has none
    * @returns false if the budget is exhausted
    */
-  take(nowMs: number, entryCount: number): boolean {
-    if (!this.hasLeft(nowMs, entryCount)) return false;
+  take(nowMs: number, share: EntryShare | undefined): boolean {
+    if (!this.hasLeft(nowMs, share)) return false;
     this.retriesAtMs.push(nowMs);
     return true;
   }
+
+  private countFirstsSince(fromMs: number): number {
+    let count = 0;
+    for (let index = this.firstAttemptsAtMs.length - 1; index >= 0; index -= 1) {
+      if ((this.firstAttemptsAtMs[index] ?? 0) < fromMs) break;
+      count += 1;
+    }
+    return count;
+  }
 }
--- a/packages/core/test/placement.test.ts
+++ b/packages/core/test/placement.test.ts
@@ -122,10 +122,12 @@
   const entries = 19;
   let retries = 0;
   for (let entry = 0; entry < entries; entry += 1) {
-    const budget = new RetryBudget({ ratio: 0.2, slack: 64, windowMs: 10_000 });
+    const budget = new RetryBudget({
+      ratio: 0.2, slack: 64, windowMs: 10_000, startedAtMs: -10_000,
+    });
     for (let count = 0; count < 50; count += 1) {
       budget.recordFirst(count);
-      if (budget.take(count, entries)) retries += 1;
+      if (budget.take(count, { entryCount: entries, sinceMs: -10_000 })) retries += 1;
     }
   }
   assert.ok(retries <= 0.2 * 50 * entries + 64);
--- /dev/null
+++ b/packages/core/test/retryBudget.test.ts
@@ -0,0 +1,111 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import fc from 'fast-check';
+
+import EntryShareTracker from '../src/placement/EntryShareTracker';
+import RetryBudget from '../src/placement/RetryBudget';
+import BudgetModel from './support/BudgetModel';
+
+const SEED = 1;
+const WINDOW_MS = 10_000;
+const END_MS = 60_000;
+/** Time from which entries are disturbed, once all have a full share, in milliseconds. */
+const DISTURBED_MS = 20_000;
+
+const time = fc.integer({ min: DISTURBED_MS, max: DISTURBED_MS + 12_000 });
+const share = fc.constantFrom(1, 0.94, 0.75, 0.5, 0.25, 0.01);
+const disturbances = fc.record({
+  events: fc.array(fc.record({
+    atMs: time,
+    kind: fc.constantFrom('kill' as const, 'kill' as const, 'freeze' as const, 'cutOff' as const),
+    share,
+    skipped: fc.constantFrom(0, 0, 0.25, 0.5),
+    forMs: fc.constantFrom(1000, 3500, 12_000, 25_000),
+    gapMs: fc.constantFrom(0, 0, 0, 150, 600),
+  }), { minLength: 1, maxLength: 6 }),
+  controlStartsMs: fc.array(time, { maxLength: 2 }),
+  failures: fc.array(fc.record({
+    fromMs: fc.integer({ min: DISTURBED_MS - 3000, max: DISTURBED_MS + 25_000 }),
+    forMs: fc.constantFrom(3000, 10_000, END_MS),
+  }), { minLength: 1, maxLength: 4 }),
+});
+
+// Guards against entries that retry more than all of them may, as they forget and do not know.
+([
+  { entries: 4, rate: 20, runs: 150 },
+  { entries: 4, rate: 2, runs: 150 },
+  { entries: 18, rate: 5, runs: 100 },
+  { entries: 18, rate: 0.5, runs: 100 },
+  { entries: 311, rate: 1, runs: 12 },
+  { entries: 311, rate: 0.2, runs: 12 },
+]).forEach(({ entries, rate, runs }) => {
+  test(`${entries} entries with ${rate} requests a second keep the retry budget together, seed ${SEED}`, () => {
+    fc.assert(fc.property(disturbances, (drawn) => {
+      const model = new BudgetModel(entries, rate, (index) => (index % 4) * 250);
+      const { repeats, allowed } = model.run(END_MS, drawn);
+      assert.ok(repeats <= allowed, `${repeats} repeats, ${allowed} allowed`);
+    }), { seed: SEED, numRuns: runs });
+  });
+});
+
+test('entries that remain do not use the shares of those that control has just lost', () => {
+  const { repeats, allowed } = new BudgetModel(4, 4, () => 0).run(END_MS, {
+    events: [{
+      atMs: DISTURBED_MS + 2000, kind: 'cutOff', share: 0.75, skipped: 0, forMs: 25_000, gapMs: 0,
+    }],
+    controlStartsMs: [],
+    failures: [{ fromMs: DISTURBED_MS, forMs: END_MS }],
+  });
+  assert.ok(repeats <= allowed, `${repeats} repeats, ${allowed} allowed`);
+});
+
+test('entries that run for long use most of the retry budget', () => {
+  const { repeats, allowed } = new BudgetModel(8, 10, () => 0).run(END_MS, {
+    events: [], controlStartsMs: [], failures: [{ fromMs: DISTURBED_MS, forMs: END_MS }],
+  });
+  assert.ok(repeats > 0.7 * allowed, `${repeats} repeats, ${allowed} allowed`);
+});
+
+test('an entry with few requests retries one of them', () => {
+  const budget = new RetryBudget({
+    ratio: 0.2, slack: 60, windowMs: WINDOW_MS, startedAtMs: -WINDOW_MS,
+  });
+  [0, 1, 2, 3, 4].forEach((atMs) => budget.recordFirst(atMs));
+  assert.ok(budget.take(5, { entryCount: 311, sinceMs: -WINDOW_MS }));
+});
+
+test('a new process earns retries with its requests', () => {
+  const budget = new RetryBudget({
+    ratio: 0.2, slack: 60, windowMs: WINDOW_MS, startedAtMs: 0,
+  });
+  const isTaken = Array.from({ length: 36 }, (_, index) => {
+    budget.recordFirst(index);
+    return budget.take(index, undefined);
+  });
+  assert.equal(isTaken.filter(Boolean).length, 3);
+});
+
+test('an entry has no share before the first roster and without control', () => {
+  const tracker = new EntryShareTracker(WINDOW_MS);
+  tracker.recordContact(0);
+  assert.equal(tracker.findShare(0), undefined);
+  assert.equal(tracker.findCount(0), undefined);
+  tracker.recordCount(4, 100);
+  assert.deepEqual(tracker.findShare(2600), { entryCount: 4, sinceMs: 100 });
+  assert.equal(tracker.findShare(2601), undefined);
+  assert.equal(tracker.findCount(2601), 4);
+  tracker.recordContact(2601);
+  assert.deepEqual(tracker.findShare(2601), { entryCount: 4, sinceMs: 2601 });
+});
+
+test('a share grows a window after the roster has shrunk, and shrinks at once', () => {
+  const tracker = new EntryShareTracker(WINDOW_MS);
+  [[4, 0], [2, 1000], [3, 2000]].forEach(([count = 0, atMs = 0]) => (
+    tracker.recordCount(count, atMs)));
+  assert.equal(tracker.findCount(2000), 4);
+  assert.equal(tracker.findCount(10_999), 4);
+  assert.equal(tracker.findCount(11_000), 3);
+  tracker.recordCount(9, 11_001);
+  assert.equal(tracker.findCount(11_001), 9);
+});
--- a/packages/gateway/src/Placement.ts
+++ b/packages/gateway/src/Placement.ts
@@ -15,6 +15,8 @@
   readonly retryRatio: number;
   readonly retrySlack: number;
   readonly retryWindowMs: number;
+  /** Start of this process, by the clock. */
+  readonly startedAtMs: number;
 }
 
 /** Assigns the requests of all services to targets, and holds the retry budget of each service. */
@@ -58,13 +60,15 @@
    */
   takeRetry(service: string): boolean {
     const { pool, clock } = this.options;
-    return this.budgetOf(service).take(clock(), pool.entryCount);
+    const nowMs = clock();
+    return this.budgetOf(service).take(nowMs, pool.share.findShare(nowMs));
   }
 
   /** @returns whether the budget allows a retry of a request to a service */
   mayRetry(service: string): boolean {
     const { pool, clock } = this.options;
-    return this.budgetOf(service).hasLeft(clock(), pool.entryCount);
+    const nowMs = clock();
+    return this.budgetOf(service).hasLeft(nowMs, pool.share.findShare(nowMs));
   }
 
   private queueOf(service: string): PlacementQueue {
@@ -78,9 +82,11 @@
   private budgetOf(service: string): RetryBudget {
     const known = this.budgets.get(service);
     if (known !== undefined) return known;
-    const { retryRatio, retrySlack, retryWindowMs } = this.options;
+    const {
+      retryRatio, retrySlack, retryWindowMs, startedAtMs,
+    } = this.options;
     const budget = new RetryBudget({
-      ratio: retryRatio, slack: retrySlack, windowMs: retryWindowMs,
+      ratio: retryRatio, slack: retrySlack, windowMs: retryWindowMs, startedAtMs,
     });
     this.budgets.set(service, budget);
     return budget;
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -2,6 +2,7 @@
 
 import type ColdRateLimit from '@guavayard/core/placement/ColdRateLimit';
 import createPlacedTarget from '@guavayard/core/placement/createPlacedTarget';
+import EntryShareTracker from '@guavayard/core/placement/EntryShareTracker';
 import maySendToColdTarget from '@guavayard/core/placement/maySendToColdTarget';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import type Declaration from '@guavayard/core/registry/Declaration';
@@ -34,6 +35,8 @@
   readonly regionOf: (dataCentre: string) => string;
   readonly coldBurstFactor: number;
   readonly coldSlack: number;
+  /** Longest window of a limit that all entries share, in milliseconds. */
+  readonly shareWindowMs: number;
   /** Called with the address of a target that was removed. */
   readonly onTargetRemoved: (address: string) => void;
   /** Tells the other entries of the request limit of a target. */
@@ -68,6 +71,9 @@
   /** Which paths to targets work. */
   readonly paths: TargetPaths;
 
+  /** Share of this entry in limits that all entries keep together. */
+  readonly share: EntryShareTracker;
+
   private limitContext = '';
 
   constructor(private readonly options: TargetPoolOptions) {
@@ -78,6 +84,7 @@
       share: options.shareLimit,
     });
     this.notices = new TargetNotices(options);
+    this.share = new EntryShareTracker(options.shareWindowMs);
     this.paths = new TargetPaths({
       ...options,
       findServing: () => [...this.targets.values()].filter((target) => this.isServing(target)),
@@ -85,11 +92,6 @@
     });
   }
 
-  /** Number of entries that are known to serve, including this one. */
-  get entryCount(): number {
-    return Math.max(1, this.entries?.length ?? 0);
-  }
-
   /** Number of known targets. */
   get targetCount(): number {
     return this.targets.size;
@@ -98,6 +100,9 @@
   /** Replaces the list of entries of the system. */
   setEntries(entries: readonly EntryLocation[]): void {
     this.entries = entries;
+    // Control may not have heard of this entry yet.
+    const names = new Set([this.options.location.name, ...entries.map(({ name }) => name)]);
+    this.share.recordCount(names.size, this.options.clock());
     this.updateLimitContext();
   }
 
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -158,7 +158,8 @@
 
   private refill(nowMs: number): void {
     const { pool, probesPerSecond } = this.options;
-    const rate = (probesPerSecond * pool.targetCount * BUDGET_SHARE) / pool.entryCount;
+    const entryCount = pool.share.findCount(nowMs) ?? 1;
+    const rate = (probesPerSecond * pool.targetCount * BUDGET_SHARE) / entryCount;
     this.bucket.setRate(rate, rate, nowMs);
   }
 
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -25,6 +25,10 @@
 import PlainDialect from './PlainDialect';
 
 const HOST = 'shop.example';
+/** Time for which the entry has run before the test, in milliseconds. */
+const UPTIME_MS = 10_000;
+/** Interval at which control is heard, in milliseconds. */
+const PULSE_INTERVAL_MS = 250;
 const CHUNK_BYTES = 64 * 1024;
 
 interface SendOptions {
@@ -88,7 +92,7 @@
 
   readonly requestBytes = new ByteBudget(2 * 1024 * 1024);
 
-  private nowMs = 0;
+  private nowMs = -UPTIME_MS;
 
   private requests = 0;
 
@@ -109,6 +113,7 @@
       regionOf: (dataCentre) => dataCentre,
       coldBurstFactor: 1.5,
       coldSlack: 5,
+      shareWindowMs: 10_000,
       onTargetRemoved: () => undefined,
       shareLimit: (notice) => this.notices.push(notice),
       reportLeaving: (id) => this.leavingIds.push(id),
@@ -134,10 +139,12 @@
       retryRatio: 0.2,
       retrySlack: 60,
       retryWindowMs: 10_000,
+      startedAtMs: this.nowMs,
     });
     this.crashes = new CrashWatch({
       clock, log, pool, prober, report: (fingerprint) => this.reports.push(fingerprint),
     });
+    for (; this.nowMs < 0; this.nowMs += PULSE_INTERVAL_MS) pool.share.recordContact(this.nowMs);
     const { crashes } = this;
     this.admission = new RelayAdmission({
       pool, prober, placement, version: () => this.version,
@@ -242,6 +249,7 @@
   run(ms: number, stepMs = 1): void {
     for (let passed = 0; passed < ms; passed += stepMs) {
       this.nowMs += stepMs;
+      this.pool.share.recordContact(this.nowMs);
       this.t.mock.timers.tick(1);
     }
   }
--- a/packages/vm/src/registry/RegistryListener.ts
+++ b/packages/vm/src/registry/RegistryListener.ts
@@ -6,6 +6,8 @@
 interface RegistryListener {
   /** The declaration, the evacuations or the targets have changed. */
   onChange: () => void;
+  /** The control VM that the entry follows has sent something. */
+  onContact: () => void;
   /** VMs have joined or left the system. */
   onRosterChange: (roster: Roster) => void;
   /** Another entry has reported that a target crashed while it ran a request. */
--- a/packages/vm/src/registry/RegistrySubscription.ts
+++ b/packages/vm/src/registry/RegistrySubscription.ts
@@ -126,7 +126,10 @@
   }
 
   onMessage(session: VmSession, message: VmMessage): void {
-    if (session === this.source) this.silenceTimer?.refresh();
+    if (session === this.source) {
+      this.silenceTimer?.refresh();
+      this.options.listener.onContact();
+    }
     if (message.kind === 'registryPulse') this.handlePulse(session, message.isCurrent);
     if (message.kind === 'registryView' && session === this.pendingView?.session) {
       this.applyView(session, message);
--- a/packages/vm/test/subscription.test.ts
+++ b/packages/vm/test/subscription.test.ts
@@ -46,6 +46,7 @@
     clock: () => 0,
     listener: {
       onChange: () => undefined,
+      onContact: () => undefined,
       onRosterChange: () => undefined,
       onCrash: () => undefined,
       onRequestLimits: () => undefined,
--- a/packages/vm/test/support/RegistryGroup.ts
+++ b/packages/vm/test/support/RegistryGroup.ts
@@ -79,6 +79,7 @@
       seeds: this.seeds,
       listener: {
         onChange: () => undefined,
+        onContact: () => undefined,
         onRosterChange: () => undefined,
         onSourceChange: () => undefined,
         onCrash,
