Count a retry when it is sent, and return one that never is

A retry was counted when it was decided. One that then waited for a target arrived up to seconds later, in a window in which it no longer counted, and one that found no target, or whose caller left, was lost to the requests of the next ten seconds.

The budget hands out a grant: it counts in every window until it is sent, and from then on by the time of sending. The exchange returns it if it ends before.

--- a/packages/core/src/placement/RetryBudget.ts
+++ b/packages/core/src/placement/RetryBudget.ts
@@ -1,4 +1,5 @@
 import type EntryShare from './EntryShare';
+import type RetryGrant from './RetryGrant';
 
 /** Limit on retries that all entries together keep. */
 interface RetryBudgetOptions {
@@ -11,6 +12,11 @@
   readonly startedAtMs: number;
 }
 
+/** A retry that was granted. One that has not been sent counts in every window. */
+interface GrantedRetry {
+  sentAtMs: number | undefined;
+}
+
 /** Share of the ratio that is used, because the windows of the entries are not aligned. */
 const RATIO_SHARE = 0.9;
 /** Share of the slack that is used, because entries learn the entry count with a delay. */
@@ -29,7 +35,7 @@
 export default class RetryBudget {
   private firstAttemptsAtMs: number[] = [];
 
-  private retriesAtMs: number[] = [];
+  private retries: GrantedRetry[] = [];
 
   constructor(private readonly options: RetryBudgetOptions) {}
 
@@ -51,7 +57,7 @@
     } = this.options;
     const since = nowMs - windowMs;
     this.firstAttemptsAtMs = this.firstAttemptsAtMs.filter((atMs) => atMs > since);
-    this.retriesAtMs = this.retriesAtMs.filter((atMs) => atMs > since);
+    this.retries = this.retries.filter(({ sentAtMs }) => (sentAtMs ?? nowMs) > since);
     const ownRatio = RATIO_SHARE * ratio;
     const ownSlack = (SLACK_SHARE * slack) / Math.max(1, share?.entryCount ?? Infinity);
     const heldMs = Math.min(windowMs, nowMs - (share?.sinceMs ?? nowMs));
@@ -62,11 +68,11 @@
     const isOld = nowMs - startedAtMs >= windowMs;
     const slackBurst = heldMs >= windowMs ? BURST_SHARE * ownSlack : 0;
     const total = (isOld ? burstOf(firstCount) : 0) + slackBurst + accrued(firstCount, windowMs);
-    const count = this.retriesAtMs.length;
-    if (count + 1 > total) return false;
+    if (this.retries.length + 1 > total) return false;
     const burst = burstOf(firstCount) + BURST_SHARE * ownSlack * (heldMs / windowMs);
-    return this.retriesAtMs.every((fromMs, index) => (
-      count - index + 1 <= burst + accrued(this.countFirstsSince(fromMs), nowMs - fromMs)));
+    const sentAtMs = this.retries.map((retry) => retry.sentAtMs ?? nowMs).sort((a, b) => b - a);
+    return sentAtMs.every((fromMs, index) => (
+      index + 2 <= burst + accrued(this.countFirstsSince(fromMs), nowMs - fromMs)));
   }
 
   /**
@@ -74,12 +80,20 @@
    *
    * @param nowMs - monotonic clock
    * @param share - share of this entry in the slack; undefined if it has none
-   * @returns false if the budget is exhausted
+   * @returns undefined if the budget is exhausted
    */
-  take(nowMs: number, share: EntryShare | undefined): boolean {
-    if (!this.hasLeft(nowMs, share)) return false;
-    this.retriesAtMs.push(nowMs);
-    return true;
+  take(nowMs: number, share: EntryShare | undefined): RetryGrant | undefined {
+    if (!this.hasLeft(nowMs, share)) return undefined;
+    const retry: GrantedRetry = { sentAtMs: undefined };
+    this.retries.push(retry);
+    return {
+      recordSent: (atMs) => {
+        retry.sentAtMs = atMs;
+      },
+      release: () => {
+        if (retry.sentAtMs === undefined) this.retries = this.retries.filter((r) => r !== retry);
+      },
+    };
   }
 
   private countFirstsSince(fromMs: number): number {
--- a/packages/core/test/placement.test.ts
+++ b/packages/core/test/placement.test.ts
@@ -127,7 +127,9 @@
     });
     for (let count = 0; count < 50; count += 1) {
       budget.recordFirst(count);
-      if (budget.take(count, { entryCount: entries, sinceMs: -10_000 })) retries += 1;
+      const grant = budget.take(count, { entryCount: entries, sinceMs: -10_000 });
+      grant?.recordSent(count);
+      if (grant !== undefined) retries += 1;
     }
   }
   assert.ok(retries <= 0.2 * 50 * entries + 64);
--- a/packages/core/test/retryBudget.test.ts
+++ b/packages/core/test/retryBudget.test.ts
@@ -72,7 +72,7 @@
     ratio: 0.2, slack: 60, windowMs: WINDOW_MS, startedAtMs: -WINDOW_MS,
   });
   [0, 1, 2, 3, 4].forEach((atMs) => budget.recordFirst(atMs));
-  assert.ok(budget.take(5, { entryCount: 311, sinceMs: -WINDOW_MS }));
+  assert.ok(budget.take(5, { entryCount: 311, sinceMs: -WINDOW_MS }) !== undefined);
 });
 
 test('a new process earns retries with its requests', () => {
@@ -81,11 +81,25 @@
   });
   const isTaken = Array.from({ length: 36 }, (_, index) => {
     budget.recordFirst(index);
-    return budget.take(index, undefined);
+    return budget.take(index, undefined) !== undefined;
   });
   assert.equal(isTaken.filter(Boolean).length, 3);
 });
 
+test('a retry that was not sent returns to the budget', () => {
+  const budget = new RetryBudget({
+    ratio: 0, slack: 2, windowMs: WINDOW_MS, startedAtMs: -WINDOW_MS,
+  });
+  const whole = { entryCount: 1, sinceMs: -WINDOW_MS };
+  const grant = budget.take(0, whole);
+  assert.equal(budget.hasLeft(20_000, whole), false, 'a retry that waits counts');
+  grant?.release();
+  assert.equal(budget.hasLeft(20_000, whole), true);
+  budget.take(20_000, whole)?.recordSent(25_000);
+  assert.equal(budget.hasLeft(34_999, whole), false);
+  assert.equal(budget.hasLeft(35_000, whole), true);
+});
+
 test('an entry has no share before the first roster and without control', () => {
   const tracker = new EntryShareTracker(WINDOW_MS);
   tracker.recordContact(0);
--- a/packages/core/test/support/BudgetModel.ts
+++ b/packages/core/test/support/BudgetModel.ts
@@ -175,7 +175,9 @@
     budget.recordFirst(nowMs);
     this.arrivals.push({ id, atMs: nowMs });
     for (let retry = 0; isFailing && retry < RETRIES; retry += 1) {
-      if (!budget.take(nowMs, share.findShare(nowMs))) return;
+      const grant = budget.take(nowMs, share.findShare(nowMs));
+      if (grant === undefined) return;
+      grant.recordSent(nowMs);
       this.arrivals.push({ id, atMs: nowMs });
     }
   }
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -10,6 +10,7 @@
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import recordOutcome from '@guavayard/core/placement/recordOutcome';
 import recordRejection from '@guavayard/core/placement/recordRejection';
+import type RetryGrant from '@guavayard/core/placement/RetryGrant';
 
 import type ResponseMetadata from './ResponseMetadata';
 import RelayHandover from './RelayHandover';
@@ -58,6 +59,9 @@
 
   private dispatch: Dispatch | undefined;
 
+  /** A retry that was taken from the budget and has not been sent. */
+  private retry: RetryGrant | undefined;
+
   private leaveQueue: (() => void) | undefined;
 
   private readonly handover: RelayHandover;
@@ -99,7 +103,10 @@
     this.handover = new RelayHandover({
       dependencies, request, body, reply, triedIds,
     }, {
-      onPlace: () => this.findTarget(),
+      onPlace: (retry) => {
+        this.retry = retry ?? this.retry;
+        this.findTarget();
+      },
       onMayHaveRun: () => {
         this.mayHaveRun = true;
       },
@@ -136,7 +143,7 @@
     this.body.readAhead(this.dependencies.requestBytes, () => this.limitWait());
     if (this.handover.isAllowed && this.handover.isNeeded) {
       this.leaveQueue = undefined;
-      this.handover.start();
+      this.startHandover();
       return;
     }
     const { attempt } = this;
@@ -172,12 +179,22 @@
       onPlaced: (target, release) => this.send(target, release),
       onRefused: (failure, retryAfterMs) => {
         this.leaveQueue = undefined;
-        if (failure.kind === 'targetsUnreachable' && this.handover.isAllowed) this.handover.start();
+        if (failure.kind === 'targetsUnreachable' && this.handover.isAllowed) this.startHandover();
         else this.fail(failure, retryAfterMs);
       },
     };
   }
 
+  private recordRetrySent(): void {
+    this.retry?.recordSent(this.dependencies.clock());
+    this.retry = undefined;
+  }
+
+  private startHandover(): void {
+    this.recordRetrySent();
+    this.handover.start();
+  }
+
   private get hasLargeBody(): boolean {
     const { headers } = this.request.req;
     const isChunked = headers['transfer-encoding'] !== undefined;
@@ -196,6 +213,7 @@
     const attempt = createAttempt(target, release, nowMs);
     this.attempt = attempt;
     this.triedIds.push(target.record.id);
+    this.recordRetrySent();
     const dispatch = sender.send(
       { address: target.record.address, connectionLimit: CONNECTION_LIMIT },
       {
@@ -354,7 +372,9 @@
     if (this.canRetry(verdict)) {
       // Further data from the caller is buffered for the next attempt.
       this.body.close();
-      if (this.dependencies.placement.takeRetry(this.request.service)) {
+      const retry = this.dependencies.placement.takeRetry(this.request.service);
+      if (retry !== undefined) {
+        this.retry = retry;
         this.findTarget();
         return;
       }
@@ -448,6 +468,9 @@
     this.handover.end();
     this.leaveQueue?.();
     this.leaveQueue = undefined;
+    // The entry that relays a request gives it to another one without a retry of its own.
+    if (request.relayedBy !== undefined) this.recordRetrySent();
+    this.retry?.release();
     this.body.discard();
     this.dependencies.log.write({
       requestId: request.requestId,
--- a/packages/gateway/src/Placement.ts
+++ b/packages/gateway/src/Placement.ts
@@ -1,4 +1,5 @@
 import RetryBudget from '@guavayard/core/placement/RetryBudget';
+import type RetryGrant from '@guavayard/core/placement/RetryGrant';
 import type Clock from '@guavayard/core/types/Clock';
 import type Random from '@guavayard/core/types/Random';
 
@@ -56,9 +57,9 @@
    * Takes a retry from the budget of a service.
    *
    * @param service - the service
-   * @returns false if the budget is exhausted
+   * @returns undefined if the budget is exhausted
    */
-  takeRetry(service: string): boolean {
+  takeRetry(service: string): RetryGrant | undefined {
     const { pool, clock } = this.options;
     const nowMs = clock();
     return this.budgetOf(service).take(nowMs, pool.share.findShare(nowMs));
--- a/packages/gateway/src/RelayHandover.ts
+++ b/packages/gateway/src/RelayHandover.ts
@@ -3,6 +3,7 @@
 import errorTable from '@guavayard/core/errors/errorTable';
 import type Failure from '@guavayard/core/errors/Failure';
 import placementLimits from '@guavayard/core/placement/placementLimits';
+import type RetryGrant from '@guavayard/core/placement/RetryGrant';
 import findEntryWait from '@guavayard/core/relay/findEntryWait';
 import type RelayAllowance from '@guavayard/core/relay/RelayAllowance';
 import relayLimits from '@guavayard/core/relay/relayLimits';
@@ -22,8 +23,11 @@
 
 /** Receives what comes of giving a request to other entries. */
 interface RelayHandoverListener {
-  /** The request is to be placed again, or to be given to another entry if that still fails. */
-  readonly onPlace: () => void;
+  /**
+   * The request is to be placed again, or to be given to another entry if that still fails, with a
+   * retry if the last attempt may have reached a target.
+   */
+  readonly onPlace: (retry?: RetryGrant) => void;
   /** Another entry may have sent the request to a target. */
   readonly onMayHaveRun: () => void;
   readonly onFailed: (failure: Failure, retryAfterMs: number | undefined) => void;
@@ -167,11 +171,12 @@
       return;
     }
     const mayRetry = !isNotRun && route.isIdempotent && !reply.isStarted && this.isAllowed;
-    if (!mayRetry || !placement.takeRetry(service)) {
+    const retry = mayRetry ? placement.takeRetry(service) : undefined;
+    if (retry === undefined) {
       this.listener.onFailed(failure, retryAfterMs);
       return;
     }
     body.close();
-    this.listener.onPlace();
+    this.listener.onPlace(retry);
   }
 }
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -12,6 +12,7 @@
 import type Random from '@guavayard/core/types/Random';
 
 import CrashWatch from '../../src/CrashWatch';
+import DirectReply from '../../src/DirectReply';
 import GatewayHandler from '../../src/GatewayHandler';
 import Placement from '../../src/Placement';
 import RelayAdmission from '../../src/RelayAdmission';
@@ -75,6 +76,8 @@
 
   readonly admission: RelayAdmission;
 
+  readonly placement: Placement;
+
   /** Fingerprints of the crashes that were reported to the other entries. */
   readonly reports: string[] = [];
 
@@ -86,6 +89,8 @@
 
   private readonly handler: GatewayHandler;
 
+  private readonly dialect = new PlainDialect();
+
   readonly relay = new FakeRelay();
 
   readonly responseBytes = new ByteBudget(1024 * 1024);
@@ -104,7 +109,7 @@
     Object.assign(this.route, route);
     const clock = (): number => this.nowMs;
     const log = createLogger({ name: 'test', streams: [] });
-    const dialect = new PlainDialect();
+    const { dialect } = this;
     this.pool = new TargetPool({
       clock,
       random: () => this.random(),
@@ -131,7 +136,7 @@
     const prober: TargetProber = new TargetProber({
       clock, sender, dialect, pool, probesPerSecond: 1000,
     });
-    const placement = new Placement({
+    this.placement = new Placement({
       clock,
       random: () => this.random(),
       pool,
@@ -145,7 +150,7 @@
       clock, log, pool, prober, report: (fingerprint) => this.reports.push(fingerprint),
     });
     for (; this.nowMs < 0; this.nowMs += PULSE_INTERVAL_MS) pool.share.recordContact(this.nowMs);
-    const { crashes } = this;
+    const { crashes, placement } = this;
     this.admission = new RelayAdmission({
       pool, prober, placement, version: () => this.version,
     });
@@ -220,9 +225,31 @@
   }
 
   /** Sends a request as a caller. */
-  request({
+  request(options: SendOptions = {}): FakeResponse {
+    const req = this.createRequest(options);
+    const res = new FakeResponse(() => this.nowMs);
+    this.handler.handle(req, res as unknown as ServerResponse);
+    return res;
+  }
+
+  /** Sends a request as another entry that relays it. */
+  relayed(): FakeResponse {
+    const req = this.createRequest({});
+    const res = new FakeResponse(() => this.nowMs);
+    const id = req.headers.id?.toString() ?? '';
+    const reply = new DirectReply(res as unknown as ServerResponse, this.dialect, id);
+    const head = {
+      requestId: id, method: 'GET', path: '/lots/1', rawHeaders: [], caller: '', hasBody: false, service: 'lots', remainingMs: 4000, triedIds: [], permittedIds: [], probes: 0,
+    };
+    this.handler.handleRelayed({
+      req, reply, head, from: 'entry-2',
+    });
+    return res;
+  }
+
+  private createRequest({
     path = '/lots/1', remainingMs = 4000, headers = {}, caller = '10.9.0.1', body,
-  }: SendOptions = {}): FakeResponse {
+  }: SendOptions): IncomingMessage {
     this.requests += 1;
     const all = {
       host: HOST,
@@ -240,9 +267,7 @@
       }
       req.end();
     }
-    const res = new FakeResponse(() => this.nowMs);
-    this.handler.handle(req as unknown as IncomingMessage, res as unknown as ServerResponse);
-    return res;
+    return req as unknown as IncomingMessage;
   }
 
   /** Advances the virtual clock, in steps of 1 ms of the timers or more, which are late then. */
