Bound the probes of an entry before its first roster

An entry that knew no roster took itself for the only one and had the whole limit on probes of all targets, at each start and at all entries at once, for up to 3 s.

It now has the probes of one target until it knows the entries, so that as many entries as targets stay within the limit.

--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -158,8 +158,11 @@
 
   private refill(nowMs: number): void {
     const { pool, probesPerSecond } = this.options;
-    const entryCount = pool.share.findCount(nowMs) ?? 1;
-    const rate = (probesPerSecond * pool.targetCount * BUDGET_SHARE) / entryCount;
+    const entryCount = pool.share.findCount(nowMs);
+    // Until the entries are known, as many as targets are assumed.
+    const rate = entryCount === undefined
+      ? probesPerSecond
+      : (probesPerSecond * pool.targetCount * BUDGET_SHARE) / entryCount;
     this.bucket.setRate(rate, rate, nowMs);
   }
 
