--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -1,6 +1,7 @@
 import type Logger from 'bunyan';
 
 import createPlacedTarget from '@guavayard/core/placement/createPlacedTarget';
+import EntryShareTracker from '@guavayard/core/placement/EntryShareTracker';
 import maySendToColdTarget from '@guavayard/core/placement/maySendToColdTarget';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import RosterHistory from '@guavayard/core/placement/RosterHistory';
@@ -36,6 +37,8 @@
   readonly regionOf: (dataCentre: string) => string;
   readonly coldBurstFactor: number;
   readonly coldSlack: number;
+  /** Longest window of a limit that all entries share, in milliseconds. */
+  readonly shareWindowMs: number;
   /** Called with the address of a target that was removed. */
   readonly onTargetRemoved: (address: string) => void;
   /** Tells the other entries of the request limit of a target. */
@@ -73,6 +76,9 @@
   /** The entries of this entry's region, of late: only these send to its cold targets. */
   private readonly nearRosters: RosterHistory;
 
+  /** Share of this entry in limits that all entries keep together. */
+  readonly share: EntryShareTracker;
+
   private limitContext = '';
 
   constructor(private readonly options: TargetPoolOptions) {
@@ -84,6 +90,7 @@
       share: options.shareLimit,
     });
     this.notices = new TargetNotices(options);
+    this.share = new EntryShareTracker(options.shareWindowMs);
     this.paths = new TargetPaths({
       ...options,
       findServing: () => [...this.targets.values()].filter((target) => this.isServing(target)),
@@ -91,11 +98,6 @@
     });
   }
 
-  /** Number of entries that are known to serve, including this one. */
-  get entryCount(): number {
-    return Math.max(1, this.entries?.length ?? 0);
-  }
-
   /** Number of known targets. */
   get targetCount(): number {
     return this.targets.size;
@@ -104,9 +106,12 @@
   /** Replaces the list of entries of the system. */
   setEntries(entries: readonly EntryLocation[]): void {
     this.entries = entries;
-    const names = entries.filter(({ region }) => region === this.options.location.region)
+    const nearNames = entries.filter(({ region }) => region === this.options.location.region)
       .map(({ name }) => name);
-    this.nearRosters.setEntries(names, this.options.elapsedClock());
+    this.nearRosters.setEntries(nearNames, this.options.elapsedClock());
+    // Control may not have heard of this entry yet.
+    const names = new Set([this.options.location.name, ...entries.map(({ name }) => name)]);
+    this.share.recordCount(names.size, this.options.clock());
     this.updateLimitContext();
   }
 
--- a/packages/vm/test/subscription.test.ts
+++ b/packages/vm/test/subscription.test.ts
@@ -49,6 +49,7 @@
     clock: () => 0,
     listener: {
       onChange: () => undefined,
+      onContact: () => undefined,
       onRosterChange: () => undefined,
       onCrash: (fingerprint) => crashes.push(fingerprint),
       onKnownCrashes: (fingerprint, count) => crashes.push(`${count} known of ${fingerprint}`),
