Read what arrived during a standstill before the tick

What operators see: a control VM whose process was stopped or had no processor time for longer than an election timeout loses its leader, answers calls with 503 and starts a pre-vote, although the leader's heartbeats wait in its sockets; a leader steps down although the responses of a quorum wait.

Cause: Node.js runs the timers that are due before it reads the sockets, and the tick took the present time at once. The same class as messages that wait for a sync.

Now the tick runs after one pass over the sockets.

SimulatedClock replaces setImmediate, too, so that such a callback runs in simulated time and on its VM; no check changes.

--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -91,8 +91,9 @@
 
   /** Starts taking part in the consensus group. */
   start(): void {
-    this.timer = setInterval(() => this.push({ kind: 'tick', nowMs: this.options.clock() }), TICK_MS);
-    this.push({ kind: 'tick', nowMs: this.options.clock() });
+    // After a standstill, what has arrived meanwhile is read before the time counts.
+    this.timer = setInterval(() => setImmediate(() => this.tick()), TICK_MS);
+    this.tick();
   }
 
   /** Stops taking part in the consensus group. */
@@ -263,6 +264,10 @@
     else if (leaderName !== vmNameOf(replica)) this.options.hub.send(leaderName, { kind: 'join', replica });
   }
 
+  private tick(): void {
+    this.push({ kind: 'tick', nowMs: this.options.clock() });
+  }
+
   private push(event: ConsensusEvent): void {
     if (this.isClosed) return;
     if (this.isStalled) {
--- a/packages/vm/test/support/simulation/SimulatedClock.ts
+++ b/packages/vm/test/support/simulation/SimulatedClock.ts
@@ -20,7 +20,7 @@
 }
 
 const { setImmediate } = globalThis;
-const NAMES = ['setTimeout', 'setInterval', 'clearTimeout', 'clearInterval'] as const;
+const NAMES = ['setTimeout', 'setInterval', 'setImmediate', 'clearTimeout', 'clearInterval'] as const;
 
 /** Virtual time in place of the timers and the monotonic clock of Node.js. */
 export default class SimulatedClock {
@@ -48,6 +48,7 @@
     Object.assign(globalThis, {
       setTimeout: (action: () => void, delayMs = 0) => this.start(action, delayMs),
       setInterval: (action: () => void, delayMs = 0) => this.start(action, delayMs, true),
+      setImmediate: (action: () => void) => this.start(action, 0),
       clearTimeout: clear,
       clearInterval: clear,
     });
