Read what arrived during a standstill before closing a session

What operators see: a VM whose process was stopped or had no processor time for 2 s closes all its sessions ("nothing received for 2000 ms"), although heartbeats of its peers wait in its sockets.

--- a/packages/vm/src/session/VmSession.ts
+++ b/packages/vm/src/session/VmSession.ts
@@ -204,7 +204,11 @@
     clearTimeout(this.handshakeTimer);
     this.isOpen = true;
     this.decoder.acceptMessages(findFrameLimit(this.identity, this.peer));
-    this.heartbeatTimer = setInterval(() => this.checkLiveness(), this.timing.heartbeatMs);
+    // After a standstill, what has arrived meanwhile is read before the time counts.
+    this.heartbeatTimer = setInterval(
+      () => setImmediate(() => this.checkLiveness()),
+      this.timing.heartbeatMs,
+    );
     this.handler.onOpen(this, this.peer);
   }
 
@@ -217,6 +221,7 @@
    * closes no connection. Sends a heartbeat if the session is idle.
    */
   private checkLiveness(): void {
+    if (this.isClosed) return;
     const nowMs = performance.now();
     if (nowMs - this.lastReceivedMs >= this.timing.timeoutMs) {
       this.close(`nothing received for ${this.timing.timeoutMs} ms`);
--- a/packages/vm/test/standstill.test.ts
+++ b/packages/vm/test/standstill.test.ts
@@ -11,14 +11,27 @@
 import createDurableState from '@guavayard/core/consensus/createDurableState';
 
 import ConsensusTask from '../src/control/ConsensusTask';
+import type SessionHandler from '../src/session/SessionHandler';
 import type VmHub from '../src/session/VmHub';
-import type VmSession from '../src/session/VmSession';
+import type VmIdentity from '../src/session/VmIdentity';
+import VmListener from '../src/session/VmListener';
+import VmSession from '../src/session/VmSession';
 import retryUntil from './support/retryUntil';
 
 const REPLICA = 'vm-1#00';
 const LEADER = 'vm-2#00';
 /** Longer than any election timeout, in milliseconds. */
 const STANDSTILL_MS = 1500;
+const SESSION_TIMEOUT_MS = 1200;
+const KEY = 'the same key';
+const IDENTITY: VmIdentity = {
+  name: 'vm-1',
+  region: 'munster',
+  dataCentre: 'munster-1',
+  startId: 'start',
+  roles: ['control'],
+  address: '127.0.0.1:1',
+};
 
 /** Does something, then nothing; timers are due before sockets are read. */
 async function standStillFrom(start: () => void): Promise<void> {
@@ -89,3 +102,26 @@
   assert.equal(heartbeats, 1);
   assert.deepEqual(leaders, [LEADER]);
 });
+
+// Guards against sessions that all end because the process had no processor time.
+test('a session stays open if its peer was heard during a standstill', async (t) => {
+  const handler: SessionHandler = { onOpen() {}, onMessage() {}, onClose() {} };
+  const peers: VmSession[] = [];
+  const listener = new VmListener(KEY, IDENTITY, {
+    ...handler, onOpen: (session) => peers.push(session),
+  });
+  t.after(() => listener.close());
+  listener.netServer.listen(0, '127.0.0.1');
+  await once(listener.netServer, 'listening');
+  const socket = connect((listener.netServer.address() as AddressInfo).port, '127.0.0.1');
+  const reasons: string[] = [];
+  const session = new VmSession(socket, 'client', KEY, IDENTITY, {
+    ...handler, onClose: (_session, reason) => reasons.push(reason),
+  }, { timing: { heartbeatMs: 50, timeoutMs: SESSION_TIMEOUT_MS } });
+  t.after(() => session.close('test over'));
+  await retryUntil(async () => assert.equal(peers.length, 1));
+  await sleep(100);
+  await standStillFrom(() => peers[0]?.send({ kind: 'leaseRelease' }));
+  await sleep(100);
+  assert.deepEqual(reasons, []);
+});
