Let leaders tick at once after a standstill

What callers would see: a leader whose process stood still, and that has been replaced meanwhile, calls itself current to those whose calls waited in its sockets, and shows an older configuration to entries that subscribe.

Now only replicas that do not lead read first. A leader steps down although responses of a quorum may wait, as it did before.

The test of followers is the same, in shared code.

--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -91,8 +91,11 @@
 
   /** Starts taking part in the consensus group. */
   start(): void {
-    // After a standstill, what has arrived meanwhile is read before the time counts.
-    this.timer = setInterval(() => setImmediate(() => this.tick()), TICK_MS);
+    this.timer = setInterval(() => {
+      // After a standstill, there may be another leader, and a follower may have heard from it.
+      if (this.isLeader) this.tick();
+      else setImmediate(() => this.tick());
+    }, TICK_MS);
     this.tick();
   }
 
--- a/packages/vm/test/standstill.test.ts
+++ b/packages/vm/test/standstill.test.ts
@@ -8,6 +8,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 
 import createConfigurationSnapshot from '@guavayard/core/configuration/createConfigurationSnapshot';
+import type ConsensusMessage from '@guavayard/core/consensus/ConsensusMessage';
 import createDurableState from '@guavayard/core/consensus/createDurableState';
 
 import ConsensusTask from '../src/control/ConsensusTask';
@@ -22,6 +23,9 @@
 const LEADER = 'vm-2#00';
 /** Longer than any election timeout, in milliseconds. */
 const STANDSTILL_MS = 1500;
+const HEARTBEAT: ConsensusMessage = {
+  kind: 'append', term: 1, previousIndex: 0, previousTerm: 0, entries: [], commitIndex: 0, round: 1,
+};
 const SESSION_TIMEOUT_MS = 1200;
 const KEY = 'the same key';
 const IDENTITY: VmIdentity = {
@@ -58,9 +62,13 @@
   return { near, far };
 }
 
-// Guards against replicas that lose their leader because their process had no processor time.
-test('a follower hears what has arrived during a standstill before it misses its leader', async (t) => {
-  const { near, far } = await createConnection(t);
+interface Replica {
+  readonly task: ConsensusTask;
+  readonly leaders: (string | undefined)[];
+  readonly deliver: (message: ConsensusMessage) => void;
+}
+
+function createReplica(t: TestContext): Replica {
   const leaders: (string | undefined)[] = [];
   const task = new ConsensusTask({
     replica: REPLICA,
@@ -80,20 +88,25 @@
     },
   });
   t.after(() => task.close());
-  const deliver = (): void => task.onMessage({} as VmSession, {
-    kind: 'consensus',
-    from: LEADER,
-    to: REPLICA,
-    message: {
-      kind: 'append', term: 1, previousIndex: 0, previousTerm: 0, entries: [], commitIndex: 0, round: 1,
-    },
-  });
+  return {
+    task,
+    leaders,
+    deliver: (message) => task.onMessage({} as VmSession, {
+      kind: 'consensus', from: LEADER, to: REPLICA, message,
+    }),
+  };
+}
+
+// Guards against replicas that lose their leader because their process had no processor time.
+test('a follower hears what has arrived during a standstill before it misses its leader', async (t) => {
+  const { near, far } = await createConnection(t);
+  const { task, leaders, deliver } = createReplica(t);
   let heartbeats = 0;
   near.on('data', () => {
     heartbeats += 1;
-    deliver();
+    deliver(HEARTBEAT);
   });
-  deliver();
+  deliver(HEARTBEAT);
   task.start();
   await retryUntil(async () => assert.deepEqual(leaders, [LEADER]));
   await standStillFrom(() => far.write('heartbeat'));
@@ -103,6 +116,23 @@
   assert.deepEqual(leaders, [LEADER]);
 });
 
+// Guards against a former leader that calls itself current to those whose calls have waited.
+test('a leader that stood still does not lead any more when it reads what has arrived', async (t) => {
+  const { near, far } = await createConnection(t);
+  const { task, deliver } = createReplica(t);
+  task.start();
+  await retryUntil(async () => {
+    deliver({ kind: 'preVoteAnswer', term: 1, isGranted: true });
+    deliver({ kind: 'voteAnswer', term: 1, isGranted: true });
+    assert.equal(task.isLeader, true);
+  });
+  const wasLeader: boolean[] = [];
+  near.on('data', () => wasLeader.push(task.isLeader));
+  await standStillFrom(() => far.write('call'));
+  await sleep(100);
+  assert.deepEqual(wasLeader, [false]);
+});
+
 // Guards against sessions that all end because the process had no processor time.
 test('a session stays open if its peer was heard during a standstill', async (t) => {
   const handler: SessionHandler = { onOpen() {}, onMessage() {}, onClose() {} };
