--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -93,8 +93,12 @@
 
   /** Starts taking part in the consensus group. */
   start(): void {
-    this.timer = setInterval(() => this.push({ kind: 'tick', nowMs: this.options.clock() }), TICK_MS);
-    this.push({ kind: 'tick', nowMs: this.options.clock() });
+    this.timer = setInterval(() => {
+      // After a standstill, there may be another leader, and a follower may have heard from it.
+      if (this.isLeader) this.tick();
+      else setImmediate(() => this.tick());
+    }, TICK_MS);
+    this.tick();
   }
 
   /** Stops taking part in the consensus group. */
@@ -270,6 +274,10 @@
     else if (leaderName !== vmNameOf(replica)) this.options.hub.send(leaderName, { kind: 'join', replica });
   }
 
+  private tick(): void {
+    this.push({ kind: 'tick', nowMs: this.options.clock() });
+  }
+
   private push(event: ConsensusEvent): void {
     if (this.isClosed) return;
     if (this.isStalled) {
