--- a/packages/gateway/test/requestLimits.test.ts
+++ b/packages/gateway/test/requestLimits.test.ts
@@ -98,6 +98,16 @@
   assert.equal(sendFor(rig, 500).length, 10);
 });
 
+test('an entry that knows no other entries yet sends nothing to a target with a limit', (t) => {
+  const rig = createRig(t);
+  rig.pool.setEntries([]);
+  rig.addTarget('a', { limit: 4, slots: 8, workMs: 20 });
+  rig.pool.recordLimitNotices([{ targetId: 'a', bornAtMs: 1, requestsPerSecond: 4 }]);
+  assert.equal(sendFor(rig, 3000).length, 0);
+  rig.pool.setEntries(ENTRIES.slice(0, 1));
+  assert.ok(sendFor(rig, 3000).length > 0);
+});
+
 test('an unchanged limit is shared at most every five seconds', (t) => {
   const rig = createRig(t);
   rig.addTarget('a', { limit: 4, slots: 8, workMs: 20 });
