Metrics: entries that divide limits, and retries that the budget refused

The logs and metrics could not tell whether an entry had counted others, a share at all, or had run out of its retry budget. guavayard_sharing_entries and guavayard_refused_retries_total say so.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -200,6 +200,8 @@
       targets: pool.targetCount,
       limitedTargets: pool.limitedCount,
       unreachableServices: pool.paths.reachability.unreachableCount,
+      sharingEntries: pool.share.findShare(clock())?.entryCount ?? 0,
+      refusedRetries: placement.refusedRetries,
       version: subscription.declaration?.version ?? 0,
       isCurrent: subscription.isFollowing,
       leaderSilenceMs: 0,
--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -77,6 +77,8 @@
       targets: task.targetCount,
       limitedTargets: 0,
       unreachableServices: 0,
+      sharingEntries: 0,
+      refusedRetries: 0,
       version: task.version,
       isCurrent: task.isCurrent,
       leaderSilenceMs: task.leaderSilenceMs,
--- a/packages/gateway/src/Placement.ts
+++ b/packages/gateway/src/Placement.ts
@@ -26,8 +26,15 @@
 
   private readonly budgets = new Map<string, RetryBudget>();
 
+  private refusals = 0;
+
   constructor(private readonly options: PlacementOptions) {}
 
+  /** Number of retries that the budgets have not allowed since the start. */
+  get refusedRetries(): number {
+    return this.refusals;
+  }
+
   /** Number of requests of all services that wait for a target in this entry. */
   get waiting(): number {
     return [...this.queues.values()].reduce((sum, { length }) => sum + length, 0);
@@ -62,7 +69,9 @@
   takeRetry(service: string): RetryGrant | undefined {
     const { pool, clock } = this.options;
     const nowMs = clock();
-    return this.budgetOf(service).take(nowMs, pool.share.findShare(nowMs));
+    const grant = this.budgetOf(service).take(nowMs, pool.share.findShare(nowMs));
+    if (grant === undefined) this.refusals += 1;
+    return grant;
   }
 
   /** @returns whether the budget allows a retry of a request to a service */
--- a/packages/gateway/test/retries.test.ts
+++ b/packages/gateway/test/retries.test.ts
@@ -33,6 +33,10 @@
   rig.run(100);
   assert.equal(rig.sender.sent.length, 1);
   assert.equal(rig.placement.mayRetry('lots'), false);
+  assert.equal(rig.placement.refusedRetries, 0);
+  rig.relayed();
+  rig.run(100);
+  assert.equal(rig.placement.refusedRetries, 1);
   rig.run(10_100);
   assert.equal(rig.placement.mayRetry('lots'), true);
 });
--- a/packages/metrics/src/GatewayMetrics.ts
+++ b/packages/metrics/src/GatewayMetrics.ts
@@ -43,6 +43,8 @@
   readonly targets: number;
   readonly limitedTargets: number;
   readonly unreachableServices: number;
+  readonly sharingEntries: number;
+  readonly refusedRetries: number;
   readonly version: number;
   readonly isCurrent: boolean;
   readonly leaderSilenceMs: number;
@@ -95,6 +97,8 @@
       ['targets', ({ targets }) => targets],
       ['limited_targets', ({ limitedTargets }) => limitedTargets],
       ['unreachable_services', ({ unreachableServices }) => unreachableServices],
+      ['sharing_entries', ({ sharingEntries }) => sharingEntries],
+      ['refused_retries_total', ({ refusedRetries }) => refusedRetries],
       ['declaration_version', ({ version }) => version],
       ['is_current', ({ isCurrent }) => Number(isCurrent)],
       ['leader_silence_seconds', ({ leaderSilenceMs }) => leaderSilenceMs / MS_PER_SECOND],
--- a/packages/metrics/src/gatewayMetricTable.ts
+++ b/packages/metrics/src/gatewayMetricTable.ts
@@ -30,6 +30,12 @@
   limited_targets: {
     type: 'gauge', tags: [], meaning: 'targets that name a limit on the requests they take',
   },
+  sharing_entries: {
+    type: 'gauge', tags: [], meaning: 'entries that divide limits with this one; 0 while it has no share',
+  },
+  refused_retries_total: {
+    type: 'counter', tags: [], meaning: 'retries that the retry budget did not allow',
+  },
   declaration_version: {
     type: 'gauge', tags: [], meaning: 'version of the declaration in force on this VM',
   },
