Read what has arrived before acting on silence after a stall

A control VM whose process stood still for about a second (a busy or frozen machine) lost its leader and found it again within milliseconds: calls failed, and its entries were told that it is not current.

Cause: when such a process goes on, its timers run before its sockets are read, so the election timeout was compared with the last message of before the stall.

The ticks of a replica and the checks of contact run after a round of input, and the first tick after 250 ms without one is left out, as a process may be stopped between reading and acting. In a series of late ticks each second one counts.

--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -24,8 +24,11 @@
 import EffectQueue from './EffectQueue';
 import LogWriter from './LogWriter';
 import PendingCalls from './PendingCalls';
+import repeatAfterInput from './repeatAfterInput';
 
 const TICK_MS = 50;
+/** Time since the last tick from which on the process has stood still, in milliseconds. */
+const LATE_TICK_MS = 250;
 const JOIN_RETRY_INTERVAL_MS = 500;
 /** Longest time for which a process that stops waits for its removal from the group. */
 const LEAVE_TIMEOUT_MS = 1500;
@@ -69,6 +72,11 @@
 
   private nextJoinMs = 0;
 
+  private tickedAtMs = 0;
+
+  /** Whether the last tick came so late that it was left out. */
+  private isResuming = false;
+
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: ConsensusTaskOptions) {
@@ -91,8 +99,9 @@
 
   /** Starts taking part in the consensus group. */
   start(): void {
-    this.timer = setInterval(() => this.push({ kind: 'tick', nowMs: this.options.clock() }), TICK_MS);
-    this.push({ kind: 'tick', nowMs: this.options.clock() });
+    this.tickedAtMs = this.options.clock();
+    this.timer = repeatAfterInput(() => this.tick(), TICK_MS);
+    this.tick();
   }
 
   /** Stops taking part in the consensus group. */
@@ -263,6 +272,15 @@
     else if (leaderName !== vmNameOf(replica)) this.options.hub.send(leaderName, { kind: 'join', replica });
   }
 
+  /** A process that stood still first reads the messages that have arrived meanwhile. */
+  private tick(): void {
+    const nowMs = this.options.clock();
+    const isLate = nowMs - this.tickedAtMs >= LATE_TICK_MS;
+    this.tickedAtMs = nowMs;
+    this.isResuming = isLate && !this.isResuming;
+    if (!this.isResuming) this.push({ kind: 'tick', nowMs });
+  }
+
   private push(event: ConsensusEvent): void {
     if (this.isClosed) return;
     if (this.isStalled) {
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -20,6 +20,7 @@
 import type ControlCall from '../control/ControlCall';
 import type ControlResponse from '../control/ControlResponse';
 import GroupWatch from '../control/GroupWatch';
+import repeatAfterInput from '../control/repeatAfterInput';
 import type VmMessage from '../messages/VmMessage';
 import type SessionHandler from '../session/SessionHandler';
 import type VmSession from '../session/VmSession';
@@ -204,8 +205,8 @@
     this.submitter.tick();
     this.updateConnections();
     this.timers = [
-      setInterval(() => {
-        this.submitter.tick();
+      setInterval(() => this.submitter.tick(), PULSE_INTERVAL_MS),
+      repeatAfterInput(() => {
         this.watch.tick();
         this.publisher.sendPulses();
       }, PULSE_INTERVAL_MS),
