--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -28,6 +28,8 @@
 import PendingCalls from './PendingCalls';
 
 const TICK_MS = 50;
+/** Time since the last tick from which on the process has stood still, in milliseconds. */
+const LATE_TICK_MS = 250;
 const JOIN_RETRY_INTERVAL_MS = 500;
 /** Longest time for which a process that stops waits for its removal from the group. */
 const LEAVE_TIMEOUT_MS = 1500;
@@ -71,6 +73,11 @@
 
   private nextJoinMs = 0;
 
+  private tickedAtMs = 0;
+
+  /** Whether the last tick came so late that it was left out. */
+  private isResuming = false;
+
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: ConsensusTaskOptions) {
@@ -93,10 +100,11 @@
 
   /** Starts taking part in the consensus group. */
   start(): void {
+    this.tickedAtMs = this.options.clock();
     this.timer = setInterval(() => {
       // After a standstill, there may be another leader, and a follower may have heard from it.
       if (this.isLeader) this.tick();
-      else setImmediate(() => this.tick());
+      else setImmediate(() => this.tickUnlessLate());
     }, TICK_MS);
     this.tick();
   }
@@ -274,8 +282,18 @@
     else if (leaderName !== vmNameOf(replica)) this.options.hub.send(leaderName, { kind: 'join', replica });
   }
 
+  /** A process that stood still first reads the messages that have arrived meanwhile. */
+  private tickUnlessLate(): void {
+    const nowMs = this.options.clock();
+    this.isResuming = nowMs - this.tickedAtMs >= LATE_TICK_MS && !this.isResuming;
+    if (this.isResuming) this.tickedAtMs = nowMs;
+    else this.tick();
+  }
+
   private tick(): void {
-    this.push({ kind: 'tick', nowMs: this.options.clock() });
+    const nowMs = this.options.clock();
+    this.tickedAtMs = nowMs;
+    this.push({ kind: 'tick', nowMs });
   }
 
   private push(event: ConsensusEvent): void {
