Former members are removed while their replacements catch up

A replica that starts again within an election timeout of its former member's last response joins before that counts as silent; the former member then stayed a voter until the new one had caught up, and each waited for the other. It is now removed as soon as it has been silent for an election timeout while the new one responds. The test fails on the former sources (the learner is waited for).

--- a/packages/core/src/consensus/maintainMembers.ts
+++ b/packages/core/src/consensus/maintainMembers.ts
@@ -53,6 +53,13 @@
   return { learners, voters: voters.filter((voter) => voter !== removed) };
 }
 
+/** Finds a silent voter whose VM has a learner that responds, so that it can never vote again. */
+function findReplacedVoter(state: ConsensusState): ReplicaId | undefined {
+  const { voters, learners } = state.members;
+  const running = learners.filter((learner) => isReachable(state, learner)).map(vmNameOf);
+  return voters.find((voter) => running.includes(vmNameOf(voter)) && !isReachable(state, voter));
+}
+
 function promoteLearner(state: ConsensusState): Members | undefined {
   const { voters, learners } = state.members;
   const learner = learners.find((candidate) => isCaughtUp(state, candidate));
@@ -76,8 +83,8 @@
  */
 export default function maintainMembers(state: ConsensusState): boolean {
   if (state.commitIndex < Math.max(state.termStartIndex, state.membersIndex)) return false;
-  const members = addLearner(state) ?? promoteLearner(state)
-    ?? removeVoter(state, findRemovableVoter(state));
+  const members = addLearner(state) ?? removeVoter(state, findReplacedVoter(state))
+    ?? promoteLearner(state) ?? removeVoter(state, findRemovableVoter(state));
   if (members === undefined) return false;
   appendCommand(state, { kind: 'members', members });
   return true;
--- a/packages/core/test/membership.test.ts
+++ b/packages/core/test/membership.test.ts
@@ -200,3 +200,11 @@
   assert.equal(maintainMembers(state), true);
   assert.deepEqual(state.members, { voters: VOTERS, learners: ['e#former'] });
 });
+
+// Guards against replacements that wait for a learner before the former member is removed.
+test('the former member of a VM is removed while its learner still catches up', () => {
+  const state = createLeader(timing.electionMinMs, ['e#1']);
+  Object.assign(state, { commitIndex: 300 });
+  assert.equal(maintainMembers(state), true);
+  assert.deepEqual(state.members, { voters: VOTERS.slice(0, 4), learners: ['e#1'] });
+});
