Refuse an upload at once while its body is incomplete

Since refusals wait for two turns where they end a connection, an upload beyond the limit with `connection: close` could get no response: the discarded rest of its body ended the connection first. `uploads beyond the limit get 413 as a whole` showed it in two runs, with 0 and with 2 targets; it passes now. Only a request that has been read as a whole waits.

--- a/packages/caller/src/runAfterReads.ts
+++ b/packages/caller/src/runAfterReads.ts
@@ -8,7 +8,8 @@
  * @param run - writes the response; not called if the response has started or ended meanwhile
  */
 export default function runAfterReads(res: ServerResponse, run: () => void): void {
-  if (res.shouldKeepAlive) {
+  // The rest of a body is discarded from now on, which may end the connection.
+  if (res.shouldKeepAlive || !res.req.complete) {
     run();
     return;
   }
