Let a refusal wait for one turn, also before the end of a small body

Refusals that end a connection waited for two turns of the event loop. That the two turns are the reason is suspected, not shown.

A request whose small body is incomplete waits as well: most callers with bodies send the next head before they can know of the end.

--- a/packages/caller/src/ReplayableBody.ts
+++ b/packages/caller/src/ReplayableBody.ts
@@ -3,12 +3,12 @@
 import type InboundRequest from '@guavayard/core/dispatch/InboundRequest';
 import type ByteBudget from '@guavayard/core/limits/ByteBudget';
 
+import MAX_KEPT_BYTES from './maxKeptBytes';
+
 /** Maximum size of a body that is buffered for retries, in bytes. */
 const MAX_RECORDED_BYTES = 64 * 1024;
 /** Maximum size of what is read of a body while it waits for a target, in bytes. */
 const MAX_AHEAD_BYTES = 1024 * 1024;
-/** Remainder of a body after which the connection is not kept for another request, in bytes. */
-const MAX_KEPT_BYTES = 1024 * 1024;
 /** Maximum remainder of a body that is read and discarded after the response, in bytes. */
 const MAX_DISCARDED_BYTES = 32 * 1024 * 1024;
 /** Maximum time to read and discard the remainder of a body, in milliseconds. */
--- a/packages/caller/src/runAfterReads.ts
+++ b/packages/caller/src/runAfterReads.ts
@@ -1,4 +1,11 @@
-import type { ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+
+import MAX_KEPT_BYTES from './maxKeptBytes';
+
+/** Returns whether the connection can still be written to while the rest of a body is discarded. */
+function isSmall({ complete, headers }: IncomingMessage): boolean {
+  return complete || Number(headers['content-length'] ?? Infinity) <= MAX_KEPT_BYTES;
+}
 
 /**
  * Runs an action that responds at once or, if the response would end the connection, once requests
@@ -8,13 +15,11 @@
  * @param run - writes the response; not called if the response has started or ended meanwhile
  */
 export default function runAfterReads(res: ServerResponse, run: () => void): void {
-  // The rest of a body is discarded from now on, which may end the connection.
-  if (res.shouldKeepAlive || !res.req.complete) {
+  if (res.shouldKeepAlive || !isSmall(res.req)) {
     run();
     return;
   }
-  // The first turn may have begun after its reads.
-  setImmediate(() => setImmediate(() => {
+  setImmediate(() => {
     if (!res.headersSent && !res.destroyed) run();
-  }));
+  });
 }
