End the sending side of a connection with its last response

The last response of a connection announced its end, which followed only once the body of its request had been read. Callers that sent further requests meanwhile got no response to them, and an entry that stood still in that time ended the connection over 0.2 s later.

`endResponse` delayed the end to avoid a reset. `closeGracefully`, which came later, avoids it by reading on after the end of the sending side, so the delay is removed.

`a response with a length to HTTP/1.1 ends before the upload does` failed before. The tests of unreadUpload.test.ts send their responses by `sendStoredResponse` instead of by `endResponse`, with the same checks.

--- a/packages/caller/src/HomeRelayExchange.ts
+++ b/packages/caller/src/HomeRelayExchange.ts
@@ -11,7 +11,6 @@
 import type CallerRequest from './CallerRequest';
 import type EntryServices from './EntryServices';
 import getRequestRecord from './getRequestRecord';
-import endResponse from './endResponse';
 import ReplayableBody from './ReplayableBody';
 import sendFailure from './sendFailure';
 
@@ -74,7 +73,7 @@
 
   onEnd(): void {
     this.release();
-    endResponse(this.res);
+    this.res.end();
   }
 
   onFailure(failure: Failure): void {
--- a/packages/caller/src/ResponseWriter.ts
+++ b/packages/caller/src/ResponseWriter.ts
@@ -4,8 +4,6 @@
 import selectAnswerHeaders from '@guavayard/core/http/selectAnswerHeaders';
 import StoredAnswer from '@guavayard/core/idempotency/StoredAnswer';
 
-import endResponse from './endResponse';
-
 /** Maximum size of a response body that is stored, in bytes. */
 const MAX_STORED_BYTES = 64 * 1024;
 
@@ -89,7 +87,7 @@
 
   /** Ends the response to the caller. */
   end(): void {
-    endResponse(this.res);
+    this.res.end();
   }
 
   private store(chunk: Buffer): void {
--- a/packages/caller/src/sendFailure.ts
+++ b/packages/caller/src/sendFailure.ts
@@ -6,7 +6,6 @@
 import createFailureHeaders from '@guavayard/core/http/createFailureHeaders';
 
 import cutResponse from './cutResponse';
-import endResponse from './endResponse';
 import getRequestRecord from './getRequestRecord';
 import runAfterReads from './runAfterReads';
 
@@ -29,6 +28,6 @@
       ...createFailureHeaders(failure),
       'content-length': Buffer.byteLength(body),
     });
-    endResponse(res, body);
+    res.end(body);
   });
 }
--- a/packages/caller/src/sendStoredResponse.ts
+++ b/packages/caller/src/sendStoredResponse.ts
@@ -2,8 +2,6 @@
 
 import type StoredAnswer from '@guavayard/core/idempotency/StoredAnswer';
 
-import endResponse from './endResponse';
-
 /**
  * Sends the caller the stored response of an earlier run of the same request.
  *
@@ -12,5 +10,5 @@
  */
 export default function sendStoredResponse(res: ServerResponse, stored: StoredAnswer): void {
   res.writeHead(stored.status, { ...stored.headers, 'guavayard-replayed': 'true' });
-  endResponse(res, stored.body);
+  res.end(stored.body);
 }
--- a/packages/caller/test/unreadUpload.test.ts
+++ b/packages/caller/test/unreadUpload.test.ts
@@ -5,10 +5,11 @@
 import { test, type TestContext } from 'node:test';
 
 import CallerListener from '../src/CallerListener';
-import endResponse from '../src/endResponse';
 import ReplayableBody from '../src/ReplayableBody';
+import sendStoredResponse from '../src/sendStoredResponse';
 
 const BODY = 'the lots are full';
+const LENGTH = { 'content-length': String(BODY.length) };
 const CHUNK = Buffer.alloc(64 * 1024, 'x');
 const TRIES = 20;
 /** Sizes of uploads, in bytes: below and beyond what is read without closing the connection. */
@@ -24,8 +25,7 @@
   const listener = new CallerListener({
     handle: (req, res: ServerResponse) => {
       handled.push(req.url);
-      res.writeHead(503, { 'content-length': BODY.length });
-      endResponse(res, BODY);
+      sendStoredResponse(res, { status: 503, headers: LENGTH, body: Buffer.from(BODY) });
       new ReplayableBody(req, false).discard();
     },
   });
@@ -96,12 +96,26 @@
 });
 
 // Guards against responses whose end their callers wait for while they still send.
-['1.1', '1.0'].forEach((version) => {
-  test(`a response without a length to HTTP/${version} ends before the upload does`, async (t) => {
+[
+  {
+    version: '1.1', kind: 'without a length', headers: {}, end: /the lots are full\r\n0\r\n\r\n$/,
+  },
+  {
+    version: '1.0', kind: 'without a length', headers: {}, end: /the lots are full$/,
+  },
+  {
+    version: '1.1', kind: 'with a length', headers: LENGTH, end: /the lots are full$/,
+  },
+  {
+    version: '1.0', kind: 'with a length', headers: LENGTH, end: /the lots are full$/,
+  },
+].forEach(({
+  version, kind, headers, end,
+}) => {
+  test(`a response ${kind} to HTTP/${version} ends before the upload does`, async (t) => {
     const listener = new CallerListener({
       handle: (req, res: ServerResponse) => {
-        res.writeHead(503);
-        endResponse(res, BODY);
+        sendStoredResponse(res, { status: 503, headers, body: Buffer.from(BODY) });
         new ReplayableBody(req, false).discard();
       },
     });
@@ -122,7 +136,7 @@
     socket.write(`POST /lots HTTP/${version}\r\nhost: lots.example\r\nconnection: close\r\n`);
     socket.write(`content-length: ${CHUNK.length}\r\n\r\nfirst`);
     await once(socket, 'end');
-    assert.match(received, version === '1.0' ? /the lots are full$/ : /the lots are full\r\n0\r\n\r\n$/);
+    assert.match(received, end);
     socket.end(CHUNK);
     if (!connection.closed) await once(connection, 'close');
     assert.ok(connection.bytesRead > CHUNK.length);
--- a/packages/gateway/src/DirectReply.ts
+++ b/packages/gateway/src/DirectReply.ts
@@ -1,7 +1,6 @@
 import type { OutgoingHttpHeaders, ServerResponse } from 'node:http';
 
 import cutResponse from '@guavayard/caller/cutResponse';
-import endResponse from '@guavayard/caller/endResponse';
 import runAfterReads from '@guavayard/caller/runAfterReads';
 import type AnswerHeaders from '@guavayard/core/dispatch/AnswerHeaders';
 import type CallerReply from '@guavayard/core/dispatch/CallerReply';
@@ -39,7 +38,7 @@
   }
 
   end(chunk?: Buffer): void {
-    endResponse(this.res, chunk);
+    this.res.end(chunk);
   }
 
   cut(): void {
@@ -53,7 +52,7 @@
     else {
       runAfterReads(this.res, () => {
         this.res.writeHead(status, headers);
-        endResponse(this.res, body);
+        this.res.end(body);
       });
     }
     return status;
