One way to destroy a connection after a time

closeIdle, closeGracefully and CallerListener each had the same timer that destroys a connection unless it closes before. Behaviour is unchanged: the timer of closeGracefully kept no process alive, but its connection did.

--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -11,6 +11,7 @@
 import respondToBadRequest from './respondToBadRequest';
 import type CallerLimits from './CallerLimits';
 import defaultLimits from './defaultLimits';
+import destroyAfter from './destroyAfter';
 import type CallerHandler from './CallerHandler';
 
 /** A response that is not complete yet. */
@@ -188,8 +189,7 @@
     ));
     if (isClosing) return false;
     if (socket.writableEnded) {
-      const timer = setTimeout(() => socket.destroy(), this.unreadMs);
-      socket.once('close', () => clearTimeout(timer));
+      destroyAfter(socket, this.unreadMs);
       return false;
     }
     const response = { res, mayKeepAlive: res.shouldKeepAlive };
--- a/packages/caller/src/closeGracefully.ts
+++ b/packages/caller/src/closeGracefully.ts
@@ -1,5 +1,7 @@
 import type { Socket } from 'node:net';
 
+import destroyAfter from './destroyAfter';
+
 /** Time for a caller to close its side of a connection, in milliseconds. */
 const CLOSE_TIMEOUT_MS = 5000;
 /** Maximum that is read and discarded of a connection until then, in bytes. */
@@ -30,7 +32,6 @@
   if (socket.destroyed || socket.writableEnded) return;
   discard(socket);
   socket.resume();
-  const timer = setTimeout(() => socket.destroy(), CLOSE_TIMEOUT_MS).unref();
-  socket.once('close', () => clearTimeout(timer));
+  destroyAfter(socket, CLOSE_TIMEOUT_MS);
   socket.end();
 }
--- a/packages/caller/src/closeIdle.ts
+++ b/packages/caller/src/closeIdle.ts
@@ -1,5 +1,7 @@
 import type { Socket } from 'node:net';
 
+import destroyAfter from './destroyAfter';
+
 /** Time for a caller to hear of the end of its connection, in milliseconds. */
 const CLOSE_TIMEOUT_MS = 100;
 
@@ -12,7 +14,6 @@
 export default function closeIdle(socket: Socket): void {
   if (socket.destroyed || socket.writableEnded) return;
   socket.pause();
-  const timer = setTimeout(() => socket.destroy(), CLOSE_TIMEOUT_MS);
-  socket.once('close', () => clearTimeout(timer));
+  destroyAfter(socket, CLOSE_TIMEOUT_MS);
   socket.end();
 }
