--- a/packages/vm/test/groupModel.test.ts
+++ b/packages/vm/test/groupModel.test.ts
@@ -288,7 +288,7 @@
 
 // Guards against a majority that is lost for good as members do not settle before the next loss.
 testGroup('two VMs without their disks are voters before two others lose theirs, beside changes and slow disks', 5, async (group) => {
-  group.disks.drawSyncMs = () => 100 + group.random() * 100;
+  Object.assign(group.disks, { drawSyncMs: () => 100 + group.random() * 100 });
   const leader = findLeader(group);
   const followers = pick(group, group.vms.filter((vm) => vm !== leader), 4);
   const first = followers.slice(0, 2);
@@ -307,6 +307,6 @@
   const leading = rest.find(({ task }) => task.isLeader) ?? leader;
   const second = [leading, ...rest.filter((vm) => vm !== leading)].slice(0, 2);
   group.vms.forEach((vm) => vm.stop(false));
-  group.disks.drawSyncMs = () => group.random() * 30;
+  Object.assign(group.disks, { drawSyncMs: () => group.random() * 30 });
   group.vms.forEach((vm) => vm.start(second.includes(vm)));
 });
