Forget first attempts that have left the window of the retry budget

The memory of an entry grows with each request to a service whose requests are not retried: the times of first attempts were dropped only when a retry was considered. A route of one attempt, or a service that does not fail and answers within the interval of the watchdog, never considers one. By a direct call of the class: 400 requests a second for an hour left 1,440,000 times in memory.

They are now dropped as new ones are recorded. They are in order of time, so a prefix is dropped, and the result of the budget is the same.

The test failed before (15284 bytes where 7284 are expected), with the former source under the new test.

--- a/packages/core/src/placement/RetryBudget.ts
+++ b/packages/core/src/placement/RetryBudget.ts
@@ -41,6 +41,7 @@
 
   /** Records a first attempt. */
   recordFirst(nowMs: number): void {
+    this.dropExpired(nowMs);
     this.firstAttemptsAtMs.push(nowMs);
   }
 
@@ -56,7 +57,7 @@
       ratio, slack, windowMs, startedAtMs,
     } = this.options;
     const since = nowMs - windowMs;
-    this.firstAttemptsAtMs = this.firstAttemptsAtMs.filter((atMs) => atMs > since);
+    this.dropExpired(nowMs);
     this.retries = this.retries.filter(({ sentAtMs }) => (sentAtMs ?? nowMs) > since);
     const ownRatio = RATIO_SHARE * ratio;
     const ownSlack = (SLACK_SHARE * slack) / Math.max(1, share?.entryCount ?? Infinity);
@@ -96,6 +97,13 @@
     };
   }
 
+  /** Drops the first attempts before the window. They are in order of time. */
+  private dropExpired(nowMs: number): void {
+    const since = nowMs - this.options.windowMs;
+    const kept = this.firstAttemptsAtMs.findIndex((atMs) => atMs > since);
+    this.firstAttemptsAtMs.splice(0, kept < 0 ? Infinity : kept);
+  }
+
   private countFirstsSince(fromMs: number): number {
     let count = 0;
     for (let index = this.firstAttemptsAtMs.length - 1; index >= 0; index -= 1) {
--- a/packages/core/test/retryBudget.test.ts
+++ b/packages/core/test/retryBudget.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { serialize } from 'node:v8';
 
 import fc from 'fast-check';
 
@@ -123,3 +124,16 @@
   tracker.recordCount(9, 11_001);
   assert.equal(tracker.findCount(11_001), 9);
 });
+
+// Guards against memory that grows with each request to a service whose requests are not retried.
+test('first attempts are forgotten after the window without any retry', () => {
+  const budget = new RetryBudget({
+    ratio: 0.2, slack: 60, windowMs: WINDOW_MS, startedAtMs: 0,
+  });
+  const measure = (fromMs: number): number => {
+    for (let atMs = fromMs; atMs < fromMs + 2 * WINDOW_MS; atMs += 10) budget.recordFirst(atMs);
+    return serialize(budget).byteLength;
+  };
+  const bytes = measure(0);
+  assert.equal(measure(2 * WINDOW_MS), bytes);
+});
