Count crashes before a response as known when an entry follows control again

What callers saw: a request that had crashed two targets, was answered, and crashed a third one was refused for up to 300 s by each entry that began to follow a control VM again, though only one crash had followed the response.

Control counts all crashes and is not told of responses. The entry compared this number with its crashes since the last response, unless there were none, and so restored those that the response had cleared. It now keeps the number of all crashes as well, and compares that.

The test failed before: 3 crashes where 1 is expected, refused at once.

--- a/packages/core/src/quarantine/CrashHistory.ts
+++ b/packages/core/src/quarantine/CrashHistory.ts
@@ -6,7 +6,10 @@
 const MAX_REQUESTS = 1024;
 
 interface CrashRecord {
+  /** Crashes since the last response. */
   count: number;
+  /** All crashes, as other VMs count them, which do not know the responses. */
+  readonly total: number;
   readonly atMs: number;
 }
 
@@ -41,7 +44,9 @@
    */
   recordCrash(fingerprint: string, nowMs: number): number {
     const known = this.find(fingerprint, nowMs);
-    const record = { count: (known?.count ?? 0) + 1, atMs: nowMs };
+    const record = {
+      count: (known?.count ?? 0) + 1, total: (known?.total ?? 0) + 1, atMs: nowMs,
+    };
     this.records.delete(fingerprint);
     this.records.set(fingerprint, record);
     const [oldest] = this.records.keys();
@@ -60,7 +65,7 @@
   recordKnownCrashes(fingerprint: string, count: number, nowMs: number): void {
     const known = this.find(fingerprint, nowMs);
     if (known?.count === 0) return;
-    for (let recorded = known?.count ?? 0; recorded < count; recorded += 1) {
+    for (let recorded = known?.total ?? 0; recorded < count; recorded += 1) {
       this.recordCrash(fingerprint, nowMs);
     }
   }
--- a/packages/core/test/quarantine.test.ts
+++ b/packages/core/test/quarantine.test.ts
@@ -47,6 +47,20 @@
   assert.deepEqual([history.isQuarantined('a', 2), history.list(2)], [false, []]);
 });
 
+// Guards against requests that are refused as an entry follows control again.
+test('crashes before a response do not count again after a further crash', () => {
+  const history = new CrashHistory();
+  history.recordCrash('a', 1);
+  history.recordCrash('a', 2);
+  history.recordResponse('a');
+  history.recordCrash('a', 3);
+  history.recordKnownCrashes('a', 3, 4);
+  assert.deepEqual(history.list(4), [{ fingerprint: 'a', count: 1 }]);
+  history.recordCrash('a', 5);
+  history.recordCrash('a', 6);
+  assert.equal(history.isQuarantined('a', 6), true);
+});
+
 test('crashes expire, and the oldest are evicted above the size limit', () => {
   const history = new CrashHistory();
   [1, 2, 3].forEach((nowMs) => history.recordCrash('a', nowMs));
