Keep the retry budget where callers come in bursts

What services saw, in a model only: more repeats than the rule allows, without any start. An entry counted the requests of its last window. The rule counts those of a window that includes the retry, of the one before or of the one half a window before. With bursts every 6.5 s the entry's last window has two of them, and each of the three windows only one.

An entry now counts the requests that each window which may include the retry would count, as far as it knows them: the fewest over 40 parts of the window, each rounded down. Requests are kept for two windows.

--- a/packages/core/src/placement/RetryBudget.ts
+++ b/packages/core/src/placement/RetryBudget.ts
@@ -1,3 +1,4 @@
+import countAssuredRequests from './countAssuredRequests';
 import type EntryShare from './EntryShare';
 import type RetryGrant from './RetryGrant';
 
@@ -65,17 +66,18 @@
     const burstOf = (firsts: number): number => BURST_SHARE * ownRatio * firsts;
     const accrued = (firsts: number, ms: number): number => (
       (1 - BURST_SHARE) * (ownRatio * firsts + (ownSlack * Math.min(ms, heldMs)) / windowMs));
-    const firstCount = this.firstAttemptsAtMs.length;
+    const firstCount = countAssuredRequests(this.firstAttemptsAtMs, nowMs, windowMs);
     const isOld = nowMs - startedAtMs >= windowMs;
     const slackBurst = heldMs >= windowMs ? BURST_SHARE * ownSlack : 0;
     const total = (isOld ? burstOf(firstCount) : 0) + slackBurst + accrued(firstCount, windowMs);
     if (this.retries.length + 1 > total) return false;
     const burst = burstOf(firstCount) + BURST_SHARE * ownSlack * (heldMs / windowMs);
     const sentAtMs = this.retries.map((retry) => retry.sentAtMs ?? nowMs).sort((x, y) => y - x);
-    let earlier = firstCount;
+    const { length } = this.firstAttemptsAtMs;
+    let earlier = length;
     return sentAtMs.every((fromMs, index) => {
       while (earlier > 0 && (this.firstAttemptsAtMs[earlier - 1] ?? 0) >= fromMs) earlier -= 1;
-      return index + 2 <= burst + accrued(firstCount - earlier, nowMs - fromMs);
+      return index + 2 <= burst + accrued(length - earlier, nowMs - fromMs);
     });
   }
 
@@ -100,9 +102,9 @@
     };
   }
 
-  /** Drops the first attempts before the window. They are in order of time. */
+  /** Drops first attempts that count in no window any more. They are in order of time. */
   private dropExpired(nowMs: number): void {
-    const since = nowMs - this.options.windowMs;
+    const since = nowMs - 2 * this.options.windowMs;
     const kept = this.firstAttemptsAtMs.findIndex((atMs) => atMs > since);
     this.firstAttemptsAtMs.splice(0, kept < 0 ? Infinity : kept);
   }
