Count requests to a target from before an entry learns that it is cold

A target that became cold under traffic of four entries got up to 17 requests sent and arrived within a second, where 12.5 are allowed. Each entry sent its share of the limit on top of what it had sent just before it learnt of it, as sends were recorded only while the target was known to be cold.

Still open: with 18 entries and 250 to 260 requests a second, entries learn of it up to a second late, as they share the target's budget of probes.

--- a/packages/core/src/placement/PlacedTarget.ts
+++ b/packages/core/src/placement/PlacedTarget.ts
@@ -14,8 +14,8 @@
   readonly inFlight: Set<{ readonly sentAtMs: number }>;
   reading: LoadReading | undefined;
   coldUntilMs: number;
-  /** Send times of the requests of the last second to the target while it was cold. */
-  coldSends: number[];
+  /** Send times of the requests of the last second to the target, and of some before. */
+  recentSends: number[];
   /** End of the ejection of the target, which failed too often; it gets no requests before. */
   ejectedUntilMs: number;
   ejections: number;
--- a/packages/core/src/placement/createPlacedTarget.ts
+++ b/packages/core/src/placement/createPlacedTarget.ts
@@ -22,7 +22,7 @@
     inFlight: new Set(),
     reading: undefined,
     coldUntilMs: -Infinity,
-    coldSends: [],
+    recentSends: [],
     ejectedUntilMs: -Infinity,
     ejections: 0,
     unreachableUntilMs: -Infinity,
--- a/packages/core/src/placement/maySendToColdTarget.ts
+++ b/packages/core/src/placement/maySendToColdTarget.ts
@@ -9,7 +9,7 @@
  *
  * Load pattern: a target starts cold under traffic and would crash under its full share of it.
  *
- * @param target - the target; sends older than the window are dropped from its `coldSends`
+ * @param target - the target; sends older than the window are dropped from its `recentSends`
  * @param limit - the rate limit of all entries together
  * @param entryName - name of this entry
  * @param nowMs - monotonic clock
@@ -25,8 +25,8 @@
   const since = nowMs - placementLimits.coldWindowMs;
   const { requestsPerSecond, rosters } = limit;
   // eslint-disable-next-line no-param-reassign -- the window is state of the target
-  target.coldSends = target.coldSends.filter((atMs) => atMs > since);
-  const sent = target.coldSends.length;
+  target.recentSends = target.recentSends.filter((atMs) => atMs > since);
+  const sent = target.recentSends.length;
   return rosters.length > 0 && rosters.every((roster) => (
     sent < calculateColdShare(target.record.id, requestsPerSecond, roster, entryName)));
 }
--- a/packages/core/test/placement.test.ts
+++ b/packages/core/test/placement.test.ts
@@ -87,7 +87,7 @@
         target.coldUntilMs = 1000;
         for (let tries = 0; tries < 50; tries += 1) {
           if (maySendToColdTarget(target, { requestsPerSecond, rosters }, name, 500)) {
-            target.coldSends.push(500);
+            target.recentSends.push(500);
             sent += 1;
           }
         }
@@ -103,7 +103,7 @@
   target.coldUntilMs = 5000;
   const rosters = [{ entryNames: ['a'], membership: 'settled' as const, sinceMs: 0 }];
   const bound = { requestsPerSecond: 4, rosters };
-  target.coldSends = [100, 100, 100];
+  target.recentSends = [100, 100, 100];
   assert.equal(maySendToColdTarget(target, bound, 'a', 500), false);
   assert.equal(maySendToColdTarget(target, bound, 'a', 1200), true);
 });
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -3,6 +3,7 @@
 import createPlacedTarget from '@guavayard/core/placement/createPlacedTarget';
 import maySendToColdTarget from '@guavayard/core/placement/maySendToColdTarget';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
+import recordSendTime from '@guavayard/core/placement/recordSendTime';
 import RosterHistory from '@guavayard/core/placement/RosterHistory';
 import type Declaration from '@guavayard/core/registry/Declaration';
 import findAnnouncementMistake from '@guavayard/core/registry/findAnnouncementMistake';
@@ -245,7 +246,7 @@
     const nowMs = this.options.clock();
     state.lastSentAtMs = nowMs;
     state.lastAskedAtMs = nowMs;
-    if (target.coldUntilMs > nowMs) target.coldSends.push(nowMs);
+    recordSendTime(target, nowMs);
     if (!permittedIds.includes(target.record.id)) target.requestLimit?.allowance?.take(1);
   }
 
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -135,6 +135,27 @@
   assert.ok(rig.sender.sent.length <= 1 + 2 * 1.5 + 5 + 1, String(rig.sender.sent.length));
 });
 
+// Guards against entries that send their share on top of what a target got while they took it for
+// warm.
+test('requests just before an entry learns that a target is cold count for its limit', (t) => {
+  const rig = new GatewayRig(t);
+  const target = rig.addTarget('a', { slots: 50, workMs: 5 });
+  const sendFor = (ms: number): number => {
+    const sent = rig.sender.sent.length;
+    for (let sentMs = 0; sentMs < ms; sentMs += 20) {
+      rig.pool.observeTime();
+      rig.request();
+      rig.run(20);
+    }
+    return rig.sender.sent.length - sent;
+  };
+  assert.equal(sendFor(5000), 250);
+  target.coldLeftMs = 5000;
+  const first = sendFor(600);
+  assert.ok(first <= 1, String(first));
+  assert.ok(sendFor(1500) > 2);
+});
+
 test('a burst after low traffic is not refused while slots are free', (t) => {
   const rig = new GatewayRig(t);
   Array.from({ length: 10 }, (_, index) => rig.addTarget(`t${index}`));
--- a/packages/vm/test/support/ColdEntry.ts
+++ b/packages/vm/test/support/ColdEntry.ts
@@ -125,7 +125,7 @@
     };
     let sent = 0;
     while (maySendToColdTarget(this.target, limit, this.name, nowMs)) {
-      this.target.coldSends.push(nowMs);
+      this.target.recentSends.push(nowMs);
       sent += 1;
     }
     return sent;
