Let one of several candidates go on while disks are slow

Cause: between the pre-vote and the vote request lies a sync of the candidate. The others stood for election meanwhile, although they had granted it their pre-vote, and all three synced votes for themselves, twice in a row.

After a slow sync of a term or vote, a replica that grants a pre-vote expects the vote request for as long as that sync took and an election timeout. Of pre-candidates that meet, the one whose name sorts first goes on. Quick disks elect as before.

The test in slowDisks.test.ts fails without it.

--- a/packages/core/src/consensus/ConsensusState.ts
+++ b/packages/core/src/consensus/ConsensusState.ts
@@ -31,6 +31,8 @@
   syncedIndex: number;
   /** Number of records of the term and the vote that are not synced. */
   unsyncedVotes: number;
+  /** Duration of the last sync of a term or vote, in milliseconds; 0 if it was not slow. */
+  slowSyncMs: number;
   role: 'follower' | 'preCandidate' | 'candidate' | 'leader';
   leader: ReplicaId | undefined;
   /** The leader that this process heard last. */
--- a/packages/core/src/consensus/createConsensusState.ts
+++ b/packages/core/src/consensus/createConsensusState.ts
@@ -38,6 +38,7 @@
     syncsLate: false,
     syncedIndex: findLastIndex(durable),
     unsyncedVotes: 0,
+    slowSyncMs: 0,
     role: 'follower',
     leader: undefined,
     lastLeader: undefined,
--- a/packages/core/src/consensus/postponeElection.ts
+++ b/packages/core/src/consensus/postponeElection.ts
@@ -9,8 +9,9 @@
  * @param syncMs - duration of the write, in milliseconds
  */
 export default function postponeElection(state: ConsensusState, syncMs: number): void {
-  if (syncMs < timing.slowSyncMs) return;
-  const othersMs = Math.min(syncMs, timing.maxSyncMs);
+  const othersMs = syncMs < timing.slowSyncMs ? 0 : Math.min(syncMs, timing.maxSyncMs);
+  state.slowSyncMs = othersMs;
+  if (othersMs === 0) return;
   const spreadMs = timing.electionMaxMs - timing.electionMinMs + othersMs;
   const delayMs = timing.electionMinMs + 2 * othersMs + state.random() * spreadMs;
   state.electionDeadlineMs = Math.max(state.electionDeadlineMs, state.nowMs + delayMs);
--- a/packages/core/src/consensus/receiveVoteRequest.ts
+++ b/packages/core/src/consensus/receiveVoteRequest.ts
@@ -28,6 +28,13 @@
 function respondToPreVote(state: ConsensusState, from: ReplicaId, request: VoteRequest): void {
   const isGranted = request.term > state.term && isUpToDate(state, request);
   const term = isGranted ? request.term : state.term;
+  // While disks are slow, the vote request follows after a sync of the candidate.
+  if (isGranted && state.slowSyncMs > 0) {
+    const expectedMs = state.nowMs + state.slowSyncMs + timing.electionMinMs;
+    state.electionDeadlineMs = Math.max(state.electionDeadlineMs, expectedMs);
+    // Of candidates that meet, one goes on; otherwise all would sync votes for themselves.
+    if (state.role === 'preCandidate' && from < state.self) state.role = 'follower';
+  }
   send(state, from, { kind: 'preVoteAnswer', term, isGranted });
 }
 
--- a/packages/core/test/slowDisks.test.ts
+++ b/packages/core/test/slowDisks.test.ts
@@ -135,3 +135,23 @@
   });
   assert.equal(state.syncedIndex, 0);
 });
+
+// Guards against elections in which all candidates sync votes for themselves.
+test('of two candidates on slow disks that meet, one waits for the other', () => {
+  const receive = (self: string, from: string): ConsensusState => {
+    const state = createConsensusState(self, createDurableState(VOTERS), 0, () => 0.5);
+    Object.assign(state, { syncsLate: true, slowSyncMs: SYNC_MS });
+    step(state, { kind: 'tick', nowMs: TIMEOUT_MS });
+    step(state, {
+      kind: 'message',
+      from,
+      message: {
+        kind: 'preVoteRequest', term: 1, lastIndex: 0, lastTerm: 0,
+      },
+    });
+    return state;
+  };
+  assert.equal(receive('b#0', 'a#0').role, 'follower');
+  assert.equal(receive('a#0', 'b#0').role, 'preCandidate');
+  assert.ok(receive('b#0', 'a#0').electionDeadlineMs >= TIMEOUT_MS + SYNC_MS);
+});
