--- a/packages/core/test/slowDisks.test.ts
+++ b/packages/core/test/slowDisks.test.ts
@@ -149,3 +149,23 @@
   assert.deepEqual(kindsOf(effects), ['commit', 'appendAnswer']);
   assert.deepEqual(effects.map((effect) => mustAwaitSync(state, effect)), [false, true]);
 });
+
+// Guards against elections in which all candidates sync votes for themselves.
+test('of two candidates on slow disks that meet, one waits for the other', () => {
+  const receive = (self: string, from: string): ConsensusState => {
+    const state = createConsensusState(self, createDurableState(VOTERS), 0, () => 0.5);
+    Object.assign(state, { syncsLate: true, slowSyncMs: SYNC_MS });
+    step(state, { kind: 'tick', nowMs: TIMEOUT_MS });
+    step(state, {
+      kind: 'message',
+      from,
+      message: {
+        kind: 'preVoteRequest', term: 1, lastIndex: 0, lastTerm: 0,
+      },
+    });
+    return state;
+  };
+  assert.equal(receive('a#0', 'b#0').role, 'follower');
+  assert.equal(receive('b#0', 'a#0').role, 'preCandidate');
+  assert.ok(receive('a#0', 'b#0').electionDeadlineMs >= TIMEOUT_MS + SYNC_MS);
+});
