--- a/packages/core/src/placement/RetryBudget.ts
+++ b/packages/core/src/placement/RetryBudget.ts
@@ -41,6 +41,7 @@
 
   /** Records a first attempt. */
   recordFirst(nowMs: number): void {
+    this.dropExpired(nowMs);
     this.firstAttemptsAtMs.push(nowMs);
   }
 
@@ -56,7 +57,7 @@
       ratio, slack, windowMs, startedAtMs,
     } = this.options;
     const since = nowMs - windowMs;
-    this.firstAttemptsAtMs = this.firstAttemptsAtMs.filter((atMs) => atMs > since);
+    this.dropExpired(nowMs);
     this.retries = this.retries.filter(({ sentAtMs }) => (sentAtMs ?? nowMs) > since);
     const ownRatio = RATIO_SHARE * ratio;
     const ownSlack = (SLACK_SHARE * slack) / Math.max(1, share?.entryCount ?? Infinity);
@@ -70,9 +71,12 @@
     const total = (isOld ? burstOf(firstCount) : 0) + slackBurst + accrued(firstCount, windowMs);
     if (this.retries.length + 1 > total) return false;
     const burst = burstOf(firstCount) + BURST_SHARE * ownSlack * (heldMs / windowMs);
-    const sentAtMs = this.retries.map((retry) => retry.sentAtMs ?? nowMs).sort((a, b) => b - a);
-    return sentAtMs.every((fromMs, index) => (
-      index + 2 <= burst + accrued(this.countFirstsSince(fromMs), nowMs - fromMs)));
+    const sentAtMs = this.retries.map((retry) => retry.sentAtMs ?? nowMs).sort((x, y) => y - x);
+    let earlier = firstCount;
+    return sentAtMs.every((fromMs, index) => {
+      while (earlier > 0 && (this.firstAttemptsAtMs[earlier - 1] ?? 0) >= fromMs) earlier -= 1;
+      return index + 2 <= burst + accrued(firstCount - earlier, nowMs - fromMs);
+    });
   }
 
   /**
@@ -96,12 +100,10 @@
     };
   }
 
-  private countFirstsSince(fromMs: number): number {
-    let count = 0;
-    for (let index = this.firstAttemptsAtMs.length - 1; index >= 0; index -= 1) {
-      if ((this.firstAttemptsAtMs[index] ?? 0) < fromMs) break;
-      count += 1;
-    }
-    return count;
+  /** Drops the first attempts before the window. They are in order of time. */
+  private dropExpired(nowMs: number): void {
+    const since = nowMs - this.options.windowMs;
+    const kept = this.firstAttemptsAtMs.findIndex((atMs) => atMs > since);
+    this.firstAttemptsAtMs.splice(0, kept < 0 ? Infinity : kept);
   }
 }
