Acknowledge version 0 only once it is applied

Operators got an acknowledgement of version 0, the lowest one, at a first start before the group had its required voters, though it was in no log.

Cause: calls for a version end once a version as high is applied; that was compared with `version`, which is 0 if there is no declaration, too. So any committed entry, such as a change of the members, ended a call for version 0.

Now only a declaration that exists ends calls.

--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -109,7 +109,7 @@
         onCommit: (entries) => this.applyAll(entries),
         onRestore: ({ data, lastIndex }) => {
           this.store.restore(data.registry, lastIndex);
-          this.declarations.handleApplied(this.version);
+          this.endDeclarations();
           this.publisher.schedule();
         },
         onCaughtUp: () => this.publisher.sendPulses(),
@@ -344,6 +344,12 @@
     return (this.store.state.declaration?.version ?? -1) >= version;
   }
 
+  /** Ends the calls for versions that are in force or superseded. */
+  private endDeclarations(): void {
+    const { declaration } = this.store.state;
+    if (declaration !== undefined) this.declarations.handleApplied(declaration.version);
+  }
+
   private async submitChange(
     change: RegistryChange,
     basis?: number,
@@ -403,7 +409,7 @@
       if (command.kind === 'registry') this.store.apply(index, command.change, term === currentTerm);
       else this.store.advance(index);
     });
-    this.declarations.handleApplied(this.version);
+    this.endDeclarations();
     this.publisher.schedule();
   }
 
--- a/packages/vm/test/registry.test.ts
+++ b/packages/vm/test/registry.test.ts
@@ -77,6 +77,15 @@
   });
 });
 
+// Guards against an acknowledgement that any commit gives while there is no declaration.
+test('the lowest version is not acknowledged before it is applied', async (t) => {
+  const group = await startGroup(t, 1, 2);
+  const [control] = group.controls;
+  const result = await control?.task.declare(createDeclaration(0));
+  assert.equal(control?.task.isCurrent, true);
+  assert.equal(result?.ok, false);
+});
+
 test('an entry receives registry changes, also after a control VM has stopped', async (t) => {
   const group = await startGroup(t, 3);
   const subscription = await group.startEntry(20);
