--- a/packages/core/src/consensus/receiveVoteRequest.ts
+++ b/packages/core/src/consensus/receiveVoteRequest.ts
@@ -28,10 +28,13 @@
 /**
  * Gives way to another candidate. Where each remaining vote is needed, two elections at a time
  * would both fail; of two that ask at the same moment, the one whose name sorts first gives way.
+ * While disks are slow, the vote request follows only after a sync of the candidate.
  */
 function giveWay(state: ConsensusState, from: ReplicaId): void {
+  const { slowSyncMs } = state;
   if (state.role === 'preCandidate' && state.self < from) state.role = 'follower';
-  const earliestMs = state.nowMs + timing.otherElectionMs;
+  const waitMs = slowSyncMs > 0 ? slowSyncMs + timing.electionMinMs : timing.otherElectionMs;
+  const earliestMs = state.nowMs + waitMs;
   state.electionDeadlineMs = Math.max(state.electionDeadlineMs, earliestMs);
 }
 
