--- a/packages/core/src/placement/RetryBudget.ts
+++ b/packages/core/src/placement/RetryBudget.ts
@@ -67,10 +67,12 @@
     const accrued = (firsts: number, ms: number): number => (
       (1 - BURST_SHARE) * (ownRatio * firsts + (ownSlack * Math.min(ms, heldMs)) / windowMs));
     const firstCount = countAssuredRequests(this.firstAttemptsAtMs, nowMs, windowMs);
+    // Over the whole window. Its predecessor may have used the burst of a process that is younger.
     const isOld = nowMs - startedAtMs >= windowMs;
     const slackBurst = heldMs >= windowMs ? BURST_SHARE * ownSlack : 0;
     const total = (isOld ? burstOf(firstCount) : 0) + slackBurst + accrued(firstCount, windowMs);
     if (this.retries.length + 1 > total) return false;
+    // In each part of the window, from a retry until now.
     const burst = burstOf(firstCount) + BURST_SHARE * ownSlack * (heldMs / windowMs);
     const sentAtMs = this.retries.map((retry) => retry.sentAtMs ?? nowMs).sort((x, y) => y - x);
     const { length } = this.firstAttemptsAtMs;
