Log new connections and the cold time with each attempt, and targets that start again

What an entry knew when it exceeded the limit of a cold target could not be told from its logs: whether the request opened its connection, whether the target counted as cold, and what was forgotten when an announcement replaced its state. `explain` prints both, too.

--- a/packages/gateway/src/Attempt.ts
+++ b/packages/gateway/src/Attempt.ts
@@ -13,6 +13,10 @@
   readonly loadAgeMs: number | undefined;
   /** Whether the target had left a probe unanswered when it was selected. */
   readonly wasSilent: boolean;
+  /** Whether it was sent on a connection that had not carried a response. */
+  readonly isNewConnection: boolean;
+  /** How long this entry took the target to stay cold, in milliseconds. */
+  readonly coldLeftMs: number;
   /** Frees the slot; receives the duration if the request was answered. */
   readonly release: (durationMs?: number) => void;
   status: number | undefined;
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -210,7 +210,8 @@
       return;
     }
     const nowMs = clock();
-    const attempt = createAttempt(target, release, nowMs);
+    const isNewConnection = sender.countReady(target.record.address) === 0;
+    const attempt = createAttempt(target, release, isNewConnection, nowMs);
     this.attempt = attempt;
     this.triedIds.push(target.record.id);
     this.recordRetrySent();
--- a/packages/gateway/src/RequestLog.ts
+++ b/packages/gateway/src/RequestLog.ts
@@ -19,6 +19,10 @@
   readonly loadAgeMs: number | undefined;
   /** Whether it had left a probe unanswered when it was selected. */
   readonly wasSilent?: boolean;
+  /** Whether it was sent on a connection that had not carried a response. */
+  readonly isNewConnection?: boolean;
+  /** How long the entry took it to stay cold when it was selected, in milliseconds. */
+  readonly coldLeftMs?: number;
   readonly outcome: string;
   readonly ms: number;
 }
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -4,6 +4,7 @@
 import EntryShareTracker from '@guavayard/core/placement/EntryShareTracker';
 import maySendToColdTarget from '@guavayard/core/placement/maySendToColdTarget';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
+import placementLimits from '@guavayard/core/placement/placementLimits';
 import recordSendTime from '@guavayard/core/placement/recordSendTime';
 import RosterHistory from '@guavayard/core/placement/RosterHistory';
 import type Declaration from '@guavayard/core/registry/Declaration';
@@ -344,7 +345,17 @@
       if (record.coldLeftMs > 0) this.notices.recordColdLeft(known, record.coldLeftMs);
       return;
     }
-    if (known !== undefined) this.remove(record.id);
+    if (known !== undefined) {
+      const sinceMs = this.options.clock() - placementLimits.coldWindowMs;
+      this.options.log.info({
+        target: record.id,
+        bornAtMs: record.bornAtMs,
+        formerBornAtMs: known.record.bornAtMs,
+        recentSends: known.recentSends.filter((atMs) => atMs > sinceMs).length,
+        coldLeftMs: Math.round(Math.max(0, known.coldUntilMs - this.options.clock())),
+      }, 'target started again');
+      this.remove(record.id);
+    }
     const target = createPlacedTarget(
       record,
       this.options.regionOf(record.dataCentre),
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -8,12 +8,14 @@
  *
  * @param target - the selected target
  * @param release - frees its slot
+ * @param isNewConnection - whether no open connection to it is free that has carried a response
  * @param nowMs - monotonic clock
  * @returns the attempt
  */
 export default function createAttempt(
   target: PlacedTarget,
   release: Attempt['release'],
+  isNewConnection: boolean,
   nowMs: number,
 ): Attempt {
   const { reading } = target;
@@ -24,6 +26,8 @@
     slowness: reading?.slowness,
     loadAgeMs: reading === undefined ? undefined : nowMs - reading.atMs,
     wasSilent: target.unansweredProbes > 0 || target.probeWaiters !== undefined,
+    isNewConnection,
+    coldLeftMs: Math.max(0, target.coldUntilMs - nowMs),
     release,
     status: undefined,
     headers: {},
--- a/packages/gateway/src/describeAttempt.ts
+++ b/packages/gateway/src/describeAttempt.ts
@@ -20,13 +20,15 @@
   failure: Failure | undefined,
   nowMs: number,
 ): AttemptLine {
-  const { loadAgeMs, status } = attempt;
+  const { loadAgeMs, coldLeftMs, status } = attempt;
   return {
     target: attempt.target.record.id,
     load: attempt.load,
     slowness: attempt.slowness,
     loadAgeMs: loadAgeMs === undefined ? undefined : Math.round(loadAgeMs),
     ...(attempt.wasSilent ? { wasSilent: true } : {}),
+    ...(attempt.isNewConnection ? { isNewConnection: true } : {}),
+    ...(coldLeftMs > 0 ? { coldLeftMs: Math.round(coldLeftMs) } : {}),
     outcome: failure === undefined ? `${verdict} ${status}` : `${verdict} ${failure.detail || failure.kind}`,
     ms: Math.round(nowMs - attempt.startedAtMs),
   };
--- a/packages/report/src/explainRequest.ts
+++ b/packages/report/src/explainRequest.ts
@@ -6,6 +6,8 @@
   slowness: z.number().optional(),
   loadAgeMs: z.number().optional(),
   wasSilent: z.boolean().optional(),
+  isNewConnection: z.boolean().optional(),
+  coldLeftMs: z.number().optional(),
   outcome: z.string(),
   ms: z.number(),
 });
@@ -42,12 +44,19 @@
 
 function describeAttempt(attempt: z.infer<typeof Attempt>, index: number): string {
   const {
-    target, load, slowness, loadAgeMs, wasSilent = false, outcome, ms,
+    target, load, slowness, loadAgeMs, wasSilent = false, isNewConnection = false, coldLeftMs,
+    outcome, ms,
   } = attempt;
   const loadReport = load === undefined
     ? 'load unknown'
     : `told ${load} requests and slowness ${slowness ?? 'unknown'} ${loadAgeMs ?? 0} ms before`;
-  return `  attempt ${index + 1}: ${target} (${loadReport}${wasSilent ? ', a probe unanswered' : ''}): ${outcome} after ${ms} ms`;
+  const notes = [
+    loadReport,
+    ...(wasSilent ? ['a probe unanswered'] : []),
+    ...(isNewConnection ? ['a new connection'] : []),
+    ...(coldLeftMs === undefined ? [] : [`cold for ${coldLeftMs} ms more`]),
+  ].join(', ');
+  return `  attempt ${index + 1}: ${target} (${notes}): ${outcome} after ${ms} ms`;
 }
 
 function describeRelay({ entry, outcome, ms }: z.infer<typeof Relay>): string {
