Probe first on each new connection to a target

A request on a kept connection reaches the process that this entry knows or nobody; one on a new connection may reach a process that has just started behind the same id and address, which no announcement or probe has told of yet. When a target ends, all entries lose their connections at once, and queued requests and retries followed it within milliseconds.

A request goes only on a connection that has carried a response, as it already did while targets refuse connections, so a probe opens each one and tells whether the target is cold. A quarter of the budget of probes is kept for these. A target that closes each connection after its response gets requests right after a probe. The budget holds one probe of each kind even if its rate is below one a second: before, such an entry never probed.

--- a/packages/core/src/placement/createPlacedTarget.ts
+++ b/packages/core/src/placement/createPlacedTarget.ts
@@ -40,6 +40,7 @@
     lastSentAtMs: -Infinity,
     lastAskedAtMs: -Infinity,
     idleTimeoutMs: undefined,
+    closesConnections: false,
     probeWaiters: undefined,
   };
 }
--- a/packages/gateway/src/ConnectionTracker.ts
+++ b/packages/gateway/src/ConnectionTracker.ts
@@ -1,6 +1,7 @@
 import type Logger from 'bunyan';
 
 import areConnectionsRefused from '@guavayard/core/connections/areConnectionsRefused';
+import connectionLimits from '@guavayard/core/connections/connectionLimits';
 import createConnectionEvidence from '@guavayard/core/connections/createConnectionEvidence';
 import needsProvenConnection from '@guavayard/core/connections/needsProvenConnection';
 import recordConnection from '@guavayard/core/connections/recordConnection';
@@ -44,11 +45,22 @@
     this.evidence.refusedInARow.delete(address);
   }
 
-  /** @returns whether a request may be sent to a target now */
+  /**
+   * Returns whether a request may be sent to a target now. A new connection may reach a later
+   * process of the target, which only a probe tells, so the first to use it is a probe.
+   *
+   * @param target - the target
+   * @returns true if a connection is free that has carried a response, or if the target closes each
+   *   connection and has just responded
+   */
   maySend(target: PlacedTarget): boolean {
     const { clock, countReady } = this.options;
-    const { address } = target.record;
-    return !needsProvenConnection(this.evidence, address, clock()) || countReady(address) > 0;
+    const { record: { address }, closesConnections, reading } = target;
+    if (countReady(address) > 0) return true;
+    const nowMs = clock();
+    return closesConnections && reading !== undefined
+      && nowMs - reading.atMs <= connectionLimits.closedProbeMaxAgeMs
+      && !needsProvenConnection(this.evidence, address, nowMs);
   }
 
   private logChange(nowMs: number): void {
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -1,6 +1,7 @@
 import type AnswerHandler from '@guavayard/core/dispatch/AnswerHandler';
 import type AnswerHeaders from '@guavayard/core/dispatch/AnswerHeaders';
 import type TargetSender from '@guavayard/core/dispatch/TargetSender';
+import closesConnection from '@guavayard/core/http/closesConnection';
 import parseKeepAliveTimeout from '@guavayard/core/http/parseKeepAliveTimeout';
 import TokenBucket from '@guavayard/core/limits/TokenBucket';
 import placementLimits from '@guavayard/core/placement/placementLimits';
@@ -22,6 +23,8 @@
 const UNREACHABLE_MS = 300;
 /** Share of the limit on probes that the entries use. */
 const BUDGET_SHARE = 0.5;
+/** Share of the budget that only probes on new connections use. */
+const CONNECTION_SHARE = 0.25;
 /** Interval at which targets are probed whose paths are in doubt, in milliseconds. */
 const VERIFY_INTERVAL_MS = 200;
 /** Such targets that are probed at a time. */
@@ -47,6 +50,9 @@
   /** Number of probes sent since the start. */
   count = 0;
 
+  /** Probes of the budget that only new connections may use. */
+  private reserve = 0;
+
   private verifyTimer: NodeJS.Timeout | undefined;
 
   /** Position among those targets from which the next ones are probed. */
@@ -55,8 +61,7 @@
   constructor(private readonly options: TargetProberOptions) {}
 
   /**
-   * Probes targets without a fresh load reading, and those to which a new connection is needed that
-   * may fail.
+   * Probes targets without a fresh load reading, and those to which a new connection is needed.
    *
    * @param targets - the targets that are considered for a request
    * @param onUpdate - called after each probe that was answered or failed, with the number of
@@ -66,7 +71,6 @@
   probe(targets: readonly PlacedTarget[], onUpdate: (pending: number) => void): number {
     const nowMs = this.options.clock();
     this.refill(nowMs);
-    // A probe finds out whether a new connection works.
     const due = targets.filter((target) => (
       nowMs - (target.reading?.atMs ?? -Infinity) > placementLimits.freshReadingMs
         || !this.options.pool.paths.connections.maySend(target)
@@ -150,8 +154,11 @@
   private ensureProbe(target: PlacedTarget, nowMs: number): boolean {
     if (target.probeWaiters !== undefined) return true;
     if (isResting(target, nowMs)) return false;
-    const path = this.options.pool.healthPathOf(target.record.service);
-    if (path === undefined || !this.bucket.tryTake(1, nowMs)) return false;
+    const { pool } = this.options;
+    const path = pool.healthPathOf(target.record.service);
+    const reserve = pool.paths.connections.maySend(target) ? this.reserve : 0;
+    if (path === undefined || this.bucket.available(nowMs) < 1 + reserve) return false;
+    this.bucket.take(1);
     this.sendProbe(target, path);
     return target.probeWaiters !== undefined;
   }
@@ -163,7 +170,9 @@
     const rate = entryCount === undefined
       ? probesPerSecond
       : (probesPerSecond * pool.targetCount * BUDGET_SHARE) / entryCount;
-    this.bucket.setRate(rate, rate, nowMs);
+    this.reserve = CONNECTION_SHARE * rate;
+    // One probe of each kind fits at the lowest rate, too.
+    this.bucket.setRate(rate, Math.max(rate, 1 + this.reserve), nowMs);
   }
 
   private sendProbe(target: PlacedTarget, path: string): void {
@@ -249,6 +258,7 @@
     const state = target;
     pool.paths.recordAnswer(target);
     state.idleTimeoutMs = parseKeepAliveTimeout(headers['keep-alive']);
+    state.closesConnections = closesConnection(headers);
     const {
       targetId, load, coldLeftMs, requestLimit, restMs, isLeaving,
     } = dialect.readProbe(headers);
--- /dev/null
+++ b/packages/gateway/test/restartedTargets.test.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+
+import type FakeTarget from './support/FakeTarget';
+import GatewayRig from './support/GatewayRig';
+
+const SLOTS = 20;
+const COLD_MS = 3000;
+/** Requests a second that all entries may send to the cold target: 2 times 1.5, and 5 more. */
+const LIMIT = 8;
+/** Time until the entry has its share of the limit, in milliseconds. */
+const SETTLE_MS = 5000;
+const WINDOW_MS = 1000;
+const STEP_MS = 20;
+/** Time within which what is sent lies in one window of the limit, in milliseconds. */
+const WATCH_MS = 450;
+const PROBES_PER_SECOND = 4;
+
+function countSends(rig: GatewayRig, target: FakeTarget): number {
+  return rig.sender.sent.filter((sent) => sent.target === target).length;
+}
+
+/** Sends a request every few milliseconds. */
+function press(rig: GatewayRig, ms: number): void {
+  for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
+    rig.pool.observeTime();
+    rig.request();
+    rig.run(STEP_MS);
+  }
+}
+
+// Guards against requests that reach a new process before a probe tells that it is cold.
+test('requests do not follow a target that starts again in place', (t) => {
+  const rig = new GatewayRig(t, {}, PROBES_PER_SECOND);
+  const target = rig.addTarget('a', { slots: SLOTS, workMs: 5 });
+  press(rig, SETTLE_MS);
+  const before = countSends(rig, target);
+  assert.ok(before > LIMIT, `${before} requests`);
+  rig.prober.giveUp(PROBES_PER_SECOND);
+  rig.sender.restart(target, { coldLeftMs: COLD_MS });
+  press(rig, WATCH_MS);
+  const after = countSends(rig, target) - before;
+  assert.ok(after <= LIMIT, `${after} requests`);
+  press(rig, WINDOW_MS);
+  assert.ok(countSends(rig, target) > before, 'it gets requests again');
+});
+
+// Guards against targets without a kept connection that never count as known.
+test('a target that closes every connection is served', (t) => {
+  const rig = new GatewayRig(t);
+  rig.addTarget('a', { closesConnections: true });
+  const responses = Array.from({ length: 20 }, () => {
+    const res = rig.request();
+    rig.run(250);
+    return res;
+  });
+  assert.ok(responses.every(({ status }) => status === 200));
+});
+
+// Guards against budgets that are too small for a single probe, so that nothing is ever sent.
+test('a target is served while the budget of probes is a fraction of one a second', (t) => {
+  const rig = new GatewayRig(t, {}, 1);
+  rig.addTarget('a', { workMs: 5 });
+  rig.request();
+  rig.run(100);
+  const res = rig.request();
+  rig.run(100);
+  assert.equal(res.status, 200);
+});
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -36,6 +36,12 @@
   readonly isOver: () => boolean;
 }
 
+/** An exchange that has not ended. */
+interface OpenExchange {
+  readonly target: FakeTarget;
+  readonly fail: () => void;
+}
+
 /** Simulates the connections to fake targets without sockets. */
 export default class FakeSender implements TargetSender {
   /** Requests that were sent, excluding probes. */
@@ -57,6 +63,12 @@
   /** Open connections without a request, by address. */
   private readonly ready = new Map<string, number>();
 
+  /** What is under way. */
+  private readonly exchanges = new Set<OpenExchange>();
+
+  /** Number of restarts, by target. */
+  private readonly restarts = new Map<FakeTarget, number>();
+
   /** Responses that the entry has not read yet, while it stands still. */
   private held: (() => void)[] | undefined;
 
@@ -80,11 +92,21 @@
     let isOver = false;
     const isNew = this.countReady(target.address) === 0;
     if (!isNew) this.ready.set(target.address, this.countReady(target.address) - 1);
+    const exchange: OpenExchange = {
+      target,
+      fail: () => {
+        isOver = true;
+        this.exchanges.delete(exchange);
+        handler.onFailure({ kind: 'targetFailed', detail: 'reset' });
+      },
+    };
     const end = (run: () => void): void => {
       if (isOver) return;
       isOver = true;
+      this.exchanges.delete(exchange);
       run();
     };
+    this.exchanges.add(exchange);
     if (isNew && target.refusesConnections === true) {
       setTimeout(() => end(() => {
         this.onOpened(target.address, false);
@@ -99,7 +121,8 @@
       }
       end(() => {
         if (isNew) this.onOpened(target.address, true);
-        this.ready.set(target.address, this.countReady(target.address) + 1);
+        const kept = target.closesConnections === true ? 0 : 1;
+        this.ready.set(target.address, this.countReady(target.address) + kept);
         run();
       });
     };
@@ -115,6 +138,15 @@
     return dispatch;
   }
 
+  /** Ends the process of a target with its connections and starts another one in its place. */
+  restart(target: FakeTarget, change: Partial<FakeTarget> = {}): void {
+    Object.assign(target, { running: 0, ...change });
+    this.ready.delete(target.address);
+    this.restarts.set(target, (this.restarts.get(target) ?? 0) + 1);
+    [...this.exchanges].filter((exchange) => exchange.target === target)
+      .forEach(({ fail }) => fail());
+  }
+
   countReady(address: string): number {
     return this.ready.get(address) ?? 0;
   }
@@ -133,6 +165,7 @@
     setTimeout(() => complete(() => {
       handler.onHeaders(200, {
         target: target.id,
+        ...(target.closesConnections === true ? { connection: 'close' } : {}),
         ...FakeSender.describeLoad(target),
         cold: String(target.coldLeftMs),
         ...FakeSender.describeLimit(target),
@@ -155,7 +188,9 @@
     state.running += 1;
     handler.onConnected();
     if (target.mode === 'silent') return;
+    const restarts = this.restarts.get(target);
     setTimeout(() => {
+      if (this.restarts.get(target) !== restarts) return;
       state.running -= 1;
       this.waitingProbes.splice(0).forEach((probeAgain) => probeAgain());
       if (state.mode === 'crashes' || state.mode === 'crashes late') {
--- a/packages/gateway/test/support/FakeTarget.ts
+++ b/packages/gateway/test/support/FakeTarget.ts
@@ -23,6 +23,8 @@
   refusesConnections?: boolean;
   /** Length to which its response body is padded, in bytes; its id alone by default. */
   bodyBytes?: number;
+  /** Whether it closes each connection after a response. */
+  closesConnections?: boolean;
   /**
    * How it handles requests. It answers probes in every mode except `silent`, the mode in which a
    * target that `crashes` is after the request; one that `crashes late` has sent half of its
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -78,6 +78,8 @@
 
   readonly placement: Placement;
 
+  readonly prober: TargetProber;
+
   /** Fingerprints of the crashes that were reported to the other entries. */
   readonly reports: string[] = [];
 
@@ -104,7 +106,11 @@
   /** What runs after pending network events, while the entry stands still. */
   private deferred: (() => void)[] | undefined;
 
-  constructor(private readonly t: TestContext, route: Partial<DeclaredRoute> = {}) {
+  constructor(
+    private readonly t: TestContext,
+    route: Partial<DeclaredRoute> = {},
+    probesPerSecond = 1000,
+  ) {
     t.mock.timers.enable({ apis: ['setTimeout'] });
     Object.assign(this.route, route);
     const clock = (): number => this.nowMs;
@@ -136,8 +142,9 @@
     const { pool, sender } = this;
     sender.onOpened = (address, isWorking) => pool.paths.connections.record(address, isWorking);
     const prober: TargetProber = new TargetProber({
-      clock, sender, dialect, pool, probesPerSecond: 1000,
+      clock, sender, dialect, pool, probesPerSecond,
     });
+    this.prober = prober;
     this.placement = new Placement({
       clock,
       random: () => this.random(),
