Keep the sends of the last second when a target is registered again

An announcement with a later `born` replaces the state of a target at each entry, and with it the sends of the last second: an entry that had learnt by a probe that the new process is cold sent its share, and sent it again when the announcement arrived. The same happened around a withdrawal. What was sent to the same id and address, and until when it was cold, is kept now for as long as it matters.

Not built: a word from the first entry that learns of a start to the others.

--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -2,6 +2,7 @@
 
 import createPlacedTarget from '@guavayard/core/placement/createPlacedTarget';
 import EntryShareTracker from '@guavayard/core/placement/EntryShareTracker';
+import FormerTargets from '@guavayard/core/placement/FormerTargets';
 import maySendToColdTarget from '@guavayard/core/placement/maySendToColdTarget';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import placementLimits from '@guavayard/core/placement/placementLimits';
@@ -59,6 +60,8 @@
 export default class TargetPool {
   private readonly targets = new Map<string, PlacedTarget>();
 
+  private readonly formerTargets = new FormerTargets();
+
   private declaration: Declaration | undefined;
 
   private evacuated: ReadonlySet<string> = new Set();
@@ -361,6 +364,7 @@
       this.options.regionOf(record.dataCentre),
       this.options.location.name,
     );
+    this.formerTargets.restore(target, this.options.clock());
     this.targets.set(record.id, target);
     this.paths.admit(target);
     if (record.coldLeftMs > 0) this.notices.recordColdLeft(target, record.coldLeftMs);
@@ -370,6 +374,7 @@
     const known = this.targets.get(id);
     this.targets.delete(id);
     if (known === undefined) return;
+    this.formerTargets.add(known, this.options.clock());
     this.paths.forget(known);
     this.options.onTargetRemoved(known.record.address);
   }
--- a/packages/gateway/test/restartedTargets.test.ts
+++ b/packages/gateway/test/restartedTargets.test.ts
@@ -45,6 +45,28 @@
   assert.ok(countSends(rig, target) > before, 'it gets requests again');
 });
 
+// Guards against an announcement that makes an entry forget its sends and send its share again.
+[
+  { name: 'that is registered as started again', isWithdrawn: false },
+  { name: 'that leaves and registers again', isWithdrawn: true },
+].forEach(({ name, isWithdrawn }) => {
+  test(`sends of the last second count for a target ${name}`, (t) => {
+    const rig = new GatewayRig(t);
+    const target = rig.addTarget('a', { slots: SLOTS, workMs: 5, coldLeftMs: COLD_MS });
+    press(rig, SETTLE_MS);
+    rig.run(WINDOW_MS);
+    const before = countSends(rig, target);
+    press(rig, WATCH_MS);
+    assert.ok(countSends(rig, target) - before > LIMIT / 2, 'it has been sent requests');
+    if (isWithdrawn) rig.withdraw();
+    rig.records.a = { bornAtMs: 2, coldLeftMs: COLD_MS };
+    rig.update();
+    press(rig, WATCH_MS);
+    const sent = countSends(rig, target) - before;
+    assert.ok(sent <= LIMIT, `${sent} requests`);
+  });
+});
+
 // Guards against targets without a kept connection that never count as known.
 test('a target that closes every connection is served', (t) => {
   const rig = new GatewayRig(t);
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -233,6 +233,11 @@
     this.pool.update(this.declaration, this.evacuated, records);
   }
 
+  /** Removes all targets from the registry. */
+  withdraw(): void {
+    this.pool.update(this.declaration, this.evacuated, new Map());
+  }
+
   /** Sends a request as a caller. */
   request(options: SendOptions = {}): FakeResponse {
     const req = this.createRequest(options);
