Bind requests to the process that a probe has told of, not to proven connections

A review of the probes on new connections found that the rule was broken and too strict at once.

The HTTP client validates an idle connection before it writes to it. Such a request is held back now, and placed again without counting as an attempt.

Each connection needed a probe of its own. With 311 entries and four targets, 12 requests that came at once were all refused (restartedTargets.test.ts; served before the rule). Now a new connection may be used while another one is open that has answered and none has ended by itself since the last probe: the process lives, as its end would end all. A target whose connections end with each response gets one request after each probe. A process that listens in place of another one still needs a probe. The probes that a request can't be sent without have a budget of their own, 0.4 of the limit beside the 0.5 of all others, so that relays and silent targets don't use it up.

The watchdog moved requests to targets that could not be sent one (502 instead of 200 in a rig); it probes one first.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -106,6 +106,7 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a probe
     onSilence: () => prober.startVerifying(),
     countReady: (address) => sender.countReady(address),
+    mayOpen: (address) => sender.mayOpen(address),
   });
   const prober = new TargetProber({
     clock, sender, dialect, pool, probesPerSecond: bounds.probesPerSecond,
--- a/packages/core/src/connections/connectionLimits.ts
+++ b/packages/core/src/connections/connectionLimits.ts
@@ -4,8 +4,10 @@
   minRefusingTargets: 3,
   /** Time after the last refusal for which that holds, in milliseconds. */
   refusalMemoryMs: 1000,
-  /** Longest time since the probe of a target that closes connections, in milliseconds. */
-  closedProbeMaxAgeMs: 20,
+  /** Probes in a row that ended their connections from which on a target closes each one. */
+  minClosedProbes: 2,
+  /** Time for which the probe of such a target allows one request, in milliseconds. */
+  closedProbeValidMs: 20,
 } as const;
 
 export default connectionLimits;
--- a/packages/core/src/dispatch/TargetSender.ts
+++ b/packages/core/src/dispatch/TargetSender.ts
@@ -22,6 +22,13 @@
    * @returns the number of connections
    */
   countReady: (address: string) => number;
+  /**
+   * Returns whether a bound request may be sent on a new connection.
+   *
+   * @param address - address of the target
+   * @returns true if it would reach the process that the last probe has told of
+   */
+  mayOpen: (address: string) => boolean;
 }
 
 export default TargetSender;
--- a/packages/core/src/errors/Failure.ts
+++ b/packages/core/src/errors/Failure.ts
@@ -7,6 +7,8 @@
   readonly detail: string;
   /** Outcome if it differs from that of the kind; such a failure is not sent to other VMs. */
   readonly outcome?: RequestOutcome;
+  /** Whether the request was held back, and may be sent to the same target again. */
+  readonly isUnsent?: boolean;
 }
 
 export default Failure;
--- a/packages/core/src/placement/PlacedTarget.ts
+++ b/packages/core/src/placement/PlacedTarget.ts
@@ -51,8 +51,6 @@
   lastAskedAtMs: number;
   /** Idle time after which the target closes a connection, in ms; undefined if unknown. */
   idleTimeoutMs: number | undefined;
-  /** Whether it closed the connection of the last probe with its response. */
-  closesConnections: boolean;
   /** Callbacks for the end of the current probe; undefined if none is in progress. */
   probeWaiters: (() => void)[] | undefined;
 }
--- a/packages/core/src/placement/createPlacedTarget.ts
+++ b/packages/core/src/placement/createPlacedTarget.ts
@@ -40,7 +40,6 @@
     lastSentAtMs: -Infinity,
     lastAskedAtMs: -Infinity,
     idleTimeoutMs: undefined,
-    closesConnections: false,
     probeWaiters: undefined,
   };
 }
--- a/packages/gateway/src/ConnectionTracker.ts
+++ b/packages/gateway/src/ConnectionTracker.ts
@@ -1,7 +1,6 @@
 import type Logger from 'bunyan';
 
 import areConnectionsRefused from '@guavayard/core/connections/areConnectionsRefused';
-import connectionLimits from '@guavayard/core/connections/connectionLimits';
 import createConnectionEvidence from '@guavayard/core/connections/createConnectionEvidence';
 import needsProvenConnection from '@guavayard/core/connections/needsProvenConnection';
 import recordConnection from '@guavayard/core/connections/recordConnection';
@@ -13,6 +12,8 @@
   readonly log: Logger;
   /** Counts the open connections to an address that can take a request at once. */
   readonly countReady: (address: string) => number;
+  /** Returns whether a new connection leads to the process that the last probe has told of. */
+  readonly mayOpen: (address: string) => boolean;
   /** Called when new connections turn out to be refused. */
   readonly onRefused: () => void;
 }
@@ -47,20 +48,17 @@
 
   /**
    * Returns whether a request may be sent to a target now. A new connection may reach a later
-   * process of the target, which only a probe tells, so the first to use it is a probe.
+   * process of the target, which only a probe tells.
    *
    * @param target - the target
-   * @returns true if a connection is free that has carried a response, or if the target closes each
-   *   connection and has just responded
+   * @returns true if a connection is free that has carried a response, or a new one leads to the
+   *   process that the last probe has told of
    */
   maySend(target: PlacedTarget): boolean {
-    const { clock, countReady } = this.options;
-    const { record: { address }, closesConnections, reading } = target;
+    const { clock, countReady, mayOpen } = this.options;
+    const { address } = target.record;
     if (countReady(address) > 0) return true;
-    const nowMs = clock();
-    return closesConnections && reading !== undefined
-      && nowMs - reading.atMs <= connectionLimits.closedProbeMaxAgeMs
-      && !needsProvenConnection(this.evidence, address, nowMs);
+    return mayOpen(address) && !needsProvenConnection(this.evidence, address, clock());
   }
 
   private logChange(nowMs: number): void {
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -42,6 +42,8 @@
  */
 const UNREAD_WAIT_MS = 400;
 const CONNECTION_LIMIT = 16;
+/** Times that a request is placed again because a connection ended before it was written. */
+const MAX_UNSENT = 3;
 /** Body length in bytes above which a request stays in its region while a target there is alive. */
 const LARGE_BODY_BYTES = 16 * 1024;
 
@@ -76,6 +78,8 @@
 
   private isEnded = false;
 
+  private unsentCount = 0;
+
   /** Whether an attempt may have run, so that the response must not state that none has. */
   private mayHaveRun = false;
 
@@ -225,6 +229,7 @@
           targetId: target.record.id,
         }),
         body: this.body.open(),
+        purpose: 'bound',
       },
       this.createHandler(attempt),
     );
@@ -241,12 +246,18 @@
 
   /** Returns whether an attempt without a response can be replaced by one on another target. */
   private canMove(): boolean {
-    const { clock, placement, pool } = this.dependencies;
+    const {
+      clock, placement, pool, prober,
+    } = this.dependencies;
     const { service, route: { homeRegions }, permittedIds } = this.request;
     if (!this.canRetry('spoiled') || !placement.mayRetry(service)) return false;
     const nowMs = clock();
-    return pool.findEligible(service, homeRegions, this.triedIds, permittedIds).some((target) => (
-      isConfirmed(target) && hasFreeSlot(target, target.record.slots, nowMs)));
+    const free = pool.findEligible(service, homeRegions, this.triedIds, permittedIds)
+      .filter((target) => isConfirmed(target) && hasFreeSlot(target, target.record.slots, nowMs));
+    const canSend = free.some((target) => pool.paths.connections.maySend(target));
+    // The next check may find the connection that the probe opens.
+    if (!canSend) prober.probe(free.slice(0, 1), () => undefined);
+    return canSend;
   }
 
   private createHandler(attempt: Attempt): AnswerHandler {
@@ -328,6 +339,10 @@
       state.release();
       return;
     }
+    if (failure?.isUnsent === true && this.unsentCount < MAX_UNSENT && this.body.isReplayable) {
+      this.placeAgain(state);
+      return;
+    }
     const { pool } = this.dependencies;
     const isPathLost = pool.paths.connections.areRefused
       || pool.paths.reachability.isUnreachable(this.request.service);
@@ -345,6 +360,16 @@
     state.release(verdict === 'answered' ? nowMs - state.startedAtMs : undefined);
   }
 
+  /** Finds a target again for a request of which nothing was sent. */
+  private placeAgain({ target, release }: Attempt): void {
+    this.unsentCount += 1;
+    this.triedIds.splice(this.triedIds.lastIndexOf(target.record.id), 1);
+    this.dispatch = undefined;
+    this.body.close();
+    release();
+    this.findTarget();
+  }
+
   /** Reports the end of an attempt to crash detection: a broken-off request may be a crash. */
   private reportToCrashDetection(
     attempt: Attempt,
--- a/packages/gateway/src/TargetPaths.ts
+++ b/packages/gateway/src/TargetPaths.ts
@@ -28,6 +28,8 @@
   readonly onSilence: () => void;
   /** Counts the open connections to an address that can take a request at once. */
   readonly countReady: (address: string) => number;
+  /** Returns whether a new connection leads to the process that the last probe has told of. */
+  readonly mayOpen: (address: string) => boolean;
 }
 
 /** Tells which paths from this entry to targets work. */
@@ -43,13 +45,13 @@
 
   constructor(private readonly options: TargetPathsOptions) {
     const {
-      clock, log, defer, onSilence, countReady,
+      clock, log, defer, onSilence, countReady, mayOpen,
     } = options;
     this.reachability = new ReachabilityTracker({
       clock, log, countTargets: (service) => this.findServing(service).length, defer, onSilence,
     });
     this.connections = new ConnectionTracker({
-      clock, log, countReady, onRefused: onSilence,
+      clock, log, countReady, mayOpen, onRefused: onSilence,
     });
   }
 
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -54,6 +54,8 @@
   readonly onSilence: () => void;
   /** Counts the open connections to an address that can take a request at once. */
   readonly countReady: (address: string) => number;
+  /** Returns whether a new connection leads to the process that the last probe has told of. */
+  readonly mayOpen: (address: string) => boolean;
 }
 
 /** Table of the targets that this entry knows; selects those that may receive a request. */
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -1,7 +1,6 @@
 import type AnswerHandler from '@guavayard/core/dispatch/AnswerHandler';
 import type AnswerHeaders from '@guavayard/core/dispatch/AnswerHeaders';
 import type TargetSender from '@guavayard/core/dispatch/TargetSender';
-import closesConnection from '@guavayard/core/http/closesConnection';
 import parseKeepAliveTimeout from '@guavayard/core/http/parseKeepAliveTimeout';
 import TokenBucket from '@guavayard/core/limits/TokenBucket';
 import placementLimits from '@guavayard/core/placement/placementLimits';
@@ -23,8 +22,8 @@
 const UNREACHABLE_MS = 300;
 /** Share of the limit on probes that the entries use. */
 const BUDGET_SHARE = 0.5;
-/** Share of the budget that only probes on new connections use. */
-const CONNECTION_SHARE = 0.25;
+/** Share of the limit on probes that they use for requests that need a new connection. */
+const CONNECTION_SHARE = 0.4;
 /** Interval at which targets are probed whose paths are in doubt, in milliseconds. */
 const VERIFY_INTERVAL_MS = 200;
 /** Such targets that are probed at a time. */
@@ -47,12 +46,12 @@
 export default class TargetProber {
   private readonly bucket = new TokenBucket(0, 0);
 
+  /** Budget of probes without which a request can't be sent. */
+  private readonly connectionBucket = new TokenBucket(0, 0);
+
   /** Number of probes sent since the start. */
   count = 0;
 
-  /** Probes of the budget that only new connections may use. */
-  private reserve = 0;
-
   private verifyTimer: NodeJS.Timeout | undefined;
 
   /** Position among those targets from which the next ones are probed. */
@@ -81,7 +80,8 @@
       state.lastAskedAtMs = nowMs;
     });
     due.forEach((target) => {
-      if (!this.ensureProbe(target, nowMs)) return;
+      const needsConnection = !this.options.pool.paths.connections.maySend(target);
+      if (!this.ensureProbe(target, nowMs, needsConnection)) return;
       pending += 1;
       target.probeWaiters?.push(() => {
         pending -= 1;
@@ -151,14 +151,14 @@
   }
 
   /** Starts a probe unless one is in flight, whose response serves this selection as well. */
-  private ensureProbe(target: PlacedTarget, nowMs: number): boolean {
+  private ensureProbe(target: PlacedTarget, nowMs: number, needsConnection = false): boolean {
     if (target.probeWaiters !== undefined) return true;
     if (isResting(target, nowMs)) return false;
-    const { pool } = this.options;
-    const path = pool.healthPathOf(target.record.service);
-    const reserve = pool.paths.connections.maySend(target) ? this.reserve : 0;
-    if (path === undefined || this.bucket.available(nowMs) < 1 + reserve) return false;
-    this.bucket.take(1);
+    const path = this.options.pool.healthPathOf(target.record.service);
+    if (path === undefined) return false;
+    const isAllowed = this.bucket.tryTake(1, nowMs)
+      || (needsConnection && this.connectionBucket.tryTake(1, nowMs));
+    if (!isAllowed) return false;
     this.sendProbe(target, path);
     return target.probeWaiters !== undefined;
   }
@@ -167,12 +167,12 @@
     const { pool, probesPerSecond } = this.options;
     const entryCount = pool.share.findCount(nowMs);
     // Until the entries are known, as many as targets are assumed.
-    const rate = entryCount === undefined
-      ? probesPerSecond
-      : (probesPerSecond * pool.targetCount * BUDGET_SHARE) / entryCount;
-    this.reserve = CONNECTION_SHARE * rate;
-    // One probe of each kind fits at the lowest rate, too.
-    this.bucket.setRate(rate, Math.max(rate, 1 + this.reserve), nowMs);
+    const limit = probesPerSecond * pool.targetCount;
+    const rate = entryCount === undefined ? probesPerSecond : (limit * BUDGET_SHARE) / entryCount;
+    this.bucket.setRate(rate, rate, nowMs);
+    if (entryCount === undefined) return;
+    const connectionRate = (limit * CONNECTION_SHARE) / entryCount;
+    this.connectionBucket.setRate(connectionRate, Math.max(1, connectionRate), nowMs);
   }
 
   private sendProbe(target: PlacedTarget, path: string): void {
@@ -226,7 +226,7 @@
     const dispatch = sender.send(
       { address: target.record.address, connectionLimit: CONNECTION_LIMIT },
       {
-        method: 'GET', path, headers: [], body: null,
+        method: 'GET', path, headers: [], body: null, purpose: 'probe',
       },
       handler,
     );
@@ -258,7 +258,6 @@
     const state = target;
     pool.paths.recordAnswer(target);
     state.idleTimeoutMs = parseKeepAliveTimeout(headers['keep-alive']);
-    state.closesConnections = closesConnection(headers);
     const {
       targetId, load, coldLeftMs, requestLimit, restMs, isLeaving,
     } = dialect.readProbe(headers);
--- a/packages/gateway/test/restartedTargets.test.ts
+++ b/packages/gateway/test/restartedTargets.test.ts
@@ -42,7 +42,7 @@
   const after = countSends(rig, target) - before;
   assert.ok(after <= LIMIT, `${after} requests`);
   press(rig, WINDOW_MS);
-  assert.ok(countSends(rig, target) > before, 'it gets requests again');
+  assert.ok(countSends(rig, target) > before + after, 'it gets requests again');
 });
 
 // Guards against an announcement that makes an entry forget its sends and send its share again.
@@ -89,3 +89,27 @@
   rig.run(100);
   assert.equal(res.status, 200);
 });
+
+// Guards against requests that wait for one probe each where many entries share the budget.
+test('requests that come at once are served while the budget allows few probes', (t) => {
+  const rig = new GatewayRig(t, {}, 60);
+  const entries = Array.from({ length: 311 }, (_, index) => ({ name: `entry-${index + 1}`, region: 'near' }));
+  rig.pool.setEntries(entries);
+  for (let index = 0; index < 4; index += 1) rig.addTarget(`t-${index}`, { slots: 8 });
+  const responses = Array.from({ length: 12 }, () => rig.request());
+  rig.run(1000);
+  assert.deepEqual(responses.map(({ status }) => status), responses.map(() => 200));
+});
+
+// Guards against requests that follow a target that has no connection to tell of its end.
+test('requests do not follow a target that closes every connection and starts again', (t) => {
+  const rig = new GatewayRig(t, {}, 60);
+  const target = rig.addTarget('a', { slots: SLOTS, workMs: 5, closesConnections: true });
+  press(rig, SETTLE_MS);
+  const before = countSends(rig, target);
+  assert.ok(before > LIMIT, `${before} requests`);
+  rig.sender.restart(target, { coldLeftMs: COLD_MS });
+  press(rig, WATCH_MS);
+  const after = countSends(rig, target) - before;
+  assert.ok(after <= LIMIT, `${after} requests`);
+});
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -1,8 +1,10 @@
+import ProcessProof from '@guavayard/core/connections/ProcessProof';
 import type AnswerHandler from '@guavayard/core/dispatch/AnswerHandler';
 import type Dispatch from '@guavayard/core/dispatch/Dispatch';
 import type TargetRequest from '@guavayard/core/dispatch/TargetRequest';
 import type TargetSender from '@guavayard/core/dispatch/TargetSender';
 import type Failure from '@guavayard/core/errors/Failure';
+import type Clock from '@guavayard/core/types/Clock';
 import type SendAddress from '@guavayard/core/types/SendAddress';
 
 import type FakeTarget from './FakeTarget';
@@ -63,6 +65,12 @@
   /** Open connections without a request, by address. */
   private readonly ready = new Map<string, number>();
 
+  /** What connections tell of the process at an address. */
+  private readonly proofs = new Map<string, ProcessProof>();
+
+  /** Open connections that have carried a response, by address. */
+  private readonly answered = new Map<string, number>();
+
   /** What is under way. */
   private readonly exchanges = new Set<OpenExchange>();
 
@@ -72,7 +80,10 @@
   /** Responses that the entry has not read yet, while it stands still. */
   private held: (() => void)[] | undefined;
 
-  constructor(private readonly targets: readonly FakeTarget[]) {}
+  constructor(
+    private readonly targets: readonly FakeTarget[],
+    private readonly clock: Clock = () => 0,
+  ) {}
 
   /** Holds back all responses until `release`. */
   hold(): void {
@@ -91,12 +102,23 @@
     this.addresses.add(address.address);
     let isOver = false;
     const isNew = this.countReady(target.address) === 0;
+    const proof = this.proofOf(target.address);
+    if (isNew && req.purpose === 'bound' && !this.mayOpen(target.address)) {
+      const failure = { kind: 'targetUnreachable', detail: 'held back', isUnsent: true } as const;
+      setTimeout(() => handler.onFailure(failure), 0);
+      return { resume: () => undefined, abort: () => undefined };
+    }
+    if (isNew && req.purpose === 'bound' && this.countAnswered(target.address) === 0) {
+      proof.takePass(this.clock());
+    }
+    const { endCount } = proof;
     if (!isNew) this.ready.set(target.address, this.countReady(target.address) - 1);
     const exchange: OpenExchange = {
       target,
       fail: () => {
         isOver = true;
         this.exchanges.delete(exchange);
+        proof.recordEnd();
         handler.onFailure({ kind: 'targetFailed', detail: 'reset' });
       },
     };
@@ -104,6 +126,7 @@
       if (isOver) return;
       isOver = true;
       this.exchanges.delete(exchange);
+      if (!isNew) this.addAnswered(target.address, -1);
       run();
     };
     this.exchanges.add(exchange);
@@ -123,6 +146,8 @@
         if (isNew) this.onOpened(target.address, true);
         const kept = target.closesConnections === true ? 0 : 1;
         this.ready.set(target.address, this.countReady(target.address) + kept);
+        this.addAnswered(target.address, kept);
+        if (req.purpose === 'probe') proof.recordProbe(endCount, kept === 1, this.clock());
         run();
       });
     };
@@ -142,11 +167,31 @@
   restart(target: FakeTarget, change: Partial<FakeTarget> = {}): void {
     Object.assign(target, { running: 0, ...change });
     this.ready.delete(target.address);
+    this.answered.delete(target.address);
+    this.proofOf(target.address).recordEnd();
     this.restarts.set(target, (this.restarts.get(target) ?? 0) + 1);
     [...this.exchanges].filter((exchange) => exchange.target === target)
       .forEach(({ fail }) => fail());
   }
 
+  mayOpen(address: string): boolean {
+    return this.proofOf(address).mayOpen(this.countAnswered(address) > 0, this.clock());
+  }
+
+  private proofOf(address: string): ProcessProof {
+    const known = this.proofs.get(address) ?? new ProcessProof();
+    this.proofs.set(address, known);
+    return known;
+  }
+
+  private countAnswered(address: string): number {
+    return this.answered.get(address) ?? 0;
+  }
+
+  private addAnswered(address: string, count: number): void {
+    this.answered.set(address, Math.max(0, this.countAnswered(address) + count));
+  }
+
   countReady(address: string): number {
     return this.ready.get(address) ?? 0;
   }
@@ -165,7 +210,6 @@
     setTimeout(() => complete(() => {
       handler.onHeaders(200, {
         target: target.id,
-        ...(target.closesConnections === true ? { connection: 'close' } : {}),
         ...FakeSender.describeLoad(target),
         cold: String(target.coldLeftMs),
         ...FakeSender.describeLimit(target),
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -46,7 +46,7 @@
 export default class GatewayRig {
   readonly targets: FakeTarget[] = [];
 
-  readonly sender = new FakeSender(this.targets);
+  readonly sender = new FakeSender(this.targets, () => this.nowMs);
 
   readonly route: DeclaredRoute = {
     host: HOST,
@@ -136,6 +136,7 @@
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a probe
       onSilence: () => prober.startVerifying(),
       countReady: (address) => this.sender.countReady(address),
+      mayOpen: (address) => this.sender.mayOpen(address),
     });
     this.pool.setFollowing(true);
     this.pool.setEntries([{ name: 'entry-1', region: 'near' }]);
--- a/packages/target/src/TargetConnections.ts
+++ b/packages/target/src/TargetConnections.ts
@@ -1,6 +1,8 @@
+import ProcessProof from '@guavayard/core/connections/ProcessProof';
 import type AnswerHandler from '@guavayard/core/dispatch/AnswerHandler';
 import type Dispatch from '@guavayard/core/dispatch/Dispatch';
 import type TargetRequest from '@guavayard/core/dispatch/TargetRequest';
+import type Clock from '@guavayard/core/types/Clock';
 
 import type TargetConnection from './TargetConnection';
 
@@ -9,13 +11,24 @@
   /** The connections, the one that was used last first. */
   private connections: TargetConnection[] = [];
 
-  constructor(private readonly create: () => TargetConnection) {}
+  private readonly proof = new ProcessProof();
+
+  constructor(
+    private readonly create: (proof: ProcessProof) => TargetConnection,
+    private readonly clock: Clock,
+  ) {}
 
   /** Number of open connections that have carried a response and can take a request at once. */
   get readyCount(): number {
     return this.connections.filter(({ isReady }) => isReady).length;
   }
 
+  /** Whether a bound request may be sent on a new connection. */
+  get mayOpen(): boolean {
+    const hasOpenConnection = this.connections.some(({ isProven }) => isProven);
+    return this.proof.mayOpen(hasOpenConnection, this.clock());
+  }
+
   /**
    * Sends a request on the open connection that was used last, so that the others expire, and on a
    * new one only if none is free.
@@ -28,7 +41,10 @@
   send(req: TargetRequest, handler: AnswerHandler, limit: number): Dispatch {
     const connection = this.select(limit);
     this.connections = [connection, ...this.connections.filter((other) => other !== connection)];
-    return connection.send(req, handler);
+    if (req.purpose === 'probe') {
+      return connection.send(req, this.watchProbe(connection, handler), () => true);
+    }
+    return connection.send(req, handler, this.createStartCheck(req, connection));
   }
 
   /** Closes the connections once their requests have finished. */
@@ -36,12 +52,40 @@
     await Promise.all(this.connections.map(async (connection) => connection.close()));
   }
 
+  private watchProbe(connection: TargetConnection, handler: AnswerHandler): AnswerHandler {
+    const { endCount } = this.proof;
+    return {
+      onConnected: () => handler.onConnected(),
+      onHeaders: (status, headers) => handler.onHeaders(status, headers),
+      onData: (chunk) => handler.onData(chunk),
+      onEnd: () => {
+        this.proof.recordProbe(endCount, connection.isReady, this.clock());
+        handler.onEnd();
+      },
+      onFailure: (failure) => handler.onFailure(failure),
+    };
+  }
+
+  /** Creates the check of a request whose connection has carried no response when it is written. */
+  private createStartCheck(
+    { purpose }: TargetRequest,
+    connection: TargetConnection,
+  ): () => boolean {
+    if (purpose === undefined) return () => true;
+    // The connection that it was sent for must not have ended.
+    if (connection.isReady) return () => false;
+    if (!this.mayOpen) return () => false;
+    if (this.proof.takePass(this.clock())) return () => true;
+    const { endCount } = this.proof;
+    return () => endCount === this.proof.endCount;
+  }
+
   private select(limit: number): TargetConnection {
     const free = this.connections.find(({ isReady }) => isReady)
       ?? this.connections.find(({ load }) => load === 0);
     if (free !== undefined) return free;
     const [first, ...others] = this.connections;
-    if (first === undefined || this.connections.length < limit) return this.create();
+    if (first === undefined || this.connections.length < limit) return this.create(this.proof);
     return others.reduce((best, other) => (other.load < best.load ? other : best), first);
   }
 }
--- a/packages/target/src/UndiciDispatch.ts
+++ b/packages/target/src/UndiciDispatch.ts
@@ -14,7 +14,7 @@
 
 /** Learns what happens to the connection of a dispatch. */
 interface ConnectionListener {
-  /** Called when the request is written. */
+  /** Called before the request is written; throws to leave it unsent. */
   readonly onStart: () => void;
   /** Called when a response starts, informational ones included. */
   readonly onResponse: () => void;
@@ -51,8 +51,8 @@
   onRequestStart(controller: Dispatcher.DispatchController): void {
     // Throwing before any byte is written drops the request and keeps the connection.
     if (this.isFinished) throw new Error('the request was aborted before it was sent');
-    this.controller = controller;
     this.connection.onStart();
+    this.controller = controller;
     this.handler.onConnected();
   }
 
--- a/packages/target/src/UndiciTargetSender.ts
+++ b/packages/target/src/UndiciTargetSender.ts
@@ -61,6 +61,10 @@
     return this.connections.get(address)?.readyCount ?? 0;
   }
 
+  mayOpen(address: string): boolean {
+    return this.connections.get(address)?.mayOpen ?? false;
+  }
+
   /**
    * Closes the connections to an address once their requests have finished.
    *
@@ -82,16 +86,17 @@
     const existing = this.connections.get(address);
     if (existing !== undefined) return existing;
     const { localAddress, keepAliveTimeoutMs, onOpened } = this.options;
-    const connections: TargetConnections = new TargetConnections(() => new TargetConnection({
+    const connections: TargetConnections = new TargetConnections((proof) => new TargetConnection({
       address,
       connect: connectToTarget,
       localAddress,
       keepAliveTimeoutMs,
+      proof,
       onOpened: (isWorking) => {
         // Another target may have the address by the time the last connections to this one end.
         if (this.connections.get(address) === connections) onOpened?.(address, isWorking);
       },
-    }));
+    }), () => performance.now());
     this.connections.set(address, connections);
     return connections;
   }
--- a/packages/target/src/describeSendError.ts
+++ b/packages/target/src/describeSendError.ts
@@ -1,5 +1,7 @@
 import type Failure from '@guavayard/core/errors/Failure';
 
+import ProcessUnknownError from './ProcessUnknownError';
+
 const MALFORMED_CODES = new Set(['UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED']);
 
 /**
@@ -15,6 +17,9 @@
   isConnected: boolean,
 ): Failure {
   const code = err.code ?? '';
+  if (err instanceof ProcessUnknownError) {
+    return { kind: 'targetUnreachable', detail: err.message, isUnsent: true };
+  }
   if (isConnected) return { kind: 'targetFailed', detail: code === '' ? err.message : code };
   if (MALFORMED_CODES.has(code)) return { kind: 'malformedRequest', detail: err.message };
   return { kind: 'targetUnreachable', detail: code === '' ? err.message : code };
