--- a/packages/core/src/placement/PlacedTarget.ts
+++ b/packages/core/src/placement/PlacedTarget.ts
@@ -43,6 +43,8 @@
   silentProbes: number;
   /** When the probe in progress was sent, in milliseconds; undefined if there is none. */
   probeSentAtMs: number | undefined;
+  /** When the last probe was sent that it answered, in milliseconds. */
+  probedAtMs: number;
   /** When the target last answered a request or a probe, in milliseconds. */
   lastAnswerAtMs: number;
   /** When a request or probe was last sent to the target, in milliseconds. */
--- a/packages/core/src/placement/createPlacedTarget.ts
+++ b/packages/core/src/placement/createPlacedTarget.ts
@@ -36,6 +36,7 @@
     unansweredProbes: 0,
     silentProbes: 0,
     probeSentAtMs: undefined,
+    probedAtMs: -Infinity,
     lastAnswerAtMs: -Infinity,
     lastSentAtMs: -Infinity,
     lastAskedAtMs: -Infinity,
--- a/packages/core/src/placement/placementLimits.ts
+++ b/packages/core/src/placement/placementLimits.ts
@@ -10,6 +10,8 @@
   unknownSlowness: 2,
   /** Age below which a reading is not refreshed by a probe, in milliseconds. */
   freshReadingMs: 5,
+  /** Age of the last probe above which a target is probed, however fresh its reading is, in ms. */
+  freshProbeMs: 100,
   /** Targets in the first probe round; others follow if none is free and at its usual speed. */
   firstProbes: 3,
   /** Targets in the first two probe rounds together. */
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -72,6 +72,8 @@
     this.refill(nowMs);
     const due = targets.filter((target) => (
       nowMs - (target.reading?.atMs ?? -Infinity) > placementLimits.freshReadingMs
+        // Responses to requests do not tell whether it is cold.
+        || nowMs - target.probedAtMs > placementLimits.freshProbeMs
         || !this.options.pool.paths.connections.maySend(target)
     ));
     let pending = 0;
@@ -257,6 +259,7 @@
     const { pool, clock, dialect } = this.options;
     const state = target;
     pool.paths.recordAnswer(target);
+    state.probedAtMs = sentAtMs;
     state.idleTimeoutMs = parseKeepAliveTimeout(headers['keep-alive']);
     const {
       targetId, load, coldLeftMs, requestLimit, restMs, isLeaving,
--- a/packages/gateway/test/restartedTargets.test.ts
+++ b/packages/gateway/test/restartedTargets.test.ts
@@ -12,6 +12,9 @@
 const SETTLE_MS = 5000;
 const WINDOW_MS = 1000;
 const STEP_MS = 20;
+const DENSE_STEP_MS = 4;
+/** Longest time between two probes of a target in use while there is budget, in milliseconds. */
+const FRESH_PROBE_MS = 100;
 /** Time within which what is sent lies in one window of the limit, in milliseconds. */
 const WATCH_MS = 450;
 const PROBES_PER_SECOND = 4;
@@ -21,11 +24,11 @@
 }
 
 /** Sends a request every few milliseconds. */
-function press(rig: GatewayRig, ms: number): void {
-  for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
+function press(rig: GatewayRig, ms: number, stepMs = STEP_MS): void {
+  for (let passedMs = 0; passedMs < ms; passedMs += stepMs) {
     rig.pool.observeTime();
     rig.request();
-    rig.run(STEP_MS);
+    rig.run(stepMs);
   }
 }
 
@@ -113,3 +116,15 @@
   const after = countSends(rig, target) - before;
   assert.ok(after <= LIMIT, `${after} requests`);
 });
+
+// Guards against responses to requests that keep an entry from probing a target that is cold again.
+test('a target that becomes cold under dense traffic is probed soon', (t) => {
+  const rig = new GatewayRig(t);
+  const target = rig.addTarget('a', { slots: SLOTS, workMs: 1 });
+  press(rig, SETTLE_MS, DENSE_STEP_MS);
+  const before = countSends(rig, target);
+  target.coldLeftMs = COLD_MS;
+  press(rig, WATCH_MS, DENSE_STEP_MS);
+  const probed = countSends(rig, target) - before;
+  assert.ok(probed <= FRESH_PROBE_MS / DENSE_STEP_MS + LIMIT, `${probed} requests`);
+});
