Probe targets whose evacuation has ended before they get a request

Targets may have become cold while their data centre was evacuated. An entry with a kept connection and no budget left for a probe sent what the target could take before: 23 requests in 0.45 s where 8 are allowed (restartedTargets.test.ts; 8 at most now).

--- a/packages/core/src/placement/PlacedTarget.ts
+++ b/packages/core/src/placement/PlacedTarget.ts
@@ -45,6 +45,8 @@
   probeSentAtMs: number | undefined;
   /** When the last probe was sent that it answered, in milliseconds. */
   probedAtMs: number;
+  /** Since when it may have become cold, so that a later probe is needed, in milliseconds. */
+  probeDueSinceMs: number;
   /** When the target last answered a request or a probe, in milliseconds. */
   lastAnswerAtMs: number;
   /** When a request or probe was last sent to the target, in milliseconds. */
--- a/packages/core/src/placement/createPlacedTarget.ts
+++ b/packages/core/src/placement/createPlacedTarget.ts
@@ -37,6 +37,7 @@
     silentProbes: 0,
     probeSentAtMs: undefined,
     probedAtMs: -Infinity,
+    probeDueSinceMs: -Infinity,
     lastAnswerAtMs: -Infinity,
     lastSentAtMs: -Infinity,
     lastAskedAtMs: -Infinity,
--- a/packages/gateway/src/ConnectionTracker.ts
+++ b/packages/gateway/src/ConnectionTracker.ts
@@ -48,7 +48,7 @@
 
   /**
    * Returns whether a request may be sent to a target now. A new connection may reach a later
-   * process of the target, which only a probe tells.
+   * process of the target, which only a probe tells, as it tells one that is cold again.
    *
    * @param target - the target
    * @returns true if a connection is free that has carried a response, or a new one leads to the
@@ -57,6 +57,7 @@
   maySend(target: PlacedTarget): boolean {
     const { clock, countReady, mayOpen } = this.options;
     const { address } = target.record;
+    if (target.probedAtMs < target.probeDueSinceMs) return false;
     if (countReady(address) > 0) return true;
     return mayOpen(address) && !needsProvenConnection(this.evidence, address, clock());
   }
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -144,8 +144,10 @@
     evacuated: ReadonlySet<string>,
     records: ReadonlyMap<string, RegisteredTarget>,
   ): void {
+    const restored = [...this.evacuated].filter((dataCentre) => !evacuated.has(dataCentre));
     this.declaration = declaration;
     this.evacuated = evacuated;
+    if (restored.length > 0) this.requireProbes(restored);
     [...this.targets.keys()].filter((id) => !records.has(id)).forEach((id) => this.remove(id));
     records.forEach((record) => this.upsert(record));
     this.updateLimitContext();
@@ -333,6 +335,15 @@
     this.limits.setContext({ entries: this.entries ?? [], routes, regionsOf });
   }
 
+  /** Requires a probe of targets that may have become cold while they were evacuated. */
+  private requireProbes(dataCentres: readonly string[]): void {
+    const nowMs = this.options.clock();
+    this.targets.forEach((target) => {
+      const state = target;
+      if (dataCentres.includes(target.record.dataCentre)) state.probeDueSinceMs = nowMs;
+    });
+  }
+
   private upsert(record: RegisteredTarget): void {
     const known = this.targets.get(record.id);
     if (known?.record === record) return;
--- a/packages/gateway/test/restartedTargets.test.ts
+++ b/packages/gateway/test/restartedTargets.test.ts
@@ -117,6 +117,24 @@
   assert.ok(after <= LIMIT, `${after} requests`);
 });
 
+// Guards against targets that became cold while they were evacuated, and are still taken for warm.
+test('a target whose evacuation has ended is probed before it gets a request', (t) => {
+  const rig = new GatewayRig(t, {}, PROBES_PER_SECOND);
+  const target = rig.addTarget('a', { slots: SLOTS, workMs: 5 });
+  press(rig, SETTLE_MS);
+  rig.evacuated = new Set(['near']);
+  rig.update();
+  press(rig, WINDOW_MS);
+  const before = countSends(rig, target);
+  target.coldLeftMs = COLD_MS;
+  rig.prober.giveUp(PROBES_PER_SECOND);
+  rig.evacuated = new Set();
+  rig.update();
+  press(rig, WATCH_MS);
+  const after = countSends(rig, target) - before;
+  assert.ok(after <= LIMIT, `${after} requests`);
+});
+
 // Guards against responses to requests that keep an entry from probing a target that is cold again.
 test('a target that becomes cold under dense traffic is probed soon', (t) => {
   const rig = new GatewayRig(t);
