Let control extend, not shorten, the cold time that a probe has told

A record of control replaced what the last probe had said of the cold time, also a shorter or older one. restartedTargets.test.ts fails without the change.

--- a/packages/gateway/src/TargetNotices.ts
+++ b/packages/gateway/src/TargetNotices.ts
@@ -32,6 +32,12 @@
     }
   }
 
+  /** Records what control says of the remaining warm-up time, which may be older than a probe. */
+  extendCold(target: PlacedTarget, coldLeftMs: number): void {
+    const knownLeftMs = target.coldUntilMs - this.options.clock();
+    if (coldLeftMs > Math.max(0, knownLeftMs)) this.recordColdLeft(target, coldLeftMs);
+  }
+
   /**
    * Records that a target asked to be left alone.
    *
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -358,7 +358,7 @@
       && known.record.address === record.address;
     if (known !== undefined && isSameIncarnation) {
       known.record = record;
-      if (record.coldLeftMs > 0) this.notices.recordColdLeft(known, record.coldLeftMs);
+      this.notices.extendCold(known, record.coldLeftMs);
       return;
     }
     if (known !== undefined) {
@@ -380,7 +380,7 @@
     this.formerTargets.restore(target, this.options.clock());
     this.targets.set(record.id, target);
     this.paths.admit(target);
-    if (record.coldLeftMs > 0) this.notices.recordColdLeft(target, record.coldLeftMs);
+    this.notices.extendCold(target, record.coldLeftMs);
   }
 
   private remove(id: string): void {
--- a/packages/gateway/test/restartedTargets.test.ts
+++ b/packages/gateway/test/restartedTargets.test.ts
@@ -146,3 +146,14 @@
   const probed = countSends(rig, target) - before;
   assert.ok(probed <= FRESH_PROBE_MS / DENSE_STEP_MS + LIMIT, `${probed} requests`);
 });
+
+// Guards against a record of control that shortens what a probe has told since.
+test('control does not shorten the time for which a target is known to be cold', (t) => {
+  const rig = new GatewayRig(t);
+  rig.addTarget('a', { slots: SLOTS, workMs: 5, coldLeftMs: COLD_MS });
+  press(rig, SETTLE_MS);
+  rig.records.a = { sequence: 2, coldLeftMs: 1 };
+  rig.update();
+  rig.run(STEP_MS);
+  assert.deepEqual(rig.pool.findEligible('lots', undefined, []), [], 'its limit is used up');
+});
