Reset connections of HTTP/1.0 whose response is not complete, however they end

Callers of HTTP/1.0 get a response of more than 256 KiB that its target sends in chunks without a length: the end of the connection is its end. If such a connection ended because the caller sent bytes that are no request, ended its sending side, or read nothing for 60 s, or because the process ended, it was closed regularly, and a part of the response looked complete.

Cause: only responses that were cut on purpose were reset; four other paths closed the connection themselves, knowing nothing of its response. Class of fault: the sign of a failure is also the sign of success.

Evidence, read with plain sockets: after bytes that are no request a regular end after 1,075 bytes and, of 8 MB, after 3,919,872; after a half-close a regular end; unread 16 MB ended regularly after 3,919,872 bytes. All of them end with ECONNRESET now.

Each path asks endsWithConnection and resets. The listener for a half-close runs before the server's own, as a connection whose shutdown has begun cannot be reset any more. A response that is queued as a whole at a half-close is still sent.

partialResponses.test.ts: with the former CallerListener six of seven tests fail (1 run; closeAllConnections in place of the end of the process), with this one all passed in 5 of 5 runs, load 8. The tests of caller, gateway and target: 177 of 177; oddResponses.test.ts 11 of 11; plannedStop, callerGone and expectAtStop 8 of 8, load 8 to 13.

Not run with processes: the end of a process with a queued response. A process that is killed still closes its connections without a reset.

--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -12,6 +12,7 @@
 import type CallerLimits from './CallerLimits';
 import defaultLimits from './defaultLimits';
 import destroyAfter from './destroyAfter';
+import endsWithConnection from './endsWithConnection';
 import type CallerHandler from './CallerHandler';
 
 /** A response that is not complete yet. */
@@ -113,11 +114,14 @@
       this.accepted += 1;
       this.connections.set(socket, 0);
       socket.once('close', () => this.connections.delete(socket));
+      // The server ends its side, too, in a listener of its own.
+      socket.prependListener('end', () => this.cutPartial(socket, false));
     });
     avoidResets(this.server);
     // Called by the server when it closes, too.
     this.server.closeIdleConnections = () => this.closeIdleConnections();
     this.server.on('clientError', (err: NodeJS.ErrnoException, socket: Socket) => {
+      this.cutPartial(socket, true);
       respondToBadRequest(err, socket, this.active.has(socket));
     });
   }
@@ -147,6 +151,18 @@
     this.server.closeAllConnections();
   }
 
+  /** Resets connections whose regular end, as that of the process, would complete a response. */
+  cutAllPartial(): void {
+    [...this.active.keys()].forEach((socket) => this.cutPartial(socket, true));
+  }
+
+  /** Breaks off a response that the end of its connection would complete. */
+  private cutPartial(socket: Socket, areQueuedBytesLost: boolean): void {
+    this.active.get(socket)?.forEach(({ res }) => {
+      if (endsWithConnection(res) && (areQueuedBytesLost || !res.writableEnded)) cutResponse(res);
+    });
+  }
+
   /** Closes connections on which no part of a request has arrived since the last response. */
   private closeIdleConnections(): void {
     this.connections.forEach((readBytes, socket) => {
@@ -199,7 +215,7 @@
     let unreadTimer: NodeJS.Timeout | undefined;
     // The last bytes have been passed to the socket, which may keep them for a silent caller.
     res.once('prefinish', () => {
-      unreadTimer = setTimeout(() => socket.destroy(), this.unreadMs);
+      unreadTimer = setTimeout(() => cutResponse(res), this.unreadMs);
     });
     res.once('close', () => {
       clearTimeout(unreadTimer);
--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -235,6 +235,7 @@
       await Promise.race([stopped, sleep(Math.max(0, endsAtMs - clock()))]);
       handler.endExchanges();
       await Promise.race([stopped, sleep(Math.max(0, endsAtMs + END_MARGIN_MS - clock()))]);
+      caller.cutAllPartial();
       relay.close();
     },
   });
