Judge requests that were answered by the entry's own runs

Callers of one path got 503 requestQuarantined once three or four targets had ended under it, though the same targets answered it at that moment. One end counted once for each request in flight at each entry, reports of others counted at entries that saw the request answered, and an entry that refuses a request sees no response that would clear it.

RunHistory decides at each entry: reports and what control knows do not count for what it has seen answered within 300 s; runs that one end broke off count once; a crash before a response does not count. A crash is reported once the request has ended or 1 s has passed, if it was not answered by then. No message changes.

With the former CrashWatch and GatewayExchange, four of the five tests of packages/gateway/test/popularRequests.test.ts fail; the one of what control knows passes before, too. crashingRequests, crashes, quarantine, publisher and subscription tests are unchanged and pass.

RestartingTarget and announceTarget are those of the tests of targets that start again in place.

--- a/packages/core/src/quarantine/CrashHistory.ts
+++ b/packages/core/src/quarantine/CrashHistory.ts
@@ -1,7 +1,6 @@
 import CRASH_LIMIT from './crashLimit';
+import RETENTION_MS from './retentionMs';
 
-/** Time after its last crash at which a request is forgotten, in milliseconds. */
-const RETENTION_MS = 300_000;
 /** Maximum number of tracked requests; the one that crashed least recently is evicted first. */
 const MAX_REQUESTS = 1024;
 
@@ -92,7 +91,12 @@
    * @returns true if the request must not be sent to another target
    */
   isQuarantined(fingerprint: string, nowMs: number): boolean {
-    return (this.find(fingerprint, nowMs)?.count ?? 0) >= CRASH_LIMIT;
+    return this.count(fingerprint, nowMs) >= CRASH_LIMIT;
+  }
+
+  /** @returns the number of crashes since the last response */
+  count(fingerprint: string, nowMs: number): number {
+    return this.find(fingerprint, nowMs)?.count ?? 0;
   }
 
   private find(fingerprint: string, nowMs: number): CrashRecord | undefined {
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -350,13 +350,20 @@
     verdict: NonNullable<Attempt['verdict']>,
     failure: Failure | undefined,
   ): void {
-    const { crashes } = this.dependencies;
+    const { clock, crashes } = this.dependencies;
     const { fingerprint } = this.request;
     // A target that did not run the request gives no evidence either way.
     if (verdict === 'not-run') return;
     const isBroken = failure?.kind === 'targetFailed' && !attempt.isAborted;
-    if (isBroken) crashes.checkForCrash(fingerprint, attempt.target);
-    else if (failure === undefined && verdict !== 'spoiled') crashes.recordResponse(fingerprint);
+    if (isBroken) {
+      const { target, startedAtMs } = attempt;
+      const run = {
+        fingerprint, targetId: target.record.id, startedAtMs, brokenAtMs: clock(),
+      };
+      crashes.checkForCrash(run, target, () => this.isEnded);
+      return;
+    }
+    if (failure === undefined && verdict !== 'spoiled') crashes.recordResponse(fingerprint);
   }
 
   private canRetry(verdict: NonNullable<Attempt['verdict']>): boolean {
