Tell control and other entries that a request was answered after crashes

An entry tells control that a request was answered (requestAnswered) with its first response after crashes, and when it hears of crashes under one that it has seen answered. Control VMs clear the request and tell each other and their entries. The message is one of version 4: builds of other versions are sent none. RegistryListener and CrashWatch have a further callback, which test rigs supply; releasedSchemas.test.ts compares with the table of version 4, which is that of version 3 and the new kind; that of version 3 is unchanged.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -128,6 +128,8 @@
     prober,
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a crash
     report: (fingerprint) => subscription.reportCrash(fingerprint),
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a response
+    reportAnswered: (fingerprint) => subscription.reportAnswered(fingerprint),
   });
   const subscription: RegistrySubscription = new RegistrySubscription({
     hub,
@@ -147,6 +149,7 @@
       onRequestLimits: (notices) => pool.recordLimitNotices(notices),
       onCrash: (fingerprint) => crashes.recordReportedCrash(fingerprint),
       onKnownCrashes: (fingerprint, count) => crashes.recordKnownCrashes(fingerprint, count),
+      onRequestAnswered: (fingerprint) => crashes.recordReportedAnswer(fingerprint),
       onSourceChange: (control, reason) => {
         pool.setFollowing(control !== undefined);
         log.info({ control, reason, version: subscription.declaration?.version }, 'control VM changed');
--- a/packages/core/src/quarantine/RunHistory.ts
+++ b/packages/core/src/quarantine/RunHistory.ts
@@ -22,10 +22,18 @@
   /** When targets ended under requests, by fingerprint and target, in milliseconds. */
   private readonly endsAtMs = new Map<string, number>();
 
-  /** Records that a target answered a request, which clears the request of earlier crashes. */
-  recordResponse(fingerprint: string, nowMs: number): void {
+  /**
+   * Records that a target answered a request, which clears the request of earlier crashes.
+   *
+   * @param fingerprint - fingerprint of the request
+   * @param nowMs - time on the monotonic clock, in milliseconds
+   * @returns whether other VMs may know of crashes, and nothing of a response
+   */
+  recordResponse(fingerprint: string, nowMs: number): boolean {
+    const isNews = this.answers.count(fingerprint, nowMs) < this.count(fingerprint, nowMs);
     this.answers.record(fingerprint, nowMs);
     this.crashes.recordResponse(fingerprint);
+    return isNews;
   }
 
   /**
@@ -50,10 +58,17 @@
     return true;
   }
 
-  /** Records a crash that another entry reported. */
-  recordReportedCrash(fingerprint: string, nowMs: number): void {
-    if (this.answers.count(fingerprint, nowMs) > 0) return;
+  /**
+   * Records a crash that another entry reported.
+   *
+   * @param fingerprint - fingerprint of the request
+   * @param nowMs - time on the monotonic clock, in milliseconds
+   * @returns whether it counts; what this entry has seen answered does not
+   */
+  recordReportedCrash(fingerprint: string, nowMs: number): boolean {
+    if (this.answers.count(fingerprint, nowMs) > 0) return false;
     this.crashes.recordCrash(fingerprint, nowMs);
+    return true;
   }
 
   /**
@@ -62,10 +77,12 @@
    * @param fingerprint - fingerprint of the request
    * @param count - number of crashes
    * @param nowMs - time on the monotonic clock, in milliseconds
+   * @returns whether they count; what this entry has seen answered does not
    */
-  recordKnownCrashes(fingerprint: string, count: number, nowMs: number): void {
-    if (this.answers.count(fingerprint, nowMs) > 0) return;
+  recordKnownCrashes(fingerprint: string, count: number, nowMs: number): boolean {
+    if (this.answers.count(fingerprint, nowMs) > 0) return false;
     this.crashes.recordKnownCrashes(fingerprint, count, nowMs);
+    return true;
   }
 
   /** @returns the number of crashes since the last response */
--- a/packages/gateway/src/CrashWatch.ts
+++ b/packages/gateway/src/CrashWatch.ts
@@ -27,6 +27,8 @@
   readonly prober: TargetProber;
   /** Notifies the other entries of a crash. */
   readonly report: (fingerprint: string) => void;
+  /** Notifies control and the other entries that a target has answered a request. */
+  readonly reportAnswered: (fingerprint: string) => void;
 }
 
 /**
@@ -63,17 +65,25 @@
 
   /** Records a crash that another entry reported. */
   recordReportedCrash(fingerprint: string): void {
-    this.history.recordReportedCrash(fingerprint, this.options.clock());
-    this.log(fingerprint, undefined);
+    const { clock, reportAnswered } = this.options;
+    if (this.history.recordReportedCrash(fingerprint, clock())) this.log(fingerprint, undefined);
+    else reportAnswered(fingerprint);
   }
 
   /** Records the crashes of a request that control has known when this entry began to follow it. */
   recordKnownCrashes(fingerprint: string, count: number): void {
-    this.history.recordKnownCrashes(fingerprint, count, this.options.clock());
+    const { clock, reportAnswered } = this.options;
+    if (!this.history.recordKnownCrashes(fingerprint, count, clock())) reportAnswered(fingerprint);
   }
 
   /** Records that a target answered a request, which clears the request of earlier crashes. */
   recordResponse(fingerprint: string): void {
+    const { clock, reportAnswered } = this.options;
+    if (this.history.recordResponse(fingerprint, clock())) reportAnswered(fingerprint);
+  }
+
+  /** Records that a target answered a request at another entry. */
+  recordReportedAnswer(fingerprint: string): void {
     this.history.recordResponse(fingerprint, this.options.clock());
   }
 
--- a/packages/gateway/test/popularRequests.test.ts
+++ b/packages/gateway/test/popularRequests.test.ts
@@ -81,3 +81,38 @@
   rig.run(900);
   assert.equal(rig.reports.length, 1);
 });
+
+// Guards against entries that go on to refuse a request for reports from before it was answered.
+test('other entries are told once that a request was answered after a crash', (t) => {
+  const rig = createRig(t, { isIdempotent: false });
+  rig.request();
+  rig.run(50);
+  endLastTarget(rig);
+  rig.run(RUN_MS);
+  const [fingerprint = ''] = rig.reports;
+  assert.deepEqual(rig.answered, []);
+  rig.request();
+  rig.request();
+  rig.run(RUN_MS);
+  assert.deepEqual(rig.answered, [fingerprint]);
+  rig.crashes.recordReportedCrash(fingerprint);
+  assert.deepEqual(rig.answered, [fingerprint, fingerprint]);
+  rig.crashes.recordKnownCrashes(fingerprint, 3);
+  assert.deepEqual(rig.answered, [fingerprint, fingerprint, fingerprint]);
+});
+
+test('a request that was answered at another entry is served again', (t) => {
+  const rig = createRig(t, { isIdempotent: false });
+  rig.request();
+  rig.run(50);
+  endLastTarget(rig);
+  rig.run(RUN_MS);
+  const [fingerprint = ''] = rig.reports;
+  for (let count = 0; count < 3; count += 1) rig.crashes.recordReportedCrash(fingerprint);
+  const refused = rig.request();
+  rig.run(RUN_MS);
+  rig.crashes.recordReportedAnswer(fingerprint);
+  const served = rig.request();
+  rig.run(RUN_MS);
+  assert.deepEqual(statuses([refused, served]), [503, 200]);
+});
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -81,6 +81,9 @@
   /** Fingerprints of the crashes that were reported to the other entries. */
   readonly reports: string[] = [];
 
+  /** Fingerprints of the requests of which the other entries were told that they were answered. */
+  readonly answered: string[] = [];
+
   /** Ids of the targets of which control was told that they are about to leave. */
   readonly leavingIds: string[] = [];
 
@@ -149,7 +152,12 @@
       startedAtMs: this.nowMs,
     });
     this.crashes = new CrashWatch({
-      clock, log, pool, prober, report: (fingerprint) => this.reports.push(fingerprint),
+      clock,
+      log,
+      pool,
+      prober,
+      report: (fingerprint) => this.reports.push(fingerprint),
+      reportAnswered: (fingerprint) => this.answered.push(fingerprint),
     });
     for (; this.nowMs < 0; this.nowMs += PULSE_INTERVAL_MS) pool.share.recordContact(this.nowMs);
     const { crashes, placement } = this;
--- a/packages/vm/src/messages/registryMessages.ts
+++ b/packages/vm/src/messages/registryMessages.ts
@@ -47,6 +47,13 @@
   z.strictObject({
     kind: z.literal('crashReport'), fingerprint: z.string(), isRelayed: z.boolean(),
   }),
+  /**
+   * A target has answered a request for which crashes were reported. It takes the same way as they
+   * do, and clears the request of those at all VMs.
+   */
+  z.strictObject({
+    kind: z.literal('requestAnswered'), fingerprint: z.string(), isRelayed: z.boolean(),
+  }),
   /**
    * An incarnation of a target says in its responses that it is about to leave. An entry tells the
    * control VM that it follows, which registers the target as draining.
--- a/packages/vm/src/registry/RegistryListener.ts
+++ b/packages/vm/src/registry/RegistryListener.ts
@@ -14,6 +14,8 @@
   onCrash: (fingerprint: string) => void;
   /** Control knew of crashes under a request when the entry began to follow it. */
   onKnownCrashes: (fingerprint: string, count: number) => void;
+  /** A target has answered a request at another entry, after crashes had been reported. */
+  onRequestAnswered: (fingerprint: string) => void;
   /** Other entries have learnt the request limits of targets. */
   onRequestLimits: (notices: readonly RequestLimitNotice[]) => void;
   /** The entry has switched to another control VM, or follows none. */
--- a/packages/vm/src/registry/RegistryPublisher.ts
+++ b/packages/vm/src/registry/RegistryPublisher.ts
@@ -7,6 +7,8 @@
 import type SessionHandler from '../session/SessionHandler';
 import type VmIdentity from '../session/VmIdentity';
 import type VmSession from '../session/VmSession';
+import findProtocolVersion from '../session/findProtocolVersion';
+import ANSWERED_VERSION from './answeredVersion';
 import createVmLocation from './createVmLocation';
 import type RegistryStore from './RegistryStore';
 import RequestLimitBoard from './RequestLimitBoard';
@@ -15,6 +17,7 @@
 
 type RequestLimits = Extract<VmMessage, { kind: 'requestLimits' }>;
 type CrashReport = Extract<VmMessage, { kind: 'crashReport' }>;
+type RequestAnswered = Extract<VmMessage, { kind: 'requestAnswered' }>;
 
 /**
  * Time for which changes are batched into one update, in milliseconds. Each update wakes every
@@ -63,13 +66,13 @@
   /**
    * @param store - the applied registry
    * @param isCurrent - returns whether this replica leads or receives messages from the leader
-   * @param relay - sends a message to the other control VMs
+   * @param relay - sends a message to the other control VMs that understand its version
    * @param clock - monotonic clock, in milliseconds
    */
   constructor(
     private readonly store: RegistryStore,
     private readonly isCurrent: () => boolean,
-    private readonly relay: (message: VmMessage) => void,
+    private readonly relay: (message: VmMessage, sinceVersion?: number) => void,
     private readonly clock: Clock,
   ) {
     this.limits = new RequestLimitBoard(store);
@@ -98,6 +101,7 @@
       session.send({ kind: 'registryPulse', isCurrent: this.isCurrent() });
     }
     if (message.kind === 'crashReport') this.broadcastCrash(session, message);
+    if (message.kind === 'requestAnswered') this.clearCrashes(session, message);
     if (message.kind === 'requestLimits') this.recordLimits(message);
     if (message.kind !== 'registrySubscribe') return;
     if (!this.isCurrent()) {
@@ -166,6 +170,21 @@
     if (!report.isRelayed) this.relay(relayed);
   }
 
+  private clearCrashes(session: VmSession, message: RequestAnswered): void {
+    const { kind, fingerprint, isRelayed } = message;
+    const isKnown = this.crashes.count(fingerprint, this.clock()) > 0;
+    this.crashes.recordResponse(fingerprint);
+    const relayed: RequestAnswered = { kind, fingerprint, isRelayed: true };
+    // Other control VMs may know of crashes that this one does not.
+    if (!isRelayed) this.relay(relayed, ANSWERED_VERSION);
+    if (!isKnown) return;
+    const frame = encodeFrame(relayed);
+    [...this.subscribers].filter((subscriber) => subscriber !== session
+      && subscriber.peer !== undefined
+      && findProtocolVersion(subscriber.peer) >= ANSWERED_VERSION)
+      .forEach((subscriber) => subscriber.sendFrame(frame));
+  }
+
   /** Sends the crashes of all requests that have crashed targets at least so many times. */
   private sendCrashes(session: VmSession, minCount: number): void {
     this.crashes.list(this.clock()).filter(({ count }) => count >= minCount)
--- a/packages/vm/src/registry/RegistrySubscription.ts
+++ b/packages/vm/src/registry/RegistrySubscription.ts
@@ -9,6 +9,7 @@
 import findProtocolVersion from '../session/findProtocolVersion';
 import type VmIdentity from '../session/VmIdentity';
 import type VmSession from '../session/VmSession';
+import ANSWERED_VERSION from './answeredVersion';
 import type RegistryListener from './RegistryListener';
 import type Roster from './Roster';
 
@@ -103,6 +104,13 @@
     this.source?.send({ kind: 'crashReport', fingerprint, isRelayed: false });
   }
 
+  /** Tells the other entries that a target has answered a request, if there is a source. */
+  reportAnswered(fingerprint: string): void {
+    const peer = this.source?.peer;
+    if (peer === undefined || findProtocolVersion(peer) < ANSWERED_VERSION) return;
+    this.source?.send({ kind: 'requestAnswered', fingerprint, isRelayed: false });
+  }
+
   /** Tells control that an incarnation of a target is about to leave, if there is a source. */
   reportLeaving(targetId: string, bornAtMs: number): void {
     const peer = this.source?.peer;
@@ -143,6 +151,9 @@
     if (message.kind === 'roster') this.applyRoster(message);
     if (message.kind === 'requestLimits') this.options.listener.onRequestLimits(message.notices);
     if (message.kind === 'crashReport') this.options.listener.onCrash(message.fingerprint);
+    if (message.kind === 'requestAnswered') {
+      this.options.listener.onRequestAnswered(message.fingerprint);
+    }
   }
 
   onClose(session: VmSession, reason: string): void {
--- a/packages/vm/src/session/VmHub.ts
+++ b/packages/vm/src/session/VmHub.ts
@@ -169,12 +169,14 @@
   }
 
   /**
-   * Sends a message to every connected VM of the role `control`.
+   * Sends a message to every connected VM of the role `control` that understands it.
    *
    * @param message - the message to send
+   * @param sinceVersion - version of the messages that has it first
    */
-  sendToControl(message: VmMessage): void {
-    this.namesOf('control').forEach((name) => this.send(name, message));
+  sendToControl(message: VmMessage, sinceVersion = 1): void {
+    this.namesOf('control').filter((name) => this.protocolVersionOf(name) >= sinceVersion)
+      .forEach((name) => this.send(name, message));
   }
 
   /** Closes all sessions and stops accepting new ones. */
--- a/packages/vm/src/session/protocolVersion.ts
+++ b/packages/vm/src/session/protocolVersion.ts
@@ -4,7 +4,8 @@
  *
  * - 2: `leave` and `left`
  * - 3: `basis` of changes, and the failure `overtaken` in response
+ * - 4: `requestAnswered`
  */
-const protocolVersion = 3;
+const protocolVersion = 4;
 
 export default protocolVersion;
--- a/packages/vm/test/publisher.test.ts
+++ b/packages/vm/test/publisher.test.ts
@@ -98,6 +98,37 @@
   assert.deepEqual(entry.sent, ['registryView', 'crashReport', 'crashReport', 'crashReport']);
 });
 
+// Guards against entries that are told of crashes under a request that targets answer.
+test('a request that was answered is cleared at control and at entries that understand it', () => {
+  const relayed: [VmMessage, number | undefined][] = [];
+  const publisher = new RegistryPublisher(
+    new RegistryStore(() => 0, undefined, 0),
+    () => true,
+    (message, sinceVersion) => relayed.push([message, sinceVersion]),
+    () => 0,
+  );
+  const [reporter, other, older] = ['00.4', '00.4', '00.3'].map((startId) => {
+    const recording = createSession();
+    Object.assign(recording.session, { peer: { ...VM, roles: ['entry'], startId } });
+    publisher.onMessage(recording.session, { kind: 'registrySubscribe' });
+    return recording;
+  });
+  const report: VmMessage = { kind: 'crashReport', fingerprint: 'a', isRelayed: true };
+  const answered: VmMessage = { kind: 'requestAnswered', fingerprint: 'a', isRelayed: false };
+  const controlSession = createSession().session;
+  for (let count = 0; count < 4; count += 1) publisher.onMessage(controlSession, report);
+  [reporter, other, older].forEach((entry) => entry?.sent.splice(0));
+  if (reporter !== undefined) publisher.onMessage(reporter.session, answered);
+  assert.deepEqual([reporter, other, older].map((entry) => entry?.sent), [[], ['requestAnswered'], []]);
+  assert.deepEqual(relayed, [[{ ...answered, isRelayed: true }, 4]]);
+  const started = createSession();
+  publisher.onMessage(started.session, { kind: 'registrySubscribe' });
+  assert.deepEqual(started.sent, ['registryView']);
+  // Nothing is known of crashes any more, so that entries need not be told again.
+  publisher.onMessage(controlSession, { ...answered, isRelayed: true });
+  assert.deepEqual([other?.sent, relayed.length], [['requestAnswered'], 1]);
+});
+
 test('entries that subscribe at once share one encoded view, until it changes or gets old', () => {
   let nowMs = 1000;
   const store = new RegistryStore(() => nowMs, undefined, 0);
--- a/packages/vm/test/releasedSchemas.test.ts
+++ b/packages/vm/test/releasedSchemas.test.ts
@@ -9,7 +9,7 @@
 import VmMessage from '../src/messages/VmMessage';
 import Handshake from '../src/session/Handshake';
 import protocolVersion from '../src/session/protocolVersion';
-import releasedSchemas from './support/releasedSchemas';
+import presentSchemas from './support/presentSchemas';
 
 const HASH_DIGITS = 12;
 
@@ -27,14 +27,14 @@
 }
 
 test('the released schemas are those of the version that this build tells', () => {
-  assert.equal(protocolVersion, releasedSchemas.protocolVersion);
+  assert.equal(protocolVersion, presentSchemas.protocolVersion);
 });
 
 // Guards against a field, kind or value that builds in the same group or after a way back refuse.
 [
-  { name: 'messages', schema: VmMessage, released: releasedSchemas.messages },
-  { name: 'records', schema: ConsensusRecord, released: releasedSchemas.records },
-  { name: 'frames of the handshake', schema: Handshake, released: releasedSchemas.handshake },
+  { name: 'messages', schema: VmMessage, released: presentSchemas.messages },
+  { name: 'records', schema: ConsensusRecord, released: presentSchemas.records },
+  { name: 'frames of the handshake', schema: Handshake, released: presentSchemas.handshake },
 ].forEach(({ name, schema, released }) => {
   test(`the ${name} are those of the released builds of this version`, () => {
     assert.deepEqual(hashKinds(schema), released);
--- a/packages/vm/test/subscription.test.ts
+++ b/packages/vm/test/subscription.test.ts
@@ -53,6 +53,7 @@
       onRosterChange: () => undefined,
       onCrash: (fingerprint) => crashes.push(fingerprint),
       onKnownCrashes: (fingerprint, count) => crashes.push(`${count} known of ${fingerprint}`),
+      onRequestAnswered: (fingerprint) => crashes.push(`${fingerprint} answered`),
       onRequestLimits: () => undefined,
       onSourceChange: (_control, reason) => reasons.push(reason),
     },
@@ -114,6 +115,22 @@
   subscription.close();
 });
 
+// Guards against an entry that loses control over a message that old builds do not know.
+[
+  { startId: '00.3', sent: [] },
+  { startId: '00.4', sent: [{ kind: 'requestAnswered', fingerprint: 'a', isRelayed: false }] },
+].forEach(({ startId, sent }) => {
+  test(`a request that was answered is reported as the control VM with start id ${startId} understands`, (t) => {
+    const entry = createFollowingEntry(t, startId);
+    entry.sent.length = 0;
+    entry.subscription.reportAnswered('a');
+    assert.deepEqual(entry.sent, sent);
+    entry.subscription.onMessage(entry.session, { kind: 'requestAnswered', fingerprint: 'b', isRelayed: true });
+    assert.deepEqual(entry.crashes, ['b answered']);
+    entry.subscription.close();
+  });
+});
+
 // Guards against entries that count crashes twice when they begin to follow another control VM.
 test('crashes that control knew before the view are told apart from later ones', (t) => {
   const entry = createFollowingEntry(t);
--- a/packages/vm/test/support/RegistryGroup.ts
+++ b/packages/vm/test/support/RegistryGroup.ts
@@ -84,6 +84,7 @@
         onSourceChange: () => undefined,
         onCrash,
         onKnownCrashes: () => undefined,
+        onRequestAnswered: () => undefined,
         onRequestLimits: () => undefined,
       },
     });
--- /dev/null
+++ b/packages/vm/test/support/presentSchemas.ts
@@ -0,0 +1,10 @@
+import releasedSchemas from './releasedSchemas';
+
+/** Hashes of the schemas in builds that tell version 4: those of version 3, and what it adds. */
+const presentSchemas = {
+  ...releasedSchemas,
+  protocolVersion: 4,
+  messages: { ...releasedSchemas.messages, requestAnswered: 'da01e6183fe1' },
+} as const;
+
+export default presentSchemas;
