Count one end of a target once, and clear requests by later responses only

Reports of several entries on one end counted each, and an entry answered reports with responses from before them, so that a request which was answered once and crashes targets since would never have been refused.

Reports name the target (targetCrashed, version 4): within 2 s, control VMs pass on one for each. After a report, each entry tells control when it next has the request answered.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -127,7 +127,7 @@
     pool,
     prober,
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a crash
-    report: (fingerprint) => subscription.reportCrash(fingerprint),
+    report: (fingerprint, targetId) => subscription.reportCrash(fingerprint, targetId),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a response
     reportAnswered: (fingerprint) => subscription.reportAnswered(fingerprint),
   });
@@ -147,7 +147,7 @@
       onContact: () => pool.share.recordContact(clock()),
       onRosterChange: ({ entries }) => pool.setEntries(entries),
       onRequestLimits: (notices) => pool.recordLimitNotices(notices),
-      onCrash: (fingerprint) => crashes.recordReportedCrash(fingerprint),
+      onCrash: (fingerprint, targetId) => crashes.recordReportedCrash(fingerprint, targetId),
       onKnownCrashes: (fingerprint, count) => crashes.recordKnownCrashes(fingerprint, count),
       onRequestAnswered: (fingerprint) => crashes.recordReportedAnswer(fingerprint),
       onSourceChange: (control, reason) => {
--- a/packages/gateway/src/CrashWatch.ts
+++ b/packages/gateway/src/CrashWatch.ts
@@ -15,10 +15,6 @@
 const PROBE_DELAY_MS = 100;
 /** Other targets that are probed, to tell a crash from a broken path. */
 const WITNESSES = 3;
-/** Interval at which a report waits for the end of the request, in milliseconds. */
-const REPORT_STEP_MS = 100;
-/** Maximum number of such intervals, so that other entries learn of crashes in time. */
-const MAX_REPORT_STEPS = 10;
 
 interface CrashWatchOptions {
   readonly clock: Clock;
@@ -26,7 +22,7 @@
   readonly pool: TargetPool;
   readonly prober: TargetProber;
   /** Notifies the other entries of a crash. */
-  readonly report: (fingerprint: string) => void;
+  readonly report: (fingerprint: string, targetId: string) => void;
   /** Notifies control and the other entries that a target has answered a request. */
   readonly reportAnswered: (fingerprint: string) => void;
 }
@@ -47,9 +43,8 @@
    *
    * @param run - the run that was broken off
    * @param target - the target that ran the request
-   * @param hasEnded - returns whether the request has ended; another target may answer it
    */
-  checkForCrash(run: BrokenRun, target: PlacedTarget, hasEnded: () => boolean): void {
+  checkForCrash(run: BrokenRun, target: PlacedTarget): void {
     const { pool, prober } = this.options;
     setTimeout(() => {
       const witnesses = pool.paths.findWitnesses(target, WITNESSES);
@@ -58,22 +53,20 @@
         // Silence of all of them is a broken path.
         const hasWitness = witnesses.length === 0
           || witnesses.some(({ lastAnswerAtMs }) => lastAnswerAtMs >= run.brokenAtMs);
-        if (hasWitness) this.recordCrash(run, hasEnded);
+        if (hasWitness) this.recordCrash(run);
       });
     }, PROBE_DELAY_MS);
   }
 
-  /** Records a crash that another entry reported. */
-  recordReportedCrash(fingerprint: string): void {
-    const { clock, reportAnswered } = this.options;
-    if (this.history.recordReportedCrash(fingerprint, clock())) this.log(fingerprint, undefined);
-    else reportAnswered(fingerprint);
+  /** Records a crash that another entry reported; older builds do not name the target. */
+  recordReportedCrash(fingerprint: string, targetId?: string): void {
+    this.history.recordReportedCrash(fingerprint, this.options.clock(), targetId);
+    this.log(fingerprint, targetId);
   }
 
   /** Records the crashes of a request that control has known when this entry began to follow it. */
   recordKnownCrashes(fingerprint: string, count: number): void {
-    const { clock, reportAnswered } = this.options;
-    if (!this.history.recordKnownCrashes(fingerprint, count, clock())) reportAnswered(fingerprint);
+    this.history.recordKnownCrashes(fingerprint, count, this.options.clock());
   }
 
   /** Records that a target answered a request, which clears the request of earlier crashes. */
@@ -92,20 +85,12 @@
     return this.history.isQuarantined(fingerprint, this.options.clock());
   }
 
-  private recordCrash(run: BrokenRun, hasEnded: () => boolean): void {
-    if (!this.history.recordCrash(run, this.options.clock())) return;
-    this.log(run.fingerprint, run.targetId);
-    this.reportCrash(run.fingerprint, hasEnded, MAX_REPORT_STEPS);
-  }
-
-  /** Reports a crash once the request has ended, unless targets answer it. */
-  private reportCrash(fingerprint: string, hasEnded: () => boolean, stepsLeft: number): void {
-    if (this.history.isMostlyAnswered(fingerprint, this.options.clock())) return;
-    if (hasEnded() || stepsLeft === 0) {
-      this.options.report(fingerprint);
-      return;
-    }
-    setTimeout(() => this.reportCrash(fingerprint, hasEnded, stepsLeft - 1), REPORT_STEP_MS);
+  private recordCrash(run: BrokenRun): void {
+    const { clock, report } = this.options;
+    const { fingerprint, targetId } = run;
+    if (!this.history.recordCrash(run, clock())) return;
+    this.log(fingerprint, targetId);
+    if (this.history.mustReport(fingerprint, clock())) report(fingerprint, targetId);
   }
 
   private log(fingerprint: string, targetId: string | undefined): void {
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -360,7 +360,7 @@
       const run = {
         fingerprint, targetId: target.record.id, startedAtMs, brokenAtMs: clock(),
       };
-      crashes.checkForCrash(run, target, () => this.isEnded);
+      crashes.checkForCrash(run, target);
       return;
     }
     if (failure === undefined && verdict !== 'spoiled') crashes.recordResponse(fingerprint);
--- a/packages/vm/src/messages/registryMessages.ts
+++ b/packages/vm/src/messages/registryMessages.ts
@@ -47,6 +47,16 @@
   z.strictObject({
     kind: z.literal('crashReport'), fingerprint: z.string(), isRelayed: z.boolean(),
   }),
+  /**
+   * The same as `crashReport`, with the target, so that the reports of several entries on one end
+   * of a target count as one.
+   */
+  z.strictObject({
+    kind: z.literal('targetCrashed'),
+    fingerprint: z.string(),
+    targetId: z.string().min(1).max(128),
+    isRelayed: z.boolean(),
+  }),
   /**
    * A target has answered a request for which crashes were reported. It takes the same way as they
    * do, and clears the request of those at all VMs.
--- a/packages/vm/src/registry/RegistryListener.ts
+++ b/packages/vm/src/registry/RegistryListener.ts
@@ -10,8 +10,11 @@
   onContact: () => void;
   /** VMs have joined or left the system. */
   onRosterChange: (roster: Roster) => void;
-  /** Another entry has reported that a target crashed while it ran a request. */
-  onCrash: (fingerprint: string) => void;
+  /**
+   * Another entry has reported that a target crashed while it ran a request; older builds do not
+   * name the target.
+   */
+  onCrash: (fingerprint: string, targetId?: string) => void;
   /** Control knew of crashes under a request when the entry began to follow it. */
   onKnownCrashes: (fingerprint: string, count: number) => void;
   /** A target has answered a request at another entry, after crashes had been reported. */
--- a/packages/vm/src/registry/RegistryPublisher.ts
+++ b/packages/vm/src/registry/RegistryPublisher.ts
@@ -1,5 +1,6 @@
 import CRASH_LIMIT from '@guavayard/core/quarantine/crashLimit';
 import CrashHistory from '@guavayard/core/quarantine/CrashHistory';
+import TargetEnds from '@guavayard/core/quarantine/TargetEnds';
 import type Clock from '@guavayard/core/types/Clock';
 
 import type VmMessage from '../messages/VmMessage';
@@ -7,16 +8,16 @@
 import type SessionHandler from '../session/SessionHandler';
 import type VmIdentity from '../session/VmIdentity';
 import type VmSession from '../session/VmSession';
-import findProtocolVersion from '../session/findProtocolVersion';
 import ANSWERED_VERSION from './answeredVersion';
 import createVmLocation from './createVmLocation';
 import type RegistryStore from './RegistryStore';
 import RequestLimitBoard from './RequestLimitBoard';
 import type Roster from './Roster';
+import understandsAnswers from './understandsAnswers';
 import type VmLocation from './VmLocation';
 
 type RequestLimits = Extract<VmMessage, { kind: 'requestLimits' }>;
-type CrashReport = Extract<VmMessage, { kind: 'crashReport' }>;
+type CrashReport = Extract<VmMessage, { kind: 'crashReport' | 'targetCrashed' }>;
 type RequestAnswered = Extract<VmMessage, { kind: 'requestAnswered' }>;
 
 /**
@@ -61,18 +62,23 @@
   /** Crashes that entries have reported. They are not replicated. */
   private readonly crashes = new CrashHistory();
 
+  private readonly ends = new TargetEnds();
+
   private limitsTimer: NodeJS.Timeout | undefined;
 
   /**
    * @param store - the applied registry
    * @param isCurrent - returns whether this replica leads or receives messages from the leader
-   * @param relay - sends a message to the other control VMs that understand its version
+   * @param relay - sends a message to the other control VMs; to those of builds before the version
+   *   that is given, it sends another message, or none
    * @param clock - monotonic clock, in milliseconds
    */
   constructor(
     private readonly store: RegistryStore,
     private readonly isCurrent: () => boolean,
-    private readonly relay: (message: VmMessage, sinceVersion?: number) => void,
+    private readonly relay: (
+      message: VmMessage, sinceVersion?: number, older?: VmMessage,
+    ) => void,
     private readonly clock: Clock,
   ) {
     this.limits = new RequestLimitBoard(store);
@@ -100,7 +106,9 @@
       this.pulseReceivers.add(session);
       session.send({ kind: 'registryPulse', isCurrent: this.isCurrent() });
     }
-    if (message.kind === 'crashReport') this.broadcastCrash(session, message);
+    if (message.kind === 'crashReport' || message.kind === 'targetCrashed') {
+      this.broadcastCrash(session, message);
+    }
     if (message.kind === 'requestAnswered') this.clearCrashes(session, message);
     if (message.kind === 'requestLimits') this.recordLimits(message);
     if (message.kind !== 'registrySubscribe') return;
@@ -159,15 +167,25 @@
 
   private broadcastCrash(session: VmSession, report: CrashReport): void {
     const nowMs = this.clock();
-    const isKnown = this.crashes.isQuarantined(report.fingerprint, nowMs);
-    if (!isKnown) this.crashes.recordCrash(report.fingerprint, nowMs);
+    const { fingerprint } = report;
+    const isRepeated = report.kind === 'targetCrashed'
+      && !this.ends.recordReport(fingerprint, report.targetId, nowMs);
+    // The first report after a response is passed on, so that entries tell of the next response.
+    if (isRepeated && this.crashes.count(fingerprint, nowMs) > 0) return;
+    const isKnown = this.crashes.isQuarantined(fingerprint, nowMs);
+    if (!isKnown) this.crashes.recordCrash(fingerprint, nowMs);
     // Control VMs repeat what they know when they connect.
     if (isKnown && report.isRelayed) return;
     const relayed: CrashReport = { ...report, isRelayed: true };
+    const older: VmMessage = { kind: 'crashReport', fingerprint, isRelayed: true };
     const frame = encodeFrame(relayed);
+    const olderFrame = encodeFrame(older);
     [...this.subscribers].filter((subscriber) => subscriber !== session)
-      .forEach((subscriber) => subscriber.sendFrame(frame));
-    if (!report.isRelayed) this.relay(relayed);
+      .forEach((subscriber) => (
+        subscriber.sendFrame(understandsAnswers(subscriber) ? frame : olderFrame)));
+    if (report.isRelayed) return;
+    if (report.kind === 'crashReport') this.relay(relayed);
+    else this.relay(relayed, ANSWERED_VERSION, older);
   }
 
   private clearCrashes(session: VmSession, message: RequestAnswered): void {
@@ -179,9 +197,8 @@
     if (!isRelayed) this.relay(relayed, ANSWERED_VERSION);
     if (!isKnown) return;
     const frame = encodeFrame(relayed);
-    [...this.subscribers].filter((subscriber) => subscriber !== session
-      && subscriber.peer !== undefined
-      && findProtocolVersion(subscriber.peer) >= ANSWERED_VERSION)
+    [...this.subscribers]
+      .filter((subscriber) => subscriber !== session && understandsAnswers(subscriber))
       .forEach((subscriber) => subscriber.sendFrame(frame));
   }
 
--- a/packages/vm/src/registry/RegistrySubscription.ts
+++ b/packages/vm/src/registry/RegistrySubscription.ts
@@ -9,9 +9,9 @@
 import findProtocolVersion from '../session/findProtocolVersion';
 import type VmIdentity from '../session/VmIdentity';
 import type VmSession from '../session/VmSession';
-import ANSWERED_VERSION from './answeredVersion';
 import type RegistryListener from './RegistryListener';
 import type Roster from './Roster';
+import understandsAnswers from './understandsAnswers';
 
 type View = Extract<VmMessage, { kind: 'registryView' }>;
 type Update = Extract<VmMessage, { kind: 'registryUpdate' }>;
@@ -100,15 +100,19 @@
   }
 
   /** Reports a target crash to the other entries through the source, if there is one. */
-  reportCrash(fingerprint: string): void {
-    this.source?.send({ kind: 'crashReport', fingerprint, isRelayed: false });
+  reportCrash(fingerprint: string, targetId: string): void {
+    if (this.source === undefined) return;
+    this.source.send(understandsAnswers(this.source)
+      ? {
+        kind: 'targetCrashed', fingerprint, targetId, isRelayed: false,
+      }
+      : { kind: 'crashReport', fingerprint, isRelayed: false });
   }
 
   /** Tells the other entries that a target has answered a request, if there is a source. */
   reportAnswered(fingerprint: string): void {
-    const peer = this.source?.peer;
-    if (peer === undefined || findProtocolVersion(peer) < ANSWERED_VERSION) return;
-    this.source?.send({ kind: 'requestAnswered', fingerprint, isRelayed: false });
+    if (this.source === undefined || !understandsAnswers(this.source)) return;
+    this.source.send({ kind: 'requestAnswered', fingerprint, isRelayed: false });
   }
 
   /** Tells control that an incarnation of a target is about to leave, if there is a source. */
@@ -151,6 +155,9 @@
     if (message.kind === 'roster') this.applyRoster(message);
     if (message.kind === 'requestLimits') this.options.listener.onRequestLimits(message.notices);
     if (message.kind === 'crashReport') this.options.listener.onCrash(message.fingerprint);
+    if (message.kind === 'targetCrashed') {
+      this.options.listener.onCrash(message.fingerprint, message.targetId);
+    }
     if (message.kind === 'requestAnswered') {
       this.options.listener.onRequestAnswered(message.fingerprint);
     }
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -131,7 +131,7 @@
     this.publisher = new RegistryPublisher(
       this.store,
       () => this.isCurrent,
-      (message, sinceVersion) => hub.sendToControl(message, sinceVersion),
+      (...message) => hub.sendToControl(...message),
       clock,
     );
     this.router = new CallRouter({
--- a/packages/vm/src/session/VmHub.ts
+++ b/packages/vm/src/session/VmHub.ts
@@ -169,14 +169,17 @@
   }
 
   /**
-   * Sends a message to every connected VM of the role `control` that understands it.
+   * Sends a message to every connected VM of the role `control`.
    *
    * @param message - the message to send
    * @param sinceVersion - version of the messages that has it first
+   * @param older - the message for VMs that do not understand it; undefined to send them none
    */
-  sendToControl(message: VmMessage, sinceVersion = 1): void {
-    this.namesOf('control').filter((name) => this.protocolVersionOf(name) >= sinceVersion)
-      .forEach((name) => this.send(name, message));
+  sendToControl(message: VmMessage, sinceVersion = 1, older?: VmMessage): void {
+    this.namesOf('control').forEach((name) => {
+      const understood = this.protocolVersionOf(name) >= sinceVersion ? message : older;
+      if (understood !== undefined) this.send(name, understood);
+    });
   }
 
   /** Closes all sessions and stops accepting new ones. */
--- a/packages/vm/src/session/protocolVersion.ts
+++ b/packages/vm/src/session/protocolVersion.ts
@@ -4,7 +4,7 @@
  *
  * - 2: `leave` and `left`
  * - 3: `basis` of changes, and the failure `overtaken` in response
- * - 4: `requestAnswered`
+ * - 4: `targetCrashed` and `requestAnswered`
  */
 const protocolVersion = 4;
 
--- a/packages/vm/test/publisher.test.ts
+++ b/packages/vm/test/publisher.test.ts
@@ -98,6 +98,52 @@
   assert.deepEqual(entry.sent, ['registryView', 'crashReport', 'crashReport', 'crashReport']);
 });
 
+// Guards against one end of a target that counts once for each entry that reports it.
+test('the reports of several entries on one end of a target count as one', () => {
+  let nowMs = 0;
+  const relayed: unknown[][] = [];
+  const publisher = new RegistryPublisher(
+    new RegistryStore(() => 0, undefined, 0),
+    () => true,
+    (...message) => relayed.push(message),
+    () => nowMs,
+  );
+  const [reporter, other, older] = ['00.4', '00.4', '00.3'].map((startId) => {
+    const recording = createSession();
+    Object.assign(recording.session, { peer: { ...VM, roles: ['entry'], startId } });
+    publisher.onMessage(recording.session, { kind: 'registrySubscribe' });
+    recording.sent.splice(0);
+    return recording;
+  });
+  const control = createSession();
+  const report = (session: VmSession | undefined, targetId: string, isRelayed: boolean): void => {
+    if (session === undefined) return;
+    publisher.onMessage(session, {
+      kind: 'targetCrashed', fingerprint: 'a', targetId, isRelayed,
+    });
+  };
+  report(reporter?.session, 't-1', false);
+  report(other?.session, 't-1', false);
+  report(control.session, 't-1', true);
+  assert.deepEqual([reporter, other, older].map((entry) => entry?.sent), [[], ['targetCrashed'], ['crashReport']]);
+  assert.deepEqual(relayed, [[
+    {
+      kind: 'targetCrashed', fingerprint: 'a', targetId: 't-1', isRelayed: true,
+    },
+    4,
+    { kind: 'crashReport', fingerprint: 'a', isRelayed: true },
+  ]]);
+  report(control.session, 't-2', true);
+  assert.equal(relayed.length, 1);
+  // The target has started and crashed again.
+  nowMs = 2001;
+  report(other?.session, 't-1', false);
+  assert.deepEqual([other?.sent, older?.sent].map((sent) => sent?.length), [2, 3]);
+  const started = createSession();
+  publisher.onMessage(started.session, { kind: 'registrySubscribe' });
+  assert.deepEqual(started.sent, ['crashReport', 'crashReport', 'crashReport', 'registryView']);
+});
+
 // Guards against entries that are told of crashes under a request that targets answer.
 test('a request that was answered is cleared at control and at entries that understand it', () => {
   const relayed: [VmMessage, number | undefined][] = [];
