--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -128,7 +128,9 @@
     pool,
     prober,
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a crash
-    report: (fingerprint) => subscription.reportCrash(fingerprint),
+    report: (fingerprint, targetId) => subscription.reportCrash(fingerprint, targetId),
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a response
+    reportAnswered: (fingerprint) => subscription.reportAnswered(fingerprint),
   });
   const subscription: RegistrySubscription = new RegistrySubscription({
     hub,
@@ -146,8 +148,9 @@
       onContact: () => pool.share.recordContact(clock()),
       onRosterChange: ({ entries }) => pool.setEntries(entries),
       onRequestLimits: (notices) => pool.recordLimitNotices(notices),
-      onCrash: (fingerprint) => crashes.recordReportedCrash(fingerprint),
+      onCrash: (fingerprint, targetId) => crashes.recordReportedCrash(fingerprint, targetId),
       onKnownCrashes: (fingerprint, count) => crashes.recordKnownCrashes(fingerprint, count),
+      onRequestAnswered: (fingerprint) => crashes.recordReportedAnswer(fingerprint),
       onSourceChange: (control, reason) => {
         pool.setFollowing(control !== undefined);
         log.info({ control, reason, version: subscription.declaration?.version }, 'control VM changed');
