--- a/packages/gateway/test/coldStarts.test.ts
+++ b/packages/gateway/test/coldStarts.test.ts
@@ -39,7 +39,7 @@
 
 interface Trouble {
   readonly name: string;
-  /** Seeds that failed once, beside the first ones. */
+  /** Some of the seeds that failed once, beside the first ones. */
   readonly failedSeeds?: readonly number[];
   /** Begins at the first target. */
   readonly begin: (fleet: Fleet, surroundings: Surroundings) => void;
@@ -142,6 +142,7 @@
   },
   {
     name: 'the end of an evacuation of a target that is known to be cold',
+    failedSeeds: [1191, 7284, 7292],
     begin: (fleet) => endEvacuation(fleet, true),
   },
   {
