--- a/packages/gateway/test/support/fleet/FleetEntry.ts
+++ b/packages/gateway/test/support/fleet/FleetEntry.ts
@@ -124,7 +124,7 @@
       placement,
       prober,
       crashes: new CrashWatch({
-        clock, log, pool, prober, report: () => undefined,
+        clock, log, pool, prober, report: () => undefined, reportAnswered: () => undefined,
       }),
       log: new RequestLog(log, clock),
       responseBytes: new ByteBudget(BUFFER_BYTES),
