--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -370,7 +370,7 @@
         recentSends: known.recentSends.filter((atMs) => atMs > sinceMs).length,
         coldLeftMs: Math.round(Math.max(0, known.coldUntilMs - this.options.clock())),
       }, 'target started again');
-      this.remove(record.id, record.address);
+      this.remove(record.id);
     }
     const target = createPlacedTarget(
       record,
@@ -383,13 +383,12 @@
     this.notices.extendCold(target, record.coldLeftMs);
   }
 
-  /** Removes a target; connections to the address where it has started again are kept. */
-  private remove(id: string, keptAddress?: string): void {
+  private remove(id: string): void {
     const known = this.targets.get(id);
     this.targets.delete(id);
     if (known === undefined) return;
     this.formerTargets.add(known, this.options.clock());
     this.paths.forget(known);
-    if (known.record.address !== keptAddress) this.options.onTargetRemoved(known.record.address);
+    this.options.onTargetRemoved(known.record.address);
   }
 }
