Move a slow request as soon as a probe allows it

The watchdog probed a target to move a slow request to, and looked again 300 ms later. The response to the probe leads to the next check now.

--- a/packages/gateway/src/AttemptWatchdog.ts
+++ b/packages/gateway/src/AttemptWatchdog.ts
@@ -18,6 +18,8 @@
 export default class AttemptWatchdog {
   private timer: NodeJS.Timeout | undefined;
 
+  private attempt: Attempt | undefined;
+
   constructor(
     private readonly dependencies: Pick<ExchangeDependencies, 'clock' | 'pool' | 'prober'>,
     private readonly request: Pick<GatewayRequest, 'service' | 'route' | 'deadlineMs'>,
@@ -26,11 +28,18 @@
 
   /** Watches an attempt from the target latency of its route on. */
   start(attempt: Attempt): void {
+    this.attempt = attempt;
     this.schedule(attempt, this.request.route.targetLatencyMs);
   }
 
   stop(): void {
     clearTimeout(this.timer);
+    this.attempt = undefined;
+  }
+
+  /** Checks the attempt at once, as it may be possible to move it now. */
+  checkAgain(): void {
+    if (this.attempt !== undefined) this.check(this.attempt);
   }
 
   private schedule(attempt: Attempt, delayMs: number): void {
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -255,8 +255,13 @@
     const free = pool.findEligible(service, homeRegions, this.triedIds, permittedIds)
       .filter((target) => isConfirmed(target) && hasFreeSlot(target, target.record.slots, nowMs));
     const canSend = free.some((target) => pool.paths.connections.maySend(target));
-    // The next check may find the connection that the probe opens.
-    if (!canSend) prober.probe(free.slice(0, 1), () => undefined);
+    if (!canSend) {
+      prober.probe(free.slice(0, 1), () => {
+        if (free.some((target) => pool.paths.connections.maySend(target))) {
+          this.watchdog.checkAgain();
+        }
+      });
+    }
     return canSend;
   }
 
--- a/packages/gateway/test/watchdog.test.ts
+++ b/packages/gateway/test/watchdog.test.ts
@@ -47,14 +47,17 @@
   assert.equal(rig.sender.aborts, 0);
 });
 
-test('a slow request moves to a target with a free slot', (t) => {
-  const rig = new GatewayRig(t, { timeoutMs: 5000, targetLatencyMs: 400 });
-  rig.addTarget('slow', { workMs: 4500 });
-  const res = rig.request({ remainingMs: 5000 });
-  rig.run(100);
-  rig.addTarget('good');
-  rig.run(1500);
-  assert.deepEqual([res.status, res.body], [200, 'good']);
+// Guards also against probes whose connection has ended by the next check.
+[false, true].forEach((closesConnections) => {
+  test(`a slow request moves to a target with a free slot${closesConnections ? ' that closes each connection' : ''}`, (t) => {
+    const rig = new GatewayRig(t, { timeoutMs: 5000, targetLatencyMs: 400 });
+    rig.addTarget('slow', { workMs: 4500, closesConnections });
+    const res = rig.request({ remainingMs: 5000 });
+    rig.run(100);
+    rig.addTarget('good', { closesConnections });
+    rig.run(1500);
+    assert.deepEqual([res.status, res.body], [200, 'good']);
+  });
 });
 
 test('targets whose probes wait for slots are neither unreachable nor crashed', (t) => {
