Give the pass of closing targets only to targets whose connections have ended

A probe counted as one whose connection ended if another request had taken the connection by then. Two such probes in a row allowed one request on a new connection though ends of others had been recorded. A valid proof is used before the pass.

--- a/packages/core/src/connections/ProcessProof.ts
+++ b/packages/core/src/connections/ProcessProof.ts
@@ -40,16 +40,19 @@
     this.passUntilMs = nowMs + connectionLimits.closedProbeValidMs;
   }
 
+  /** Whether no connection has ended since the last probe was sent that was answered. */
+  get isCurrent(): boolean {
+    return this.provenAtEnds === this.ends;
+  }
+
   /**
-   * Returns whether a request may be sent on a new connection.
+   * Returns whether the target closes each connection and has just answered a probe, so that one
+   * request may be sent on a new one.
    *
-   * @param hasOpenConnection - whether another connection is open that has carried a response
    * @param nowMs - monotonic clock
-   * @returns true if that connection shows that the process lives, or if the target closes each
-   *   connection and has just answered a probe
    */
-  mayOpen(hasOpenConnection: boolean, nowMs: number): boolean {
-    return (hasOpenConnection && this.provenAtEnds === this.ends) || this.hasPass(nowMs);
+  hasPass(nowMs: number): boolean {
+    return nowMs <= this.passUntilMs;
   }
 
   /**
@@ -63,8 +66,4 @@
     this.passUntilMs = -Infinity;
     return hasPass;
   }
-
-  private hasPass(nowMs: number): boolean {
-    return nowMs <= this.passUntilMs;
-  }
 }
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -175,7 +175,8 @@
   }
 
   mayOpen(address: string): boolean {
-    return this.proofOf(address).mayOpen(this.countAnswered(address) > 0, this.clock());
+    const proof = this.proofOf(address);
+    return (proof.isCurrent && this.countAnswered(address) > 0) || proof.hasPass(this.clock());
   }
 
   private proofOf(address: string): ProcessProof {
--- a/packages/gateway/test/support/fleet/FleetSender.ts
+++ b/packages/gateway/test/support/fleet/FleetSender.ts
@@ -42,6 +42,8 @@
   readonly onClosed: () => void;
   isOpen: boolean;
   hasAnswered: boolean;
+  /** Returns whether its first response proves the process. */
+  readonly mayProve: () => boolean;
   exchange: Exchange | undefined;
 }
 
@@ -62,9 +64,13 @@
   }
 
   mayOpen(address: string): boolean {
+    return this.hasOpenProof(address)
+      || this.connectionsTo(address).proof.hasPass(this.options.clock.nowMs);
+  }
+
+  private hasOpenProof(address: string): boolean {
     const { open, proof } = this.connectionsTo(address);
-    const hasOpenConnection = open.some(({ isOpen, hasAnswered }) => isOpen && hasAnswered);
-    return proof.mayOpen(hasOpenConnection, this.options.clock.nowMs);
+    return proof.isCurrent && open.some(({ isOpen, hasAnswered }) => isOpen && hasAnswered);
   }
 
   /** Closes the free connections to an address, and the others once their requests have ended. */
@@ -116,10 +122,9 @@
   private createStartCheck(address: string, { purpose }: TargetRequest): () => boolean {
     if (purpose !== 'bound') return () => true;
     const { proof } = this.connectionsTo(address);
-    if (!this.mayOpen(address)) return () => false;
-    if (proof.takePass(this.options.clock.nowMs)) return () => true;
     const { endCount } = proof;
-    return () => endCount === proof.endCount;
+    if (this.hasOpenProof(address)) return () => endCount === proof.endCount;
+    return proof.takePass(this.options.clock.nowMs) ? () => true : () => false;
   }
 
   private connect(exchange: Exchange, trace: string, mayStart: () => boolean): void {
@@ -141,6 +146,7 @@
         isOpen: true,
         hasAnswered: false,
         exchange: undefined,
+        mayProve: mayStart,
         onClosed: () => this.deliver(() => this.lose(connections, address, connection)),
       };
       process.connections.add(connection);
@@ -191,7 +197,7 @@
     if (exchange.isOver || !connection.isOpen) return;
     const { address, handler } = exchange;
     if (!connection.hasAnswered) this.options.onOpened(address, true);
-    Object.assign(connection, { hasAnswered: true });
+    if (!connection.hasAnswered) Object.assign(connection, { hasAnswered: connection.mayProve() });
     handler.onHeaders(status, headers);
     if (exchange.isOver) return;
     Object.assign(exchange, { isOver: true });
--- a/packages/target/src/TargetConnections.ts
+++ b/packages/target/src/TargetConnections.ts
@@ -25,8 +25,12 @@
 
   /** Whether a bound request may be sent on a new connection. */
   get mayOpen(): boolean {
-    const hasOpenConnection = this.connections.some(({ isProven }) => isProven);
-    return this.proof.mayOpen(hasOpenConnection, this.clock());
+    return this.hasOpenProof || this.proof.hasPass(this.clock());
+  }
+
+  /** Whether an open connection shows that the process lives which a probe has told of. */
+  private get hasOpenProof(): boolean {
+    return this.proof.isCurrent && this.connections.some(({ isProven }) => isProven);
   }
 
   /**
@@ -59,7 +63,7 @@
       onHeaders: (status, headers) => handler.onHeaders(status, headers),
       onData: (chunk) => handler.onData(chunk),
       onEnd: () => {
-        this.proof.recordProbe(endCount, connection.isReady, this.clock());
+        this.proof.recordProbe(endCount, connection.isProven, this.clock());
         handler.onEnd();
       },
       onFailure: (failure) => handler.onFailure(failure),
@@ -74,10 +78,9 @@
     if (purpose === undefined) return () => true;
     // The connection that it was sent for must not have ended.
     if (connection.isReady) return () => false;
-    if (!this.mayOpen) return () => false;
-    if (this.proof.takePass(this.clock())) return () => true;
     const { endCount } = this.proof;
-    return () => endCount === this.proof.endCount;
+    if (this.hasOpenProof) return () => endCount === this.proof.endCount;
+    return this.proof.takePass(this.clock()) ? () => true : () => false;
   }
 
   private select(limit: number): TargetConnection {
