Let no response prove a process if a connection has ended since its request was sent

A request that had opened a connection to a new process, which is possible until the end of the former one is read, proved that process with its response: all further requests followed it.

--- a/packages/target/src/TargetConnection.ts
+++ b/packages/target/src/TargetConnection.ts
@@ -97,7 +97,8 @@
       onResponse: () => {
         this.isAwaiting = false;
         if (this.hasAnswered) return;
-        this.hasAnswered = true;
+        // A response proves nothing of the process if a connection has ended since it was sent.
+        this.hasAnswered = mayStart();
         this.options.onOpened(true);
       },
       onAbort: () => {
--- a/packages/target/test/knownProcesses.test.ts
+++ b/packages/target/test/knownProcesses.test.ts
@@ -54,6 +54,29 @@
   });
 }
 
+// Guards against a new process that counts as known once it has answered a request.
+test('a request that reached a new process does not prove it to the next ones', async (t) => {
+  const former = await startProcess(t, 0);
+  const { port } = former.server.address() as AddressInfo;
+  const address = `127.0.0.1:${port}`;
+  const sender = new UndiciTargetSender();
+  t.after(async () => sender.close());
+  const send = createSend(sender, address);
+  await send('/probe', 'probe');
+  const first = send('/1', 'bound');
+  await sleep(STEP_MS);
+  // The former process goes on with the request that it has.
+  former.server.close();
+  const next = await startProcess(t, port);
+  const second = send('/2', 'bound');
+  await sleep(STEP_MS);
+  former.server.closeAllConnections();
+  assert.deepEqual(await Promise.all([first, second]), ['targetFailed', 'complete']);
+  assert.deepEqual(next.arrived, ['/2']);
+  assert.equal(sender.countReady(address), 0);
+  assert.equal(await send('/3', 'bound'), 'targetUnreachable');
+});
+
 // Guards against targets that keep their connections and are taken for ones that close them.
 test('a probe whose connection is used again at once is not one that ended it', async (t) => {
   const { server } = await startProcess(t, 0);
