--- a/packages/core/src/errors/errorTable.ts
+++ b/packages/core/src/errors/errorTable.ts
@@ -197,6 +197,20 @@
     retryable: true,
     text: 'the call came late: its caller may have moved on, or a later call is in force',
   },
+  quotaExceeded: {
+    code: 35,
+    status: 429,
+    outcome: 'not-run',
+    retryable: true,
+    text: 'the tenant has used up its quota',
+  },
+  keysUnproven: {
+    code: 36,
+    status: 503,
+    outcome: 'not-run',
+    retryable: true,
+    text: 'this VM cannot confirm that the key is still in force',
+  },
 } as const satisfies Readonly<Record<string, ErrorDefinition>>;
 
 export default errorTable;
--- a/packages/gateway/src/GatewayRequest.ts
+++ b/packages/gateway/src/GatewayRequest.ts
@@ -1,5 +1,6 @@
 import type InboundRequest from '@guavayard/core/dispatch/InboundRequest';
 import type DeclaredRoute from '@guavayard/core/registry/DeclaredRoute';
+import type DeclaredTenant from '@guavayard/core/tenants/DeclaredTenant';
 
 /** A caller's request that matched a route. */
 interface GatewayRequest {
@@ -12,6 +13,8 @@
   readonly routeName: string;
   readonly route: DeclaredRoute;
   readonly service: string;
+  /** Tenant that holds the key of the request; undefined on public routes and without tenants. */
+  readonly tenant?: DeclaredTenant | undefined;
   /** Maximum size of the body, in bytes. */
   readonly maxBodyBytes: number;
   /** Version of the declaration that contains the route. */
--- a/packages/vm/src/session/protocolVersion.ts
+++ b/packages/vm/src/session/protocolVersion.ts
@@ -5,7 +5,8 @@
  * - 2: `leave` and `left`
  * - 3: `basis` of changes, and the failure `overtaken` in response
  * - 4: `targetCrashed` and `requestAnswered`
+ * - 5: usage of quotas, roll-outs, and versions of targets
  */
-const protocolVersion = 4;
+const protocolVersion = 5;
 
 export default protocolVersion;
