--- a/packages/vm/src/session/VmConnector.ts
+++ b/packages/vm/src/session/VmConnector.ts
@@ -1,21 +1,23 @@
 import type ByteBudget from '@guavayard/core/limits/ByteBudget';
 
+import ReconnectPolicy from './ReconnectPolicy';
 import type SessionHandler from './SessionHandler';
 import type SessionTransport from './SessionTransport';
 import TcpTransport from './TcpTransport';
 import type VmIdentity from './VmIdentity';
 import VmSession from './VmSession';
 
-const MIN_RECONNECT_DELAY_MS = 50;
-const MAX_RECONNECT_DELAY_MS = 500;
-
-/** Maintains one session to a VM, and reconnects with exponential backoff when it is lost. */
+/** Maintains one session to a VM, and reconnects when it is lost. */
 export default class VmConnector {
   private session: VmSession | undefined;
 
   private timer: NodeJS.Timeout | undefined;
 
-  private delayMs = MIN_RECONNECT_DELAY_MS;
+  private connectTimer: NodeJS.Timeout | undefined;
+
+  private readonly policy = new ReconnectPolicy();
+
+  private hasTimedOut = false;
 
   private isClosed = false;
 
@@ -31,9 +33,15 @@
   /** Connects, and reconnects after each loss until `close`. */
   start(): void {
     const socket = this.transport.connect(this.address);
+    this.hasTimedOut = false;
+    this.connectTimer = setTimeout(() => {
+      this.hasTimedOut = true;
+      this.session?.close('no connection in time');
+    }, this.policy.connectTimeoutMs);
+    socket.once('connect', () => clearTimeout(this.connectTimer));
     this.session = new VmSession(socket, 'client', this.key, this.identity, {
       onOpen: (session, peer) => {
-        this.delayMs = MIN_RECONNECT_DELAY_MS;
+        this.policy.recordOpened();
         this.handler.onOpen(session, peer);
       },
       onMessage: (session, message) => this.handler.onMessage(session, message),
@@ -57,12 +65,13 @@
   close(): void {
     this.isClosed = true;
     clearTimeout(this.timer);
+    clearTimeout(this.connectTimer);
     this.session?.close('shutting down');
   }
 
   private scheduleReconnect(): void {
+    clearTimeout(this.connectTimer);
     if (this.isClosed) return;
-    this.timer = setTimeout(() => this.start(), this.delayMs);
-    this.delayMs = Math.min(this.delayMs * 2, MAX_RECONNECT_DELAY_MS);
+    this.timer = setTimeout(() => this.start(), this.policy.recordLoss(this.hasTimedOut));
   }
 }
