--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -22,6 +22,7 @@
 import createVmClock from '../run/createVmClock';
 import type GatewayContext from './GatewayContext';
 import type GatewayRole from './GatewayRole';
+import warmUpRequestPath from './warmUpRequestPath';
 
 const MS_PER_SECOND = 1000;
 /** Response bytes that are buffered at most, which leaves a VM of 250 MB the rest of its memory. */
@@ -196,6 +197,8 @@
   const readinessBound = await listeners.bind(readiness.server, readinessAddress, 'readiness');
   if (readinessBound.err) return readinessBound;
   subscription.start();
+  // While control is being reached, the processor is idle.
+  warmUpRequestPath(settings.vm.ip).catch((err: unknown) => log.warn({ err }, 'request path is not warmed up'));
   const keepAliveTimer = setInterval(
     () => {
       pool.observeTime();
