Ask a VM for its pre-vote again when a session with it opens

After a start of all control VMs the first candidate asks those that have started; the vote that completes the quorum is that of a later one, which was asked only at the next election timeout.

--- a/packages/core/src/consensus/ConsensusEvent.ts
+++ b/packages/core/src/consensus/ConsensusEvent.ts
@@ -13,6 +13,7 @@
  * - `join`: a replica that is not a member requests to become one
  * - `leave`: a member is about to stop
  * - `compact`: replace the entries up to an applied index by a snapshot of their result
+ * - `connected`: a session with another VM has been opened
  * - `synced`: a write has been synced: the log up to an entry, and a number of records of the term
  *   and the vote
  */
@@ -28,6 +29,7 @@
   | { readonly kind: 'read'; readonly token: number }
   | { readonly kind: 'join'; readonly replica: ReplicaId }
   | { readonly kind: 'leave'; readonly replica: ReplicaId }
+  | { readonly kind: 'connected'; readonly vmName: string }
   | { readonly kind: 'compact'; readonly index: number; readonly data: ConfigurationSnapshot }
   | {
     readonly kind: 'synced';
--- a/packages/core/src/consensus/step.ts
+++ b/packages/core/src/consensus/step.ts
@@ -16,6 +16,7 @@
 import receiveSnapshot from './receiveSnapshot';
 import receiveVoteResponse from './receiveVoteResponse';
 import receiveVoteRequest from './receiveVoteRequest';
+import repeatPreVoteRequest from './repeatPreVoteRequest';
 import type ReplicaId from './ReplicaId';
 import tick from './tick';
 
@@ -114,6 +115,9 @@
       state.leaving.add(event.replica);
       maintain(state);
       break;
+    case 'connected':
+      repeatPreVoteRequest(state, event.vmName);
+      break;
     case 'synced':
       receiveSync(state, event);
       break;
--- a/packages/core/test/election.test.ts
+++ b/packages/core/test/election.test.ts
@@ -7,6 +7,7 @@
 import createDurableState from '../src/consensus/createDurableState';
 import step from '../src/consensus/step';
 import timing from '../src/consensus/timing';
+import vmNameOf from '../src/consensus/vmNameOf';
 import createRandom from './support/createRandom';
 
 const VOTERS = ['a#0', 'b#0', 'c#0', 'd#0', 'e#0'];
@@ -25,7 +26,10 @@
   readonly message: ConsensusMessage;
 }
 
-/** Starts the voters one after the other and returns when the first leader is elected, in ms. */
+/**
+ * Starts the voters one after the other and returns when the first leader is elected, in ms. What
+ * is sent to a voter that has not started is lost; a session opens a round trip after its start.
+ */
 function electAfter(seed: number, gapMs: number): number {
   const random = createRandom(seed);
   const states = new Map<string, ConsensusState>();
@@ -44,6 +48,12 @@
         self,
         createConsensusState(self, createDurableState(VOTERS), nowMs, random),
       ));
+    VOTERS.forEach((started, index) => {
+      if (nowMs !== index * gapMs + 2 * ONE_WAY_MS) return;
+      states.forEach((state, self) => {
+        execute(self, step(state, { kind: 'connected', vmName: vmNameOf(started) }), nowMs);
+      });
+    });
     const due = packets.filter(({ dueMs }) => dueMs <= nowMs);
     packets = packets.filter(({ dueMs }) => dueMs > nowMs);
     due.forEach(({ from, to, message }) => {
@@ -65,3 +75,14 @@
   const late = seeds.filter((seed) => electAfter(seed, START_GAP_MS) > boundMs);
   assert.deepEqual(late, []);
 });
+
+// After a loss of all power, callers wait for control. The vote of the third voter completes a
+// quorum; a voter that asked before the third one started must ask it, too, without a new election.
+[130, 170, 230].forEach((gapMs) => {
+  test(`voters that start ${gapMs} ms apart have a leader within three round trips and a tick of the third`, () => {
+    const boundMs = 2 * gapMs + 6 * ONE_WAY_MS + TICK_MS;
+    const late = Array.from({ length: 200 }, (_, index) => index + 1)
+      .filter((seed) => electAfter(seed, gapMs) > boundMs);
+    assert.deepEqual(late, []);
+  });
+});
--- a/packages/vm/src/control/ConsensusTask.ts
+++ b/packages/vm/src/control/ConsensusTask.ts
@@ -21,6 +21,7 @@
 
 import type VmMessage from '../messages/VmMessage';
 import type SessionHandler from '../session/SessionHandler';
+import type VmIdentity from '../session/VmIdentity';
 import type VmSession from '../session/VmSession';
 import type ConsensusTaskOptions from './ConsensusTaskOptions';
 import EffectQueue from './EffectQueue';
@@ -116,7 +117,9 @@
     clearInterval(this.timer);
   }
 
-  onOpen(): void {}
+  onOpen(_session: VmSession, { name }: VmIdentity): void {
+    this.push({ kind: 'connected', vmName: name });
+  }
 
   onMessage(session: VmSession, message: VmMessage): void {
     if (message.kind === 'consensus' && message.to === this.state.self) {
--- a/packages/vm/src/session/VmConnector.ts
+++ b/packages/vm/src/session/VmConnector.ts
@@ -41,6 +41,7 @@
     socket.once('connect', () => clearTimeout(this.connectTimer));
     this.session = new VmSession(socket, 'client', this.key, this.identity, {
       onOpen: (session, peer) => {
+        clearTimeout(this.connectTimer);
         this.policy.recordOpened();
         this.handler.onOpen(session, peer);
       },
