Search near targets again while other regions are probed, and use last slots where work is done in time

Many near targets had one of two slots free, which was not used, since work on both takes longer than one after the other; it is still done within the latency target.

--- a/packages/core/src/placement/ServiceSpeed.ts
+++ b/packages/core/src/placement/ServiceSpeed.ts
@@ -2,6 +2,8 @@
 import placementLimits from './placementLimits';
 
 const MAX_KNEE_SLOWDOWN = 3;
+/** Share of a latency target that work may take; the rest is for the wait and the way. */
+const WORK_SHARE = 0.75;
 
 /**
  * Estimates how long requests of one service take, and how much longer above the concurrency knee
@@ -40,15 +42,20 @@
   }
 
   /**
-   * Returns the concurrency at which a target has the highest throughput.
+   * Returns the concurrency at which a target serves most requests within their latency target.
    *
-   * Load pattern: more requests than slots. Filling the last slots pays off only if the added
-   * concurrency outweighs the slowdown of all requests on the target.
+   * Load pattern: more requests than slots. While work above the knee is still done within the
+   * latency target, a request is better placed there than refused. Beyond that, filling the last
+   * slots pays off only if the added concurrency outweighs the slowdown of all requests.
    *
    * @param slots - slots of the target
+   * @param targetLatencyMs - latency target of the request, in milliseconds
    * @returns the number of requests, at least 1
    */
-  bestConcurrency(slots: number): number {
+  bestConcurrency(slots: number, targetLatencyMs: number): number {
+    const { usualMs } = this;
+    const slowedMs = usualMs === undefined ? Infinity : usualMs * this.kneeSlowdown;
+    if (slowedMs <= WORK_SHARE * targetLatencyMs) return slots;
     const kneeSlots = Math.max(1, Math.floor(slots * placementLimits.kneeShare));
     return slots / this.kneeSlowdown > kneeSlots ? slots : kneeSlots;
   }
--- a/packages/core/test/placement.test.ts
+++ b/packages/core/test/placement.test.ts
@@ -56,7 +56,7 @@
   assert.equal(hasFreeSlot(createTarget('a', { running: 1, waiting: 1 }), 2, 1), false);
 });
 
-test('the last slots are used only if they increase throughput', () => {
+test('the last slots are used only if work there is done in time or they increase throughput', () => {
   const slow = new ServiceSpeed();
   const flat = new ServiceSpeed();
   for (let count = 0; count < 20; count += 1) {
@@ -65,9 +65,13 @@
     flat.record(100, 1, 0.5);
     flat.record(100, 1, 1);
   }
-  assert.equal(slow.bestConcurrency(4), 3);
-  assert.equal(slow.bestConcurrency(2), 2);
-  assert.equal(flat.bestConcurrency(4), 4);
+  assert.equal(slow.bestConcurrency(4, 200), 3);
+  assert.equal(slow.bestConcurrency(2, 200), 2);
+  assert.equal(flat.bestConcurrency(4, 100), 4);
+  // 170 ms leave a quarter of the latency target for the wait and the way.
+  assert.equal(slow.bestConcurrency(4, 230), 4);
+  assert.equal(slow.bestConcurrency(4, 220), 3);
+  assert.equal(new ServiceSpeed().bestConcurrency(4, 10_000), 4);
 });
 
 test('durations on a slowed target do not count for its service', () => {
--- a/packages/gateway/src/PlacementQueue.ts
+++ b/packages/gateway/src/PlacementQueue.ts
@@ -41,6 +41,8 @@
   /** When it is refused unless it has been assigned by then. */
   readonly refusedAtMs: number;
   isSearching: boolean;
+  /** Whether targets of other regions are being probed for it, beside those of its own. */
+  isSearchingFar: boolean;
   /** Completed searches that found no free slot. */
   searchRounds: number;
   isDone: boolean;
@@ -95,6 +97,7 @@
       arrivedAtMs: nowMs,
       refusedAtMs: nowMs + longestWaitMs,
       isSearching: false,
+      isSearchingFar: false,
       searchRounds: 0,
       isDone: false,
       timer: undefined,
@@ -208,7 +211,8 @@
 
   /**
    * Searches other regions, whose links are slow and billed by volume, once all near targets or
-   * those of three search rounds had no free slot.
+   * those of three search rounds had no free slot. Near targets are searched again meanwhile: a
+   * slot that becomes free there would be missed for as long as probes of other regions take.
    */
   private searchFar(
     queued: QueuedRequest,
@@ -221,23 +225,43 @@
       this.refuse(queued, { kind: 'targetsUnreachable', detail: 'most targets cannot be reached' });
       return;
     }
-    const nowMs = this.options.clock();
+    const far = this.selectFar(queued, nearCount, eligible);
+    state.searchRounds += 1;
+    if (far.length === 0) {
+      this.endSearch(queued);
+      return;
+    }
+    state.isSearchingFar = true;
+    if (nearCount > 0) this.endSearch(queued);
+    this.probeWave(queued, far, FAR_PROBE_WAIT_MS, () => this.costLimit(queued), () => {
+      state.isSearchingFar = false;
+      this.nextFarSearchMs = this.options.clock() + this.farPauseMs;
+      this.farPauseMs = Math.min(MAX_FAR_PAUSE_MS, this.farPauseMs * 2);
+      if (nearCount === 0) this.endSearch(queued);
+    });
+  }
+
+  /** Selects the targets of other regions to probe in a search round; none if it is not due. */
+  private selectFar(
+    queued: QueuedRequest,
+    nearCount: number,
+    eligible: readonly PlacedTarget[],
+  ): PlacedTarget[] {
     const probed = (queued.searchRounds + 1) * placementLimits.maxProbes;
     const isNearFull = probed >= nearCount || queued.searchRounds >= NEAR_ROUNDS - 1;
-    const isAllowed = nearCount === 0
-      || (isNearFull && !queued.request.hasLargeBody && nowMs >= this.nextFarSearchMs);
-    const far = isAllowed
-      ? eligible.filter((target) => !pool.isNear(target))
-      : [];
-    this.probeAndAssign(queued, far, placementLimits.maxRemoteProbes, FAR_PROBE_WAIT_MS, () => {
-      state.isSearching = false;
-      state.searchRounds += 1;
-      if (far.length > 0) {
-        this.nextFarSearchMs = this.options.clock() + this.farPauseMs;
-        this.farPauseMs = Math.min(MAX_FAR_PAUSE_MS, this.farPauseMs * 2);
-      }
-      this.scheduleSearch();
-    });
+    const isDue = !queued.request.hasLargeBody && !queued.isSearchingFar
+      && this.options.clock() >= this.nextFarSearchMs;
+    if (nearCount > 0 && !(isNearFull && isDue)) return [];
+    const { maxRemoteProbes } = placementLimits;
+    const far = eligible.filter((target) => !this.options.pool.isNear(target));
+    const candidates = selectCandidates(far, maxRemoteProbes, queued.searchRounds);
+    return this.rankTargets(candidates, maxRemoteProbes);
+  }
+
+  private endSearch(queued: QueuedRequest): void {
+    const state = queued;
+    state.isSearching = false;
+    this.scheduleSearch();
   }
 
   /** Probes some targets in waves and selects the best; calls `onNone` if none is acceptable. */
@@ -332,7 +356,7 @@
     let best: PlacedTarget | undefined;
     let bestCost = maxCost;
     targets.forEach((target) => {
-      const limit = this.speed.bestConcurrency(target.record.slots);
+      const limit = this.speed.bestConcurrency(target.record.slots, request.targetLatencyMs);
       if (!eligible.has(target) || !isConfirmed(target) || !connections.maySend(target)
         || !hasFreeSlot(target, limit, nowMs)) return;
       const cost = estimateCost(target, this.speed.kneeSlowdown, nowMs);
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -91,6 +91,29 @@
   assert.equal(res.body, 'far');
 });
 
+// Probes of other regions take several times as long as those of near targets, most of all if they
+// are not answered.
+test('a near slot that becomes free while other regions are probed is used', (t) => {
+  const rig = new GatewayRig(t);
+  const near = rig.addTarget('near', { running: 2 });
+  rig.addTarget('far', { region: 'far', mode: 'silent' });
+  rig.request();
+  rig.run(40);
+  near.running = 0;
+  rig.run(60);
+  assert.deepEqual(rig.sender.sent.map(({ target }) => target.id), ['near']);
+});
+
+test('the last slot of a target is used if work there is done in time', (t) => {
+  const rig = new GatewayRig(t);
+  const target = rig.addTarget('a', { slots: 2 });
+  const responses = Array.from({ length: 2 }, () => rig.request());
+  rig.run(50);
+  assert.equal(target.running, 2);
+  rig.run(1000);
+  assert.deepEqual(responses.map(({ status }) => status), [200, 200]);
+});
+
 test('a large body stays in its region while a target there is alive', (t) => {
   const rig = new GatewayRig(t);
   rig.addTarget('near', { running: 2 });
