--- a/packages/gateway/src/Attempt.ts
+++ b/packages/gateway/src/Attempt.ts
@@ -1,4 +1,5 @@
 import type AnswerHeaders from '@guavayard/core/dispatch/AnswerHeaders';
+import type Dispatch from '@guavayard/core/dispatch/Dispatch';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 
 import type classifyResponse from './classifyResponse';
@@ -19,6 +20,8 @@
   readonly coldLeftMs: number;
   /** Frees the slot; receives the duration if the request was answered. */
   readonly release: (durationMs?: number) => void;
+  /** The exchange with the target; undefined before it starts and after it has ended. */
+  dispatch: Dispatch | undefined;
   status: number | undefined;
   headers: AnswerHeaders;
   verdict: ReturnType<typeof classifyResponse> | undefined;
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -29,6 +29,7 @@
     isNewConnection,
     coldLeftMs: Math.max(0, target.coldUntilMs - nowMs),
     release,
+    dispatch: undefined,
     status: undefined,
     headers: {},
     verdict: undefined,
