Send a second attempt of late requests beside the first

Placement finds a target near the entry that is free and at its usual speed by a fresh reading; the hedge counts in the share of hedges, in a part of the retry budget and in the attempts of the request. The first good response wins, and the other attempt is aborted. Nothing is hedged without a share, which no setting gives yet.

--- a/packages/caller/src/ReplayableBody.ts
+++ b/packages/caller/src/ReplayableBody.ts
@@ -68,6 +68,11 @@
     return !this.hasBody || this.isRecording || this.receivedBytes === 0;
   }
 
+  /** Whether the whole body has been read and kept, so that two attempts can send it at once. */
+  get isComplete(): boolean {
+    return !this.hasBody || (this.isRecorded && this.req.readableEnded);
+  }
+
   /**
    * Reads the body up to its end or to the buffer limit, before any attempt.
    *
@@ -140,6 +145,19 @@
     return stream;
   }
 
+  /**
+   * Opens a complete body for a second attempt, beside the stream of the current one.
+   *
+   * @returns the stream, or null for a request without a body
+   */
+  openCopy(): Readable | null {
+    if (!this.hasBody) return null;
+    const stream = new Readable({ read: () => undefined });
+    this.recorded.forEach((chunk) => stream.push(chunk));
+    stream.push(null);
+    return stream;
+  }
+
   /** Closes the stream of the current attempt. */
   close(): void {
     this.req.pause();
--- a/packages/core/src/placement/RetryBudget.ts
+++ b/packages/core/src/placement/RetryBudget.ts
@@ -1,3 +1,4 @@
+import hedgeLimits from '../hedging/hedgeLimits';
 import countAssuredRequests from './countAssuredRequests';
 import type EntryShare from './EntryShare';
 import type RetryGrant from './RetryGrant';
@@ -15,6 +16,7 @@
 
 /** A retry that was granted. One that has not been sent counts in every window. */
 interface GrantedRetry {
+  readonly isHedge: boolean;
   sentAtMs: number | undefined;
 }
 
@@ -47,13 +49,15 @@
   }
 
   /**
-   * Returns whether the budget allows a retry.
+   * Returns whether the budget allows a retry or a hedge. Hedges may use a part of the budget, and
+   * each must leave one retry of it.
    *
    * @param nowMs - monotonic clock
    * @param share - share of this entry in the slack; undefined if it has none
+   * @param isHedge - whether it is a hedge
    * @returns false if the budget is exhausted
    */
-  hasLeft(nowMs: number, share: EntryShare | undefined): boolean {
+  hasLeft(nowMs: number, share: EntryShare | undefined, isHedge = false): boolean {
     const {
       ratio, slack, windowMs, startedAtMs,
     } = this.options;
@@ -71,7 +75,9 @@
     const isOld = nowMs - startedAtMs >= windowMs;
     const slackBurst = heldMs >= windowMs ? BURST_SHARE * ownSlack : 0;
     const total = (isOld ? burstOf(firstCount) : 0) + slackBurst + accrued(firstCount, windowMs);
-    if (this.retries.length + 1 > total) return false;
+    if (this.retries.length + (isHedge ? 2 : 1) > total) return false;
+    const hedges = this.retries.filter((retry) => retry.isHedge).length;
+    if (isHedge && hedges + 1 > hedgeLimits.budgetShare * total) return false;
     // In each part of the window, from a retry until now.
     const burst = burstOf(firstCount) + BURST_SHARE * ownSlack * (heldMs / windowMs);
     const sentAtMs = this.retries.map((retry) => retry.sentAtMs ?? nowMs).sort((x, y) => y - x);
@@ -84,15 +90,20 @@
   }
 
   /**
-   * Takes one retry from the budget.
+   * Takes one retry or hedge from the budget.
    *
    * @param nowMs - monotonic clock
    * @param share - share of this entry in the slack; undefined if it has none
+   * @param isHedge - whether it is a hedge
    * @returns undefined if the budget is exhausted
    */
-  take(nowMs: number, share: EntryShare | undefined): RetryGrant | undefined {
-    if (!this.hasLeft(nowMs, share)) return undefined;
-    const retry: GrantedRetry = { sentAtMs: undefined };
+  take(
+    nowMs: number,
+    share: EntryShare | undefined,
+    isHedge = false,
+  ): RetryGrant | undefined {
+    if (!this.hasLeft(nowMs, share, isHedge)) return undefined;
+    const retry: GrantedRetry = { isHedge, sentAtMs: undefined };
     this.retries.push(retry);
     return {
       recordSent: (atMs) => {
--- a/packages/gateway/src/Attempt.ts
+++ b/packages/gateway/src/Attempt.ts
@@ -8,6 +8,8 @@
 interface Attempt {
   readonly target: PlacedTarget;
   readonly startedAtMs: number;
+  /** Whether it was sent beside another attempt that was late. */
+  readonly isHedge: boolean;
   /** Load of the target when it was selected; undefined if it had not reported any. */
   readonly load: number | undefined;
   readonly slowness: number | undefined;
@@ -32,6 +34,8 @@
   isForwarding: boolean;
   /** Whether this entry aborted the attempt. */
   isAborted: boolean;
+  /** Whether another attempt was answered first. */
+  isSuperseded: boolean;
   isOver: boolean;
 }
 
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -5,11 +5,9 @@
 import recordOutcome from '@guavayard/core/placement/recordOutcome';
 
 import type Attempt from './Attempt';
-import AttemptSender from './AttemptSender';
-import AttemptWatchdog from './AttemptWatchdog';
+import AttemptRunner from './AttemptRunner';
 import BodySizeCheck from './BodySizeCheck';
 import classifyAttempt from './classifyAttempt';
-import createAttempt from './createAttempt';
 import type ExchangeDependencies from './ExchangeDependencies';
 import type GatewayRequest from './GatewayRequest';
 import isNotRunStatus from './isNotRunStatus';
@@ -33,14 +31,11 @@
 
   private readonly triedIds: string[];
 
-  /** Attempts that have not ended. */
-  private readonly running = new Set<Attempt>();
-
   private readonly rules: RetryRules;
 
   private readonly search: TargetSearch;
 
-  private readonly sender: AttemptSender;
+  private readonly attempts: AttemptRunner;
 
   private readonly outcomes: OutcomeRecorder;
 
@@ -50,8 +45,6 @@
 
   private readonly response: ResponseSender;
 
-  private readonly watchdog: AttemptWatchdog;
-
   private timer: NodeJS.Timeout | undefined;
 
   private unsentCount = 0;
@@ -75,14 +68,17 @@
     this.forwarder = new ResponseForwarder({
       responseBytes: dependencies.responseBytes, method: request.method, reply,
     });
-    this.sender = new AttemptSender(dependencies, request, this.forwarder, {
-      mayStream: (attempt) => this.mayStream(attempt),
+    const { forwarder, outcomes, rules } = this;
+    this.attempts = new AttemptRunner({
+      dependencies,
+      request,
+      body,
+      forwarder,
+      outcomes,
+      rules,
+      triedIds,
       onEnded: (attempt, failure) => this.finishAttempt(attempt, failure),
     });
-    this.watchdog = new AttemptWatchdog(dependencies, request, {
-      canMove: () => this.rules.canMove(() => this.watchdog.checkAgain()),
-      onAbandoned: (attempt, detail) => GatewayExchange.abandon(attempt, detail),
-    });
     this.handover = new RelayHandover({
       dependencies, request, body, reply, triedIds,
     }, {
@@ -93,7 +89,7 @@
       onFailed: (failure, retryAfterMs) => this.fail(failure, retryAfterMs),
       onAnswered: (decision, status) => this.response.finish(decision, status),
     });
-    const { handover, forwarder, outcomes } = this;
+    const { handover, attempts: { hedges } } = this;
     this.search = new TargetSearch({
       dependencies, request, body, triedIds, handover,
     }, {
@@ -102,7 +98,14 @@
       onUnread: () => this.refuseUnread(),
     });
     this.response = new ResponseSender({
-      dependencies, request, reply, forwarder, outcomes, handover, onEnd: () => this.stop(),
+      dependencies,
+      request,
+      reply,
+      forwarder,
+      outcomes,
+      handover,
+      hedges,
+      onEnd: () => this.stop(),
     });
   }
 
@@ -112,7 +115,7 @@
     this.timer = setTimeout(() => this.expire(), this.request.deadlineMs - clock());
     this.reply.onClose(() => this.handleCallerClose());
     this.reply.onDrain(() => {
-      this.running.forEach(({ dispatch }) => dispatch?.resume());
+      this.attempts.resume();
       this.handover.resume();
     });
     // The entry that relays a request has recorded it.
@@ -138,62 +141,51 @@
   }
 
   private send(target: PlacedTarget, release: Attempt['release']): void {
-    const { clock, sender } = this.dependencies;
     if (this.response.isEnded) {
       release();
       return;
     }
-    const isNewConnection = sender.countReady(target.record.address) === 0;
-    const attempt = createAttempt(target, release, isNewConnection, clock());
-    this.running.add(attempt);
-    this.triedIds.push(target.record.id);
     this.search.recordRetrySent();
-    this.sender.send(attempt, this.body.open());
-    if (!attempt.isOver) this.watchdog.start(attempt);
-  }
-
-  private static abandon(attempt: Attempt, detail: string): void {
-    const state = attempt;
-    state.isAborted = true;
-    state.dispatch?.abort({ kind: 'targetFailed', detail });
-  }
-
-  /** Whether a response may be sent to the caller before it is complete. */
-  private mayStream(attempt: Attempt): boolean {
-    if (attempt.verdict === 'answered') return true;
-    return attempt.verdict === 'failed' && !isNotRunStatus(attempt.status ?? 0)
-      && !this.rules.canRetry('failed');
+    this.attempts.run(target, release);
   }
 
   private finishAttempt(attempt: Attempt, failure: Failure | undefined): void {
-    const state = attempt;
-    if (state.isOver) return;
-    state.isOver = true;
-    state.dispatch = undefined;
-    this.running.delete(state);
     if (this.response.isEnded) {
-      this.forwarder.release(state);
-      state.release();
+      this.forwarder.release(attempt);
+      attempt.release();
       return;
     }
     if (failure?.isUnsent === true && this.unsentCount < MAX_UNSENT && this.body.isReplayable) {
-      this.placeAgain(state);
+      this.placeAgain(attempt);
       return;
     }
-    const verdict = classifyAttempt(state, failure);
-    this.outcomes.record(state, verdict, failure);
+    const verdict = classifyAttempt(attempt, failure);
+    this.outcomes.record(attempt, verdict, failure);
     if (verdict !== 'not-run') this.response.mayHaveRun = true;
-    const durationMs = this.dependencies.clock() - state.startedAtMs;
-    if (verdict === 'answered' || state.isForwarding) this.response.forward(state, failure);
-    else this.retryOrRespond(state, verdict);
-    this.forwarder.release(state);
-    state.release(verdict === 'answered' ? durationMs : undefined);
+    const durationMs = this.dependencies.clock() - attempt.startedAtMs;
+    if (verdict === 'answered' || attempt.isForwarding) {
+      this.attempts.supersedeOthers(attempt);
+      this.response.forward(attempt, failure);
+    } else this.continueWithout(attempt, verdict);
+    this.forwarder.release(attempt);
+    attempt.release(verdict === 'answered' ? durationMs : undefined);
+  }
+
+  /** Goes on after an attempt without a good response: another one may be running. */
+  private continueWithout(attempt: Attempt, verdict: NonNullable<Attempt['verdict']>): void {
+    if (this.attempts.isRunning) this.attempts.awaitOther();
+    else this.retryOrRespond(attempt, verdict);
   }
 
   /** Finds a target again for a request of which nothing was sent. */
   private placeAgain({ target, release }: Attempt): void {
     this.unsentCount += 1;
     this.triedIds.splice(this.triedIds.lastIndexOf(target.record.id), 1);
+    if (this.attempts.isRunning) {
+      release();
+      this.attempts.awaitOther();
+      return;
+    }
     this.body.close();
     release();
     this.search.start();
@@ -235,14 +227,15 @@
   private expire(): void {
     if (this.response.isEnded) return;
     const kind = this.isSent || this.response.mayHaveRun ? 'deadlineExceeded' : 'deadlineBeforeDispatch';
-    const nowMs = this.dependencies.clock();
-    this.running.forEach(({ target }) => recordOutcome(target, true, nowMs));
+    // A hedge may have had little time.
+    const { first } = this.attempts;
+    if (first !== undefined) recordOutcome(first.target, true, this.dependencies.clock());
     this.giveUp({ kind, detail: '' }, RETRY_AFTER_MS);
   }
 
   /** Whether a target or another entry has the request now. */
   private get isSent(): boolean {
-    return this.running.size > 0 || this.handover.isSent;
+    return this.attempts.isRunning || this.handover.isSent;
   }
 
   /** Responds with a failure at once and ends what is under way. */
@@ -261,14 +254,14 @@
 
   /** Aborts the attempts under way, here and at another entry. */
   private abort(reason: Failure): void {
-    [...this.running].forEach(({ dispatch }) => dispatch?.abort(reason));
+    this.attempts.abort(reason);
     this.handover.end(reason);
   }
 
   /** Ends everything but the attempts under way. */
   private stop(): void {
     clearTimeout(this.timer);
-    this.watchdog.stop();
+    this.attempts.stop();
     this.handover.end();
     this.search.end();
     this.body.discard();
--- a/packages/gateway/src/OutcomeRecorder.ts
+++ b/packages/gateway/src/OutcomeRecorder.ts
@@ -41,6 +41,11 @@
     this.reportToCrashDetection(attempt, verdict, failure);
   }
 
+  /** Describes an attempt that another one has superseded, which tells nothing of its target. */
+  recordSuperseded(attempt: Attempt): void {
+    this.lines.push(describeAttempt(attempt, 'spoiled', undefined, this.dependencies.clock()));
+  }
+
   /** Reports the end of an attempt to crash detection: a broken-off request may be a crash. */
   private reportToCrashDetection(
     attempt: Attempt,
--- a/packages/gateway/src/Placement.ts
+++ b/packages/gateway/src/Placement.ts
@@ -1,3 +1,5 @@
+import HedgeShare from '@guavayard/core/hedging/HedgeShare';
+import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import RetryBudget from '@guavayard/core/placement/RetryBudget';
 import type RetryGrant from '@guavayard/core/placement/RetryGrant';
 import type Clock from '@guavayard/core/types/Clock';
@@ -18,6 +20,8 @@
   readonly retryWindowMs: number;
   /** Start of this process, by the clock. */
   readonly startedAtMs: number;
+  /** Hedges for each first request of a service, from 0 to 1; undefined to hedge nothing. */
+  readonly hedgeShare?: number | undefined;
 }
 
 /** Assigns the requests of all services to targets, and holds the retry budget of each service. */
@@ -26,6 +30,8 @@
 
   private readonly budgets = new Map<string, RetryBudget>();
 
+  private readonly hedgeShares = new Map<string, HedgeShare>();
+
   private refusals = 0;
 
   constructor(private readonly options: PlacementOptions) {}
@@ -58,6 +64,7 @@
   /** Records the first attempt of a caller's request, which the retry budget is a share of. */
   recordFirst(service: string): void {
     this.budgetOf(service).recordFirst(this.options.clock());
+    this.hedgeShareOf(service)?.recordFirst();
   }
 
   /**
@@ -81,6 +88,81 @@
     return this.budgetOf(service).hasLeft(nowMs, pool.share.findShare(nowMs));
   }
 
+  /** Whether late requests are hedged. */
+  get hedges(): boolean {
+    return (this.options.hedgeShare ?? 0) > 0;
+  }
+
+  /**
+   * Finds the limit that keeps a request from being hedged now.
+   *
+   * @param service - the service
+   * @returns the limit; undefined if a hedge is allowed
+   */
+  findHedgeLimit(service: string): 'share' | 'budget' | 'queue' | undefined {
+    const { pool, clock } = this.options;
+    const nowMs = clock();
+    if (this.hedgeShareOf(service)?.hasLeft !== true) return 'share';
+    // The requests that wait need the free slots.
+    if (this.waitingFor(service) > 0) return 'queue';
+    const share = pool.share.findShare(nowMs);
+    return this.budgetOf(service).hasLeft(nowMs, share, true) ? undefined : 'budget';
+  }
+
+  /**
+   * Takes a hedge that is sent now from the share of hedges and from the retry budget.
+   *
+   * @param service - the service
+   * @returns false if a limit does not allow it
+   */
+  takeHedge(service: string): boolean {
+    const { pool, clock } = this.options;
+    const nowMs = clock();
+    if (this.findHedgeLimit(service) !== undefined) return false;
+    const grant = this.budgetOf(service).take(nowMs, pool.share.findShare(nowMs), true);
+    if (grant === undefined) return false;
+    grant.recordSent(nowMs);
+    this.hedgeShareOf(service)?.take();
+    return true;
+  }
+
+  /** @returns the usual duration of a request to a service in ms, undefined while unknown */
+  usualMs(service: string): number | undefined {
+    return this.queues.get(service)?.usualMs;
+  }
+
+  /**
+   * Selects targets for a second attempt of a request.
+   *
+   * @param request - the request
+   * @param count - most targets
+   * @returns targets near this entry that may take it if a probe shows them free, the best first
+   */
+  findHedgeTargets(request: PlacementRequest, count: number): PlacedTarget[] {
+    return this.queueOf(request.service).findHedgeTargets(request, count);
+  }
+
+  /**
+   * Places a second attempt on one of some targets that has a free slot at its usual speed.
+   *
+   * @param request - the request; its `onPlaced` is called before this returns
+   * @param targets - the targets, with fresh readings
+   * @returns false if there is none
+   */
+  placeAtOnce(request: PlacementRequest, targets: readonly PlacedTarget[]): boolean {
+    return this.queueOf(request.service).placeAtOnce(request, targets);
+  }
+
+  private hedgeShareOf(service: string): HedgeShare | undefined {
+    const { hedgeShare } = this.options;
+    if (hedgeShare === undefined || hedgeShare === 0) return undefined;
+    const known = this.hedgeShares.get(service);
+    if (known !== undefined) return known;
+    const share = new HedgeShare(hedgeShare);
+    this.hedgeShares.set(service, share);
+    return share;
+  }
+
   private queueOf(service: string): PlacementQueue {
     const known = this.queues.get(service);
     if (known !== undefined) return known;
--- a/packages/gateway/src/PlacementQueue.ts
+++ b/packages/gateway/src/PlacementQueue.ts
@@ -3,6 +3,7 @@
 import estimateLoad from '@guavayard/core/placement/estimateLoad';
 import hasFreeSlot from '@guavayard/core/placement/hasFreeSlot';
 import hasOpenConnection from '@guavayard/core/placement/hasOpenConnection';
+import isAtUsualSpeed from '@guavayard/core/placement/isAtUsualSpeed';
 import isConfirmed from '@guavayard/core/placement/isConfirmed';
 import placementLimits from '@guavayard/core/placement/placementLimits';
 import selectCandidates from '@guavayard/core/placement/selectCandidates';
@@ -78,6 +79,45 @@
     return this.queue.length;
   }
 
+  /** Usual duration of a request in milliseconds, undefined while there are too few samples. */
+  get usualMs(): number | undefined {
+    return this.speed.usualMs;
+  }
+
+  /**
+   * Selects targets for a second attempt of a request, in this entry's region.
+   *
+   * @param request - the request
+   * @param count - most targets
+   * @returns targets that are not known to be full or slow, the best first
+   */
+  findHedgeTargets(request: PlacementRequest, count: number): PlacedTarget[] {
+    const nowMs = this.options.clock();
+    const near = this.findEligible(request).filter((target) => this.options.pool.isNear(target)
+      && isConfirmed(target) && !target.isUnhealthy
+      && hasFreeSlot(target, this.speed.bestConcurrency(target.record.slots), nowMs)
+      && isAtUsualSpeed(target, nowMs) !== false);
+    return this.rankTargets(near, count);
+  }
+
+  /**
+   * Places a request, without queueing it, on one of some targets that has a free slot at its usual
+   * speed by a fresh reading.
+   *
+   * @param request - the request
+   * @param targets - the targets
+   * @returns false if there is none
+   */
+  placeAtOnce(request: PlacementRequest, targets: readonly PlacedTarget[]): boolean {
+    const nowMs = this.options.clock();
+    const usable = targets
+      .filter((target) => !target.isUnhealthy && isAtUsualSpeed(target, nowMs) === true);
+    const best = this.findBest(request, usable, Infinity);
+    if (best === undefined) return false;
+    this.hold(request, best);
+    return true;
+  }
+
   /**
    * Finds a target for a request, now or once one has a free slot.
    *
@@ -325,8 +365,19 @@
     targets: readonly PlacedTarget[],
     maxCost: number,
   ): boolean {
+    const best = this.findBest(queued.request, targets, maxCost);
+    if (best === undefined) return false;
+    this.assign(queued, best);
+    return true;
+  }
+
+  /** Finds the target of the lowest cost, below a limit, that can take a request now. */
+  private findBest(
+    request: PlacementRequest,
+    targets: readonly PlacedTarget[],
+    maxCost: number,
+  ): PlacedTarget | undefined {
     const { clock, pool: { paths: { connections } } } = this.options;
-    const { request } = queued;
     const nowMs = clock();
     const eligible = new Set(this.findEligible(request));
     let best: PlacedTarget | undefined;
@@ -340,29 +391,31 @@
       best = target;
       bestCost = cost;
     });
-    if (best === undefined) return false;
-    this.assign(queued, best);
-    return true;
+    return best;
   }
 
   private assign(queued: QueuedRequest, target: PlacedTarget): void {
     const { pool, clock } = this.options;
-    const attempt = { sentAtMs: clock() };
-    const { slots } = target.record;
-    const used = (estimateLoad(target, attempt.sentAtMs) + 1) / slots;
-    const slowness = target.reading?.slowness ?? placementLimits.unknownSlowness;
     if (!pool.isNear(target)) this.farPauseMs = FAR_PAUSE_MS;
     this.pauseMs = SEARCH_PAUSE_MS;
     this.remove(queued);
-    this.admission.recordDispatch(attempt.sentAtMs);
+    this.admission.recordDispatch(clock());
+    this.hold(queued.request, target);
+    this.startSearches();
+  }
+
+  /** Holds a slot on a target for a request, and hands the request over. */
+  private hold(request: PlacementRequest, target: PlacedTarget): void {
+    const attempt = { sentAtMs: this.options.clock() };
+    const used = (estimateLoad(target, attempt.sentAtMs) + 1) / target.record.slots;
+    const slowness = target.reading?.slowness ?? placementLimits.unknownSlowness;
     target.inFlight.add(attempt);
-    pool.recordSend(target, queued.request.permittedIds);
-    queued.request.onPlaced(target, (durationMs) => {
+    this.options.pool.recordSend(target, request.permittedIds);
+    request.onPlaced(target, (durationMs) => {
       if (!target.inFlight.delete(attempt)) return;
       if (durationMs !== undefined) this.speed.record(durationMs, slowness, used);
       this.offerSlot(target);
     });
-    this.startSearches();
   }
 
   /** Offers a freed slot without a probe to the first queued request that may use it. */
--- a/packages/gateway/src/RequestLog.ts
+++ b/packages/gateway/src/RequestLog.ts
@@ -23,6 +23,8 @@
   readonly isNewConnection?: boolean;
   /** How long the entry took it to stay cold when it was selected, in milliseconds. */
   readonly coldLeftMs?: number;
+  /** Whether it was sent beside another attempt that was late. */
+  readonly isHedge?: boolean;
   readonly outcome: string;
   readonly ms: number;
 }
@@ -45,6 +47,10 @@
   readonly relay?: RelayLine;
   /** The entry that relayed the request to this one. */
   readonly relayedBy?: string;
+  /**
+   * What came of a wish to hedge the request: `won`, `lost`, `failed`, or `refused-` and the limit.
+   */
+  readonly hedge?: string;
   readonly decision: string;
   readonly detail?: string;
   readonly status: number;
--- a/packages/gateway/src/ResponseSender.ts
+++ b/packages/gateway/src/ResponseSender.ts
@@ -5,6 +5,7 @@
 import type Attempt from './Attempt';
 import type ExchangeDependencies from './ExchangeDependencies';
 import type GatewayRequest from './GatewayRequest';
+import type HedgeController from './HedgeController';
 import type OutcomeRecorder from './OutcomeRecorder';
 import type RelayHandover from './RelayHandover';
 import type ResponseForwarder from './ResponseForwarder';
@@ -16,6 +17,7 @@
   readonly forwarder: ResponseForwarder;
   readonly outcomes: OutcomeRecorder;
   readonly handover: RelayHandover;
+  readonly hedges: HedgeController;
   /** Called once, before the line of the request is logged. */
   readonly onEnd: () => void;
 }
@@ -61,7 +63,7 @@
    */
   finish(decision: string, status: number, detail?: string, retryAfterMs?: number): void {
     const {
-      request, dependencies, outcomes, handover, onEnd,
+      request, dependencies, outcomes, handover, hedges, onEnd,
     } = this.options;
     this.isEnded = true;
     onEnd();
@@ -73,6 +75,7 @@
       attempts: outcomes.lines,
       ...(handover.line === undefined ? {} : { relay: handover.line }),
       ...(request.relayedBy === undefined ? {} : { relayedBy: request.relayedBy }),
+      ...(hedges.outcome === undefined ? {} : { hedge: hedges.outcome }),
       decision,
       ...(detail === undefined || detail === '' ? {} : { detail }),
       status,
--- a/packages/gateway/src/RetryRules.ts
+++ b/packages/gateway/src/RetryRules.ts
@@ -24,7 +24,7 @@
   constructor(
     private readonly dependencies: Pick<ExchangeDependencies, 'clock' | 'placement' | 'pool' | 'prober' | 'crashes'>,
     private readonly request: GatewayRequest,
-    private readonly body: Pick<ReplayableBody, 'isReplayable'>,
+    private readonly body: Pick<ReplayableBody, 'isReplayable' | 'isComplete'>,
     private readonly triedIds: readonly string[],
   ) {}
 
@@ -43,6 +43,12 @@
     return mayRetry && hasTime && hasAttempts && isAllowed && this.body.isReplayable;
   }
 
+  /** @returns the limit of the request that forbids two attempts at once, undefined without one */
+  findHedgeLimit(): 'attempts' | 'body' | undefined {
+    if (!this.body.isComplete) return 'body';
+    return this.canRetry('spoiled') ? undefined : 'attempts';
+  }
+
   /**
    * Returns whether an attempt without a response can be replaced by one on another target.
    *
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -9,6 +9,7 @@
  * @param target - the selected target
  * @param release - frees its slot
  * @param isNewConnection - whether no open connection to it is free that has carried a response
+ * @param isHedge - whether another attempt is running
  * @param nowMs - monotonic clock
  * @returns the attempt
  */
@@ -16,12 +17,14 @@
   target: PlacedTarget,
   release: Attempt['release'],
   isNewConnection: boolean,
+  isHedge: boolean,
   nowMs: number,
 ): Attempt {
   const { reading } = target;
   return {
     target,
     startedAtMs: nowMs,
+    isHedge,
     load: reading === undefined ? undefined : estimateLoad(target, nowMs) - 1,
     slowness: reading?.slowness,
     loadAgeMs: reading === undefined ? undefined : nowMs - reading.atMs,
@@ -37,6 +40,7 @@
     bufferedBytes: 0,
     isForwarding: false,
     isAborted: false,
+    isSuperseded: false,
     isOver: false,
   };
 }
--- a/packages/gateway/src/describeAttempt.ts
+++ b/packages/gateway/src/describeAttempt.ts
@@ -21,6 +21,7 @@
   nowMs: number,
 ): AttemptLine {
   const { loadAgeMs, coldLeftMs, status } = attempt;
+  const result = failure === undefined ? status : failure.detail || failure.kind;
   return {
     target: attempt.target.record.id,
     load: attempt.load,
@@ -28,8 +29,9 @@
     loadAgeMs: loadAgeMs === undefined ? undefined : Math.round(loadAgeMs),
     ...(attempt.wasSilent ? { wasSilent: true } : {}),
     ...(attempt.isNewConnection ? { isNewConnection: true } : {}),
+    ...(attempt.isHedge ? { isHedge: true } : {}),
     ...(coldLeftMs > 0 ? { coldLeftMs: Math.round(coldLeftMs) } : {}),
-    outcome: failure === undefined ? `${verdict} ${status}` : `${verdict} ${failure.detail || failure.kind}`,
+    outcome: attempt.isSuperseded ? 'superseded' : `${verdict} ${result}`,
     ms: Math.round(nowMs - attempt.startedAtMs),
   };
 }
