--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -79,7 +79,7 @@
   const {
     settings, identity, hub, log, errors, seeds, listeners,
   } = context;
-  const { bounds, regions } = settings;
+  const { bounds, hedging, regions } = settings;
   const sender = new UndiciTargetSender({
     keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
     localAddress: settings.vm.bindsToIp ? settings.vm.ip : undefined,
@@ -121,6 +121,7 @@
     retryWindowMs: bounds.retryWindowSeconds * MS_PER_SECOND,
     // At the first start of the system, no earlier process has retried anything.
     startedAtMs: settings.vm.isFirstStart ? -Infinity : clock(),
+    hedgeShare: hedging.share,
   });
   const crashes = new CrashWatch({
     clock,
--- a/packages/cli/src/settings/GatewaySettings.ts
+++ b/packages/cli/src/settings/GatewaySettings.ts
@@ -52,6 +52,11 @@
     coldSlack: z.number().min(0),
     probesPerSecond: z.number().min(0),
   }),
+  /** Second attempts of requests that are late; without a share, no request is hedged. */
+  hedging: z.object({
+    /** Hedges for each first request of a service, at most; they also need the retry budget. */
+    share: z.number().min(0).max(1).optional(),
+  }).default({}),
   /** Listener that serves metrics; without it none are served. */
   metrics: z.object({ listen: HostPort }).optional(),
   log: z.object({ level: z.enum(['debug', 'info', 'warn', 'error']) }).default({ level: 'info' }),
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -234,7 +234,7 @@
     handler.onConnected();
     if (target.mode === 'silent') return;
     const restarts = this.restarts.get(target);
-    setTimeout(() => {
+    FakeSender.work(target, () => {
       if (this.restarts.get(target) !== restarts) return;
       state.running -= 1;
       this.waitingProbes.splice(0).forEach((probeAgain) => probeAgain());
@@ -247,7 +247,22 @@
       // The response to another request does not end this one.
       if (target.mode === 'foreign' && !isOver()) handler.onHeaders(200, FOREIGN_HEADERS);
       else if (!isOver()) FakeSender.respond(target, req, handler, exchange);
-    }, target.workMs * slowness);
+    });
+  }
+
+  /** Runs the work of one request. */
+  private static work(target: FakeTarget, onDone: () => void): void {
+    if (target.isProgressive !== true) {
+      setTimeout(onDone, target.workMs * target.slowness);
+      return;
+    }
+    let leftMs = target.workMs;
+    const step = (): void => {
+      leftMs -= 1 / target.slowness;
+      if (leftMs > 0) setTimeout(step, 1);
+      else onDone();
+    };
+    setTimeout(step, 1);
   }
 
   private static respond(
--- a/packages/gateway/test/support/FakeTarget.ts
+++ b/packages/gateway/test/support/FakeTarget.ts
@@ -9,6 +9,8 @@
   /** Service time of one request at the usual speed, in milliseconds. */
   workMs: number;
   coldLeftMs: number;
+  /** Whether `slowness` slows running requests as it changes, rather than those that start. */
+  isProgressive?: boolean;
   /** Time after which it answers a probe, in milliseconds. */
   probeMs?: number;
   /** Whether it does not tell its load, and lets probes wait for a free slot. */
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -89,6 +89,9 @@
   /** Ids of the targets of which control was told that they are about to leave. */
   readonly leavingIds: string[] = [];
 
+  /** Log lines of the requests that have ended. */
+  readonly lines: Parameters<RequestLog['write']>[0][] = [];
+
   /** Request limits that were shared with the other entries. */
   readonly notices: RequestLimitNotice[] = [];
 
@@ -113,11 +116,14 @@
     private readonly t: TestContext,
     route: Partial<DeclaredRoute> = {},
     probesPerSecond = 1000,
+    hedgeShare?: number,
   ) {
     t.mock.timers.enable({ apis: ['setTimeout'] });
     Object.assign(this.route, route);
     const clock = (): number => this.nowMs;
     const log = createLogger({ name: 'test', streams: [] });
+    const requestLog = new RequestLog(log, clock);
+    requestLog.observer = (line) => this.lines.push(line);
     const { dialect } = this;
     this.pool = new TargetPool({
       clock,
@@ -158,6 +164,7 @@
       retrySlack: 60,
       retryWindowMs: 10_000,
       startedAtMs: this.nowMs,
+      hedgeShare,
     });
     this.crashes = new CrashWatch({
       clock,
@@ -180,7 +187,7 @@
       placement,
       prober,
       crashes,
-      log: new RequestLog(log, clock),
+      log: requestLog,
       responseBytes: this.responseBytes,
       requestBytes: this.requestBytes,
       relay: this.relay,
--- a/packages/metrics/src/GatewayMetrics.ts
+++ b/packages/metrics/src/GatewayMetrics.ts
@@ -22,6 +22,8 @@
   readonly decision: string;
   readonly ms: number;
   readonly attempts: readonly { readonly outcome: string }[];
+  /** What came of a wish to hedge it; undefined without one. */
+  readonly hedge?: string;
   /** The attempt of another entry, if one was given the request. */
   readonly relay?: { readonly outcome: string };
   /** The entry that relayed the request to this one. */
@@ -68,6 +70,8 @@
 
   private readonly attempts: Counter;
 
+  private readonly hedges: Counter;
+
   private readonly relayed: Counter;
 
   private readonly servedForEntries: Counter;
@@ -87,6 +91,7 @@
     });
     this.requests = new Counter(options('requests_total'));
     this.attempts = new Counter(options('attempts_total'));
+    this.hedges = new Counter(options('hedges_total'));
     this.relayed = new Counter(options('relayed_requests_total'));
     this.servedForEntries = new Counter(options('served_for_entries_total'));
     this.latency = new Histogram({ ...options('request_seconds'), buckets: BUCKETS });
@@ -138,6 +143,7 @@
     request.attempts.forEach(({ outcome }) => {
       this.attempts.inc({ service, outcome: firstWord(outcome) });
     });
+    if (request.hedge !== undefined) this.hedges.inc({ service, outcome: request.hedge });
     if (request.relay !== undefined) {
       this.relayed.inc({ service, outcome: firstWord(request.relay.outcome) });
     }
--- a/packages/metrics/src/gatewayMetricTable.ts
+++ b/packages/metrics/src/gatewayMetricTable.ts
@@ -9,6 +9,9 @@
   attempts_total: {
     type: 'counter', tags: ['service', 'outcome'], meaning: 'attempts on targets by what came of them',
   },
+  hedges_total: {
+    type: 'counter', tags: ['service', 'outcome'], meaning: 'late requests for which a second attempt was wanted: `won` and `lost` tell which attempt was answered first, `failed` that neither was; `refused-share`, `refused-budget`, `refused-queue`, `refused-target`, `refused-attempts` and `refused-body` name the limit that did not allow it',
+  },
   relayed_requests_total: {
     type: 'counter', tags: ['service', 'outcome'], meaning: 'requests given to other entries by what came of them',
   },
--- a/packages/report/src/explainRequest.ts
+++ b/packages/report/src/explainRequest.ts
@@ -8,6 +8,7 @@
   wasSilent: z.boolean().optional(),
   isNewConnection: z.boolean().optional(),
   coldLeftMs: z.number().optional(),
+  isHedge: z.boolean().optional(),
   outcome: z.string(),
   ms: z.number(),
 });
@@ -25,6 +26,7 @@
   attempts: z.array(Attempt),
   relay: Relay.optional(),
   relayedBy: z.string().optional(),
+  hedge: z.string().optional(),
   decision: z.string(),
   detail: z.string().optional(),
   status: z.number(),
@@ -45,12 +47,13 @@
 function describeAttempt(attempt: z.infer<typeof Attempt>, index: number): string {
   const {
     target, load, slowness, loadAgeMs, wasSilent = false, isNewConnection = false, coldLeftMs,
-    outcome, ms,
+    isHedge = false, outcome, ms,
   } = attempt;
   const loadReport = load === undefined
     ? 'load unknown'
     : `told ${load} requests and slowness ${slowness ?? 'unknown'} ${loadAgeMs ?? 0} ms before`;
   const notes = [
+    ...(isHedge ? ['a hedge'] : []),
     loadReport,
     ...(wasSilent ? ['a probe unanswered'] : []),
     ...(isNewConnection ? ['a new connection'] : []),
@@ -66,7 +69,7 @@
 function describeLine(line: RequestLine): string[] {
   const {
     vm, time, route, service, version, decision, detail, status, retryAfterMs, ms,
-    relay, relayedBy,
+    relay, relayedBy, hedge,
   } = line;
   const routing = route === undefined ? 'no route' : `route ${route}, service ${service}, version ${version}`;
   const retryHint = retryAfterMs === undefined ? '' : `, to come back after ${retryAfterMs} ms`;
@@ -75,6 +78,7 @@
     `${time} ${vm}: ${routing}${relayedBy === undefined ? '' : `, relayed by ${relayedBy}`}`,
     ...line.attempts.map(describeAttempt),
     ...(relay === undefined ? [] : [describeRelay(relay)]),
+    ...(hedge === undefined ? [] : [`  hedge: ${hedge}`]),
     `  ${decision}${reason}: ${status === 0 ? 'no answer' : `answered ${status}`} after ${ms} ms${retryHint}`,
   ];
 }
--- a/packages/report/test/explain.test.ts
+++ b/packages/report/test/explain.test.ts
@@ -44,6 +44,16 @@
   ]);
 });
 
+test('a hedged request is explained with both attempts', () => {
+  const line = '{"vm":"entry-1","requestId":"r-5","route":"browse","service":"lots","version":6,"attempts":[{"target":"t-1","load":0,"slowness":1,"loadAgeMs":2,"outcome":"superseded","ms":260},{"target":"t-2","load":0,"slowness":1,"loadAgeMs":0,"isHedge":true,"outcome":"answered 200","ms":108}],"hedge":"won","decision":"answered","status":200,"ms":262,"time":"2026-10-09T07:00:01.300Z"}';
+  assert.deepEqual(explainRequest([line], 'r-5').slice(1), [
+    '  attempt 1: t-1 (told 0 requests and slowness 1 2 ms before): superseded after 260 ms',
+    '  attempt 2: t-2 (a hedge, told 0 requests and slowness 1 0 ms before): answered 200 after 108 ms',
+    '  hedge: won',
+    '  answered: answered 200 after 262 ms',
+  ]);
+});
+
 test('an unknown request id gives no lines', () => {
   assert.deepEqual(explainRequest(LINES, 'r-9'), []);
 });
