--- a/packages/core/src/hedging/hedgeLimits.ts
+++ b/packages/core/src/hedging/hedgeLimits.ts
@@ -6,12 +6,12 @@
    * Least multiple of the usual duration, however little time is left. The usual duration is a
    * mean, so nearly half of all attempts take longer.
    */
-  minLateFactor: 1.1,
+  minLateFactor: 1,
   /**
    * Expected duration of a second attempt as a multiple of the usual duration: a free target at its
    * usual speed may turn slow, too.
    */
-  secondFactor: 1.1,
+  secondFactor: 1,
   /** Time for two rounds of probes, of the running target and of free ones, in milliseconds. */
   probeAllowanceMs: 25,
   /** Usual duration as a share of the target latency until the service has enough samples. */
--- a/packages/gateway/src/OutcomeRecorder.ts
+++ b/packages/gateway/src/OutcomeRecorder.ts
@@ -9,16 +9,26 @@
 
 type Verdict = NonNullable<Attempt['verdict']>;
 
+interface DescribedAttempt {
+  readonly startedAtMs: number;
+  readonly line: ReturnType<typeof describeAttempt>;
+}
+
 /** Records what the attempts of a request tell of their targets, and describes them for the log. */
 export default class OutcomeRecorder {
-  /** Descriptions of the attempts that have ended. */
-  readonly lines: ReturnType<typeof describeAttempt>[] = [];
+  private readonly described: DescribedAttempt[] = [];
 
   constructor(
     private readonly dependencies: Pick<ExchangeDependencies, 'clock' | 'log' | 'pool' | 'crashes'>,
     private readonly request: Pick<GatewayRequest, 'service' | 'fingerprint'>,
   ) {}
 
+  /** Descriptions of the attempts that have ended, in the order in which they were sent. */
+  get lines(): ReturnType<typeof describeAttempt>[] {
+    return [...this.described].sort((a, b) => a.startedAtMs - b.startedAtMs)
+      .map(({ line }) => line);
+  }
+
   /**
    * Records an attempt that has ended.
    *
@@ -37,13 +47,18 @@
       log.logEvent({ target: target.record.id, forMs: target.ejectedUntilMs - nowMs }, 'target ejected');
     }
     recordRejection(target, verdict === 'not-run', nowMs);
-    this.lines.push(describeAttempt(attempt, verdict, failure, nowMs));
+    this.describe(attempt, verdict, failure);
     this.reportToCrashDetection(attempt, verdict, failure);
   }
 
   /** Describes an attempt that another one has superseded, which tells nothing of its target. */
   recordSuperseded(attempt: Attempt): void {
-    this.lines.push(describeAttempt(attempt, 'spoiled', undefined, this.dependencies.clock()));
+    this.describe(attempt, 'spoiled', undefined);
+  }
+
+  private describe(attempt: Attempt, verdict: Verdict, failure: Failure | undefined): void {
+    const line = describeAttempt(attempt, verdict, failure, this.dependencies.clock());
+    this.described.push({ startedAtMs: attempt.startedAtMs, line });
   }
 
   /** Reports the end of an attempt to crash detection: a broken-off request may be a crash. */
--- a/packages/gateway/src/PlacementQueue.ts
+++ b/packages/gateway/src/PlacementQueue.ts
@@ -93,10 +93,15 @@
    */
   findHedgeTargets(request: PlacementRequest, count: number): PlacedTarget[] {
     const nowMs = this.options.clock();
-    const near = this.findEligible(request).filter((target) => this.options.pool.isNear(target)
-      && isConfirmed(target) && !target.isUnhealthy
-      && hasFreeSlot(target, this.speed.bestConcurrency(target.record.slots), nowMs)
-      && isAtUsualSpeed(target, nowMs) !== false);
+    const near = this.findEligible(request).filter((target) => {
+      if (!this.options.pool.isNear(target) || !isConfirmed(target) || target.isUnhealthy) {
+        return false;
+      }
+      // An older reading tells neither that it is still full nor that it is still slow.
+      const isUsual = isAtUsualSpeed(target, nowMs);
+      const limit = this.speed.bestConcurrency(target.record.slots);
+      return isUsual === undefined || (isUsual && hasFreeSlot(target, limit, nowMs));
+    });
     return this.rankTargets(near, count);
   }
 
