Use one hedge policy in the gateway and the bench

planHedge replaces HedgePolicy: 1.5 times the usual duration of the service in place of its 95th percentile. AttemptBudget holds the share of the gateway, too, with no token in advance.

--- a/packages/bench/src/BenchEntry.ts
+++ b/packages/bench/src/BenchEntry.ts
@@ -1,5 +1,3 @@
-import HedgePolicy from '@guavayard/core/retries/HedgePolicy';
-
 import BenchExchange from './BenchExchange';
 import type BenchEntryLocation from './BenchEntryLocation';
 import type BenchRequest from './BenchRequest';
@@ -7,6 +5,7 @@
 import type FakeTarget from './FakeTarget';
 import type Fleet from './Fleet';
 import type Measurements from './Measurements';
+import UsualDurations from './UsualDurations';
 
 /** Simulated entry VM: handles requests with the scheduler of a policy. */
 export default class BenchEntry {
@@ -16,7 +15,7 @@
   /** Relays a request to the entry with the given name. */
   relay: ((entryName: string, req: BenchRequest) => void) | undefined;
 
-  private readonly hedging = new HedgePolicy();
+  private readonly hedging = new UsualDurations();
 
   constructor(
     readonly location: BenchEntryLocation,
--- a/packages/bench/src/BenchExchange.ts
+++ b/packages/bench/src/BenchExchange.ts
@@ -1,4 +1,3 @@
-import type HedgePolicy from '@guavayard/core/retries/HedgePolicy';
 import type Admission from '@guavayard/core/scheduling/Admission';
 import type Assignment from '@guavayard/core/scheduling/Assignment';
 import type AttemptResult from '@guavayard/core/scheduling/AttemptResult';
@@ -11,6 +10,7 @@
 import type Fleet from './Fleet';
 import type Measurements from './Measurements';
 import type TimerHandle from './TimerHandle';
+import type UsualDurations from './UsualDurations';
 
 const MAX_RETRIES = 2;
 const CANCELLED: AttemptResult = { evidence: 'cancelled', status: undefined, loadHeader: undefined };
@@ -45,7 +45,7 @@
   constructor(
     private readonly entry: BenchEntry,
     private readonly fleet: Fleet,
-    private readonly hedging: HedgePolicy,
+    private readonly hedging: UsualDurations,
     private readonly measurements: Measurements,
     private readonly req: BenchRequest,
   ) {
@@ -100,7 +100,9 @@
     target.commit(isRemote);
     clock.after(latencyMs, () => this.arrive(attempt, purpose));
     if (purpose === 'first' && this.req.isIdempotent && this.entry.policy.hedges) {
-      this.hedgeTimer = clock.after(this.hedging.delayMs(this.req.serviceName), () => {
+      const { serviceName, deadlineMs, arrivedAtMs } = this.req;
+      const delayMs = this.hedging.hedgeDelayMs(serviceName, deadlineMs - arrivedAtMs);
+      this.hedgeTimer = clock.after(delayMs, () => {
         if (!this.isOver) this.schedule('hedge');
       });
     }
--- a/packages/core/src/hedging/hedgeLimits.ts
+++ b/packages/core/src/hedging/hedgeLimits.ts
@@ -1,17 +1,7 @@
 /** Limits and estimates of hedged requests. */
 const hedgeLimits = {
   /** Multiple of the usual duration from which an attempt counts as late. */
-  lateFactor: 1.3,
-  /**
-   * Least multiple of the usual duration, however little time is left. The usual duration is a
-   * mean, so nearly half of all attempts take longer.
-   */
-  minLateFactor: 1,
-  /**
-   * Expected duration of a second attempt as a multiple of the usual duration: a free target at its
-   * usual speed may turn slow, too.
-   */
-  secondFactor: 1,
+  lateFactor: 1.5,
   /** Time for two rounds of probes, of the running target and of free ones, in milliseconds. */
   probeAllowanceMs: 25,
   /** Usual duration as a share of the target latency until the service has enough samples. */
--- a/packages/core/src/hedging/isHedgeWorthwhile.ts
+++ b/packages/core/src/hedging/isHedgeWorthwhile.ts
@@ -36,10 +36,8 @@
  */
 export default function isHedgeWorthwhile(attempt: LateAttempt): boolean {
   const { elapsedMs, targetLatencyMs } = attempt;
-  const { secondFactor, minGainFactor } = hedgeLimits;
   const usualMs = estimateUsualMs(attempt);
-  const secondMs = usualMs * secondFactor;
   const restMs = estimateRest(attempt, usualMs);
-  const isSaved = elapsedMs + restMs > targetLatencyMs && elapsedMs + secondMs <= targetLatencyMs;
-  return (isSaved && restMs > secondMs) || restMs >= minGainFactor * secondMs;
+  const isSaved = elapsedMs + restMs > targetLatencyMs && elapsedMs + usualMs <= targetLatencyMs;
+  return (isSaved && restMs > usualMs) || restMs >= hedgeLimits.minGainFactor * usualMs;
 }
--- a/packages/core/src/hedging/planHedge.ts
+++ b/packages/core/src/hedging/planHedge.ts
@@ -13,6 +13,7 @@
 /**
  * Decides when to check whether an attempt is hedged: once it is late, or at the last moment at
  * which a second attempt can meet the target latency, but not before the usual duration has passed.
+ * That is a mean over attempts of which some were slowed, so a second attempt may take as long.
  * An attempt on a target that was slow from the start is late at once.
  *
  * @param candidate - the attempt
@@ -20,15 +21,13 @@
  */
 export default function planHedge(candidate: HedgeCandidate): HedgePlan {
   const { sentAfterMs, targetLatencyMs, slownessAtStart = 1 } = candidate;
-  const {
-    secondFactor, probeAllowanceMs, lateFactor, minLateFactor, slowCheckMs,
-  } = hedgeLimits;
+  const { probeAllowanceMs, lateFactor, slowCheckMs } = hedgeLimits;
   const usualMs = estimateUsualMs(candidate);
-  const lastUsefulMs = targetLatencyMs - usualMs * secondFactor - probeAllowanceMs;
+  const lastUsefulMs = targetLatencyMs - usualMs - probeAllowanceMs;
   if (slownessAtStart > placementLimits.usualSlowness) {
     return { firstCheckMs: sentAfterMs + slowCheckMs, lastUsefulMs };
   }
   const lateMs = sentAfterMs + usualMs * lateFactor;
-  const earliestMs = sentAfterMs + usualMs * minLateFactor;
+  const earliestMs = sentAfterMs + usualMs;
   return { firstCheckMs: Math.max(earliestMs, Math.min(lateMs, lastUsefulMs)), lastUsefulMs };
 }
--- a/packages/gateway/src/Placement.ts
+++ b/packages/gateway/src/Placement.ts
@@ -1,7 +1,8 @@
-import HedgeShare from '@guavayard/core/hedging/HedgeShare';
+import hedgeLimits from '@guavayard/core/hedging/hedgeLimits';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 import RetryBudget from '@guavayard/core/placement/RetryBudget';
 import type RetryGrant from '@guavayard/core/placement/RetryGrant';
+import AttemptBudget from '@guavayard/core/retries/AttemptBudget';
 import type Clock from '@guavayard/core/types/Clock';
 import type Random from '@guavayard/core/types/Random';
 
@@ -30,7 +31,7 @@
 
   private readonly budgets = new Map<string, RetryBudget>();
 
-  private readonly hedgeShares = new Map<string, HedgeShare>();
+  private readonly hedgeShares = new Map<string, AttemptBudget>();
 
   private refusals = 0;
 
@@ -102,7 +103,7 @@
   findHedgeLimit(service: string): 'share' | 'budget' | 'queue' | undefined {
     const { pool, clock } = this.options;
     const nowMs = clock();
-    if (this.hedgeShareOf(service)?.hasLeft !== true) return 'share';
+    if (this.hedgeShareOf(service)?.hasTokens() !== true) return 'share';
     // The requests that wait need the free slots.
     if (this.waitingFor(service) > 0) return 'queue';
     const share = pool.share.findShare(nowMs);
@@ -153,12 +154,13 @@
     return this.queueOf(request.service).placeAtOnce(request, targets);
   }
 
-  private hedgeShareOf(service: string): HedgeShare | undefined {
+  private hedgeShareOf(service: string): AttemptBudget | undefined {
     const { hedgeShare } = this.options;
     if (hedgeShare === undefined || hedgeShare === 0) return undefined;
     const known = this.hedgeShares.get(service);
     if (known !== undefined) return known;
-    const share = new HedgeShare(hedgeShare);
+    // Nothing in advance: the hedges of all entries since their start are at most the share.
+    const share = new AttemptBudget(hedgeShare, 0, hedgeLimits.maxSaved);
     this.hedgeShares.set(service, share);
     return share;
   }
