--- a/packages/gateway/src/HedgeController.ts
+++ b/packages/gateway/src/HedgeController.ts
@@ -2,10 +2,12 @@
 import hedgeLimits from '@guavayard/core/hedging/hedgeLimits';
 import type HedgeCandidate from '@guavayard/core/hedging/HedgeCandidate';
 import planHedge from '@guavayard/core/hedging/planHedge';
+import hasFreeSlot from '@guavayard/core/placement/hasFreeSlot';
 import isAtUsualSpeed from '@guavayard/core/placement/isAtUsualSpeed';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 
 import type Attempt from './Attempt';
+import describePlacement from './describePlacement';
 import type ExchangeDependencies from './ExchangeDependencies';
 import type GatewayRequest from './GatewayRequest';
 import type PlacementRequest from './PlacementRequest';
@@ -114,9 +116,12 @@
       return;
     }
     const { target } = attempt;
+    const nowMs = clock();
     const mayWaitForSlot = pool.paths.answersProbesAtOnce(target.record.service) === false;
-    const isKnown = isAtUsualSpeed(target, clock()) !== undefined;
-    if (mayWaitForSlot || isKnown) this.decide(attempt);
+    // It may reset the connection of a probe, which would pass for a path that does not work.
+    const isFull = !hasFreeSlot(target, target.record.slots, nowMs);
+    const isKnown = isAtUsualSpeed(target, nowMs) !== undefined;
+    if (mayWaitForSlot || isFull || isKnown) this.decide(attempt);
     else {
       this.await(
         prober.probe([target], () => this.resume()),
@@ -205,16 +210,11 @@
 
   private createRequest(): PlacementRequest {
     const { request, triedIds, dependencies: { placement } } = this.options;
-    const { route } = request;
     return {
-      service: request.service,
-      homeRegions: route.homeRegions,
-      triedIds,
+      ...describePlacement(request, triedIds),
+      // What another entry has given up of a request limit is for the first attempt.
       permittedIds: [],
-      priority: route.priority,
-      targetLatencyMs: route.targetLatencyMs,
       hasLargeBody: true,
-      deadlineMs: request.deadlineMs,
       mayRelay: false,
       onPlaced: (target, release) => {
         if (!placement.takeHedge(request.service)) {
--- a/packages/gateway/src/TargetSearch.ts
+++ b/packages/gateway/src/TargetSearch.ts
@@ -4,6 +4,7 @@
 import type RetryGrant from '@guavayard/core/placement/RetryGrant';
 
 import type Attempt from './Attempt';
+import describePlacement from './describePlacement';
 import type ExchangeDependencies from './ExchangeDependencies';
 import type GatewayRequest from './GatewayRequest';
 import type PlacementRequest from './PlacementRequest';
@@ -99,16 +100,10 @@
 
   private createPlacementRequest(): PlacementRequest {
     const { request, triedIds, handover } = this.options;
-    const { route } = request;
     return {
-      service: request.service,
-      homeRegions: route.homeRegions,
-      triedIds,
+      ...describePlacement(request, triedIds),
       permittedIds: request.permittedIds,
-      priority: route.priority,
-      targetLatencyMs: route.targetLatencyMs,
       hasLargeBody: this.hasLargeBody,
-      deadlineMs: request.deadlineMs,
       mayRelay: handover.isAllowed,
       onPlaced: (target, release) => {
         this.leaveQueue = undefined;
