--- a/packages/gateway/src/Placement.ts
+++ b/packages/gateway/src/Placement.ts
@@ -104,8 +104,8 @@
     const { pool, clock } = this.options;
     const nowMs = clock();
     if (this.hedgeShareOf(service)?.hasTokens() !== true) return 'share';
-    // The requests that wait need the free slots.
-    if (this.waitingFor(service) > 0) return 'queue';
+    // The requests that wait need the next free slots.
+    if (this.queues.get(service)?.hasUnplaced === true) return 'queue';
     const share = pool.share.findShare(nowMs);
     return this.budgetOf(service).hasLeft(nowMs, share, true) ? undefined : 'budget';
   }
--- a/packages/gateway/src/PlacementQueue.ts
+++ b/packages/gateway/src/PlacementQueue.ts
@@ -79,6 +79,11 @@
     return this.queue.length;
   }
 
+  /** Whether a request waits that has searched for a free target in vain. */
+  get hasUnplaced(): boolean {
+    return this.queue.some(({ searchRounds }) => searchRounds > 0);
+  }
+
   /** Usual duration of a request in milliseconds, undefined while there are too few samples. */
   get usualMs(): number | undefined {
     return this.speed.usualMs;
--- a/packages/gateway/test/hedgingLatency.test.ts
+++ b/packages/gateway/test/hedgingLatency.test.ts
@@ -10,11 +10,20 @@
 
 type Options = Pick<Parameters<typeof measureHedging>[1], 'isProgressive' | 'hasVariedPhases'>;
 
+/** Few requests at each of many entries, as in the deployments of docs/design/uneven-load.md. */
+const QUIET = { ratePerS: 4, entries: 10 };
+/** Load at which requests wait and some are refused: 0.83 of what the targets can serve. */
+const BUSY = { ratePerS: 160, entries: 1 };
+
 /** Plays the same load without and with hedging, and prints the figures. */
-function compare(t: TestContext, options: Options): ReturnType<typeof measureHedging>[] {
+function compare(
+  t: TestContext,
+  options: Options,
+  load = QUIET,
+): ReturnType<typeof measureHedging>[] {
   return [undefined, SHARE].map((share) => {
     const figures = measureHedging(t, {
-      ...options, share, requests: REQUESTS, seed: 1,
+      ...options, ...load, share, requests: REQUESTS, seed: 1,
     });
     const outcomes = JSON.stringify(figures.outcomes);
     t.diagnostic(`share ${share ?? 'none'}: p50 ${figures.p50Ms}, p99 ${figures.p99Ms}, p99.9 ${figures.p999Ms} ms, late ${figures.lateShare.toFixed(4)}, added work ${figures.addedWork.toFixed(4)}, probes ${figures.probesPerRequest.toFixed(2)} ${outcomes}`);
@@ -55,3 +64,12 @@
   assert.ok(hedged.lateShare <= without.lateShare);
   assert.ok(hedged.addedWork <= 0.01);
 });
+
+// Guards against hedges that take the slots that other requests wait for.
+test('a service without free slots gets few hedges, and no more late requests', (t) => {
+  const [without, hedged] = compare(t, { isProgressive: true, hasVariedPhases: true }, BUSY);
+  assert.ok(without !== undefined && hedged !== undefined);
+  assert.ok(without.lateShare > 0.05);
+  assert.ok(hedged.lateShare <= without.lateShare);
+  assert.ok(hedged.hedgeShare <= SHARE / 3);
+});
--- a/packages/gateway/test/support/measureHedging.ts
+++ b/packages/gateway/test/support/measureHedging.ts
@@ -12,13 +12,9 @@
 const SLOW_MS = 150;
 /** Mean time between slow phases, so that targets are slow for a quarter of the time. */
 const MEAN_GAP_MS = 450;
-/** Requests per second of this entry, which is one of many. */
-const RATE_PER_S = 4;
 const PROBES_PER_S = 60;
-/** Entries that share the probes and the slack of the retry budget. */
-const ENTRIES = 10;
-/** Time in which the usual duration is learnt, in milliseconds. */
-const WARM_UP_MS = 10_000;
+/** Requests from which the usual duration is learnt. */
+const WARM_UP_REQUESTS = 40;
 
 interface HedgingOptions {
   /** Hedges for each first request; undefined to hedge nothing. */
@@ -27,6 +23,10 @@
   readonly isProgressive: boolean;
   /** Whether the lengths of the slow phases vary, exponentially, or are all the same. */
   readonly hasVariedPhases: boolean;
+  /** Requests per second of this entry. */
+  readonly ratePerS: number;
+  /** Entries that share the probes and the slack of the retry budget. */
+  readonly entries: number;
   readonly requests: number;
   readonly seed: number;
 }
@@ -56,7 +56,7 @@
  */
 export default function measureHedging(t: TestContext, options: HedgingOptions): HedgingFigures {
   const {
-    share, isProgressive, hasVariedPhases, requests, seed,
+    share, isProgressive, hasVariedPhases, ratePerS, entries, requests, seed,
   } = options;
   const random = createRandom(seed);
   const phases = createRandom(seed + 1);
@@ -66,7 +66,7 @@
     targetLatencyMs: TARGET_LATENCY_MS, timeoutMs: 2000, maxAttempts: 3,
   }, PROBES_PER_S, share);
   rig.random = random;
-  rig.pool.setEntries(Array.from({ length: ENTRIES }, (_, index) => (
+  rig.pool.setEntries(Array.from({ length: entries }, (_, index) => (
     { name: `entry-${index + 1}`, region: 'near' })));
   const changes = Array.from({ length: TARGETS }, (_, index) => ({
     target: rig.addTarget(`t-${index}`, { workMs: WORK_MS, isProgressive, probeMs: 8 }),
@@ -88,13 +88,13 @@
       if (nowMs >= nextMs) {
         rig.request();
         sent += 1;
-        nextMs += sampleMs(1000 / RATE_PER_S, traffic);
+        nextMs += sampleMs(1000 / ratePerS, traffic);
       }
       rig.run(1);
       nowMs += 1;
     }
   };
-  run(Math.round((WARM_UP_MS / 1000) * RATE_PER_S));
+  run(WARM_UP_REQUESTS);
   rig.run(2000);
   sent = 0;
   rig.lines.splice(0);
