--- a/packages/gateway/test/hedging.test.ts
+++ b/packages/gateway/test/hedging.test.ts
@@ -180,12 +180,16 @@
 test('a response that is forwarded before it is complete ends the other attempt', (t) => {
   const bodyBytes = 400 * 1024;
   const rig = createRig(t);
-  const res = requestSlow(rig, { workMs: 400, bodyBytes }, { workMs: 200, bodyBytes });
+  const res = requestSlow(rig, { workMs: 100 }, { workMs: 200, tailMs: 300, bodyBytes });
   rig.run(HEDGED_MS);
   assert.equal(rig.sender.sent.length, 2);
+  rig.run(50);
+  // The response has begun, and the hedge would end before it.
+  assert.deepEqual([res.headersSent, res.endedAtMs, rig.sender.aborts], [true, undefined, 1]);
   rig.run(500);
   assert.deepEqual([res.status, res.body.length, rig.sender.aborts], [200, bodyBytes, 1]);
   assert.ok(res.body.startsWith('slow'));
+  assert.equal(rig.lines[0]?.hedge, 'lost');
 });
 
 test('a request with a complete body is hedged', async (t) => {
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -292,7 +292,8 @@
     for (let start = 0; start < body.length && !isOver(); start += CHUNK_BYTES) {
       handler.onData(Buffer.from(body.slice(start, start + CHUNK_BYTES)));
     }
-    complete(() => handler.onEnd());
+    if (target.tailMs === undefined) complete(() => handler.onEnd());
+    else setTimeout(() => complete(() => handler.onEnd()), target.tailMs);
   }
 
   /** Sends the head and half of the body of a response. */
--- a/packages/metrics/test/gatewayMetrics.test.ts
+++ b/packages/metrics/test/gatewayMetrics.test.ts
@@ -36,12 +36,17 @@
     service: 'lots', decision: 'answered', ms: 250, attempts: [], relay: { outcome: 'answered 200' }, relayedBy: 'a',
   });
   metrics.observe({ decision: 'noRoute', ms: 0, attempts: [] });
+  metrics.observe({
+    service: 'hedged', decision: 'answered', ms: 250, attempts: [{ outcome: 'superseded' }, { outcome: 'answered 200' }], hedge: 'won',
+  });
   const { port } = metrics.server.address() as AddressInfo;
   const text = await (await fetch(`http://127.0.0.1:${port}/metrics`)).text();
   [
     'guavayard_requests_total{service="lots",decision="answered"} 2',
     'guavayard_relayed_requests_total{service="lots",outcome="answered"} 1',
     'guavayard_served_for_entries_total{service="lots"} 1',
+    'guavayard_hedges_total{service="hedged",outcome="won"} 1',
+    'guavayard_attempts_total{service="hedged",outcome="superseded"} 1',
     'guavayard_unreachable_services 2',
     'guavayard_requests_total{service="none",decision="noRoute"} 1',
     'guavayard_attempts_total{service="lots",outcome="not-run"} 1',
