--- a/packages/gateway/src/Attempt.ts
+++ b/packages/gateway/src/Attempt.ts
@@ -1,4 +1,5 @@
 import type AnswerHeaders from '@guavayard/core/dispatch/AnswerHeaders';
+import type Dispatch from '@guavayard/core/dispatch/Dispatch';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
 
 import type classifyResponse from './classifyResponse';
@@ -7,6 +8,8 @@
 interface Attempt {
   readonly target: PlacedTarget;
   readonly startedAtMs: number;
+  /** Whether it was sent beside another attempt that was late. */
+  readonly isHedge: boolean;
   /** Load of the target when it was selected; undefined if it had not reported any. */
   readonly load: number | undefined;
   readonly slowness: number | undefined;
@@ -19,6 +22,8 @@
   readonly coldLeftMs: number;
   /** Frees the slot; receives the duration if the request was answered. */
   readonly release: (durationMs?: number) => void;
+  /** The exchange with the target; undefined before it starts and after it has ended. */
+  dispatch: Dispatch | undefined;
   status: number | undefined;
   headers: AnswerHeaders;
   verdict: ReturnType<typeof classifyResponse> | undefined;
@@ -29,6 +34,8 @@
   isForwarding: boolean;
   /** Whether this entry aborted the attempt. */
   isAborted: boolean;
+  /** Whether another attempt was answered first. */
+  isSuperseded: boolean;
   isOver: boolean;
 }
 
