--- a/packages/gateway/src/PlacementQueue.ts
+++ b/packages/gateway/src/PlacementQueue.ts
@@ -106,7 +106,7 @@
       }
       // An older reading tells neither that it is still full nor that it is still slow.
       const isUsual = isAtUsualSpeed(target, nowMs);
-      const limit = this.speed.bestConcurrency(target.record.slots);
+      const limit = this.speed.bestConcurrency(target.record.slots, request.targetLatencyMs);
       return isUsual === undefined || (isUsual && hasFreeSlot(target, limit, nowMs));
     });
     return this.rankTargets(near, count);
