Decode tenants, publish hashes of their keys to entries, and set the tenant of a request

Older builds send an empty source and ignore any, so the schema stays as it is.

The key is looked up when a request arrives and again before each send.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -7,11 +7,13 @@
 import ByteBudget from '@guavayard/core/limits/ByteBudget';
 import CrashWatch from '@guavayard/gateway/CrashWatch';
 import GatewayHandler from '@guavayard/gateway/GatewayHandler';
+import KeyGate from '@guavayard/gateway/KeyGate';
 import Placement from '@guavayard/gateway/Placement';
 import RelayAdmission from '@guavayard/gateway/RelayAdmission';
 import RequestLog from '@guavayard/gateway/RequestLog';
 import TargetPool from '@guavayard/gateway/TargetPool';
 import TargetProber from '@guavayard/gateway/TargetProber';
+import TenantSource from '@guavayard/gateway/TenantSource';
 import PlatformDialect from '@guavayard/platform/PlatformDialect';
 import ReadinessApi from '@guavayard/platform/ReadinessApi';
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
@@ -132,6 +134,7 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a response
     reportAnswered: (fingerprint) => subscription.reportAnswered(fingerprint),
   });
+  const tenants = new TenantSource();
   const subscription: RegistrySubscription = new RegistrySubscription({
     hub,
     identity,
@@ -140,6 +143,7 @@
     listener: {
       onChange: () => {
         const { declaration, evacuated, targets } = subscription;
+        tenants.update(declaration);
         pool.update(declaration, evacuated, targets);
         if (declaration === undefined) return;
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- set by then
@@ -157,6 +161,7 @@
       },
     },
   });
+  const keys = new KeyGate({ dialect, directory: () => tenants.directory, isProven: () => true });
   const requestLog = new RequestLog(log, clock);
   const relay = new RelayClient({
     hub,
@@ -173,6 +178,7 @@
     placement,
     prober,
     crashes,
+    keys,
     log: requestLog,
     responseBytes: new ByteBudget(RESPONSE_BUFFER_BYTES),
     requestBytes: new ByteBudget(REQUEST_BUFFER_BYTES),
--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -3,6 +3,7 @@
 import { Ok, type Result } from 'ts-results';
 
 import ControlApi from '@guavayard/platform/ControlApi';
+import createEntrySource from '@guavayard/platform/createEntrySource';
 import RegistryTask from '@guavayard/vm/registry/RegistryTask';
 import splitHostPort from '@guavayard/core/utils/splitHostPort';
 
@@ -60,6 +61,7 @@
     targetTimeoutMs: MAX_MISSED_HEARTBEATS * bounds.targetHeartbeatSeconds * MS_PER_SECOND,
     dataCentres: new Set(Object.keys(settings.regions)),
     timeOfDay: Date.now,
+    createEntrySource,
     onFailure: (err) => {
       log.fatal({ err }, 'the replica has failed; exiting to replay its log');
       task.close();
--- a/packages/gateway/src/Dialect.ts
+++ b/packages/gateway/src/Dialect.ts
@@ -15,6 +15,13 @@
  */
 interface Dialect {
   readRequest: (req: Pick<IncomingMessage, 'headers'>) => RequestMetadata;
+  /**
+   * Returns the keys that a request carries, one for each header, and an empty one for an empty
+   * header. They must not be logged.
+   *
+   * @param rawHeaders - alternating names and values, as received from the caller
+   */
+  readKeys: (rawHeaders: readonly string[]) => string[];
   /**
    * Creates the headers of the request to the target.
    *
--- a/packages/gateway/src/ExchangeDependencies.ts
+++ b/packages/gateway/src/ExchangeDependencies.ts
@@ -5,6 +5,7 @@
 
 import type CrashWatch from './CrashWatch';
 import type Dialect from './Dialect';
+import type KeyGate from './KeyGate';
 import type Placement from './Placement';
 import type RequestLog from './RequestLog';
 import type TargetProber from './TargetProber';
@@ -19,6 +20,8 @@
   readonly placement: Placement;
   readonly prober: TargetProber;
   readonly crashes: CrashWatch;
+  /** Decides which tenant a request is of, and whether it may be sent. */
+  readonly keys: KeyGate;
   readonly log: RequestLog;
   /** Bounds the response bytes that all exchanges of the entry buffer. */
   readonly responseBytes: ByteBudget;
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -206,10 +206,14 @@
   }
 
   private send(target: PlacedTarget, release: Attempt['release']): void {
-    const { clock, dialect, sender } = this.dependencies;
+    const {
+      clock, dialect, keys, sender,
+    } = this.dependencies;
     const { request } = this;
     this.leaveQueue = undefined;
-    if (this.isEnded) {
+    const refusal = this.isEnded ? undefined : keys.findRefusal(request);
+    if (refusal !== undefined) this.fail(refusal, RETRY_AFTER_MS);
+    if (this.isEnded || refusal !== undefined) {
       release();
       return;
     }
@@ -227,6 +231,7 @@
         headers: dialect.createHeaders(request.req.rawHeaders, {
           remainingMs: Math.max(1, Math.floor(request.deadlineMs - nowMs)),
           targetId: target.record.id,
+          ...keys.describeTenant(request),
         }),
         body: this.body.open(),
         purpose: 'bound',
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -12,6 +12,7 @@
 import matchDeclaredRoute from '@guavayard/core/placement/matchDeclaredRoute';
 import mayFinishBeforeStop from '@guavayard/core/shutdown/mayFinishBeforeStop';
 import type StopWindow from '@guavayard/core/shutdown/StopWindow';
+import applyTenant from '@guavayard/core/tenants/applyTenant';
 import WeightedRoundRobin from '@guavayard/core/placement/WeightedRoundRobin';
 import type RelayedHead from '@guavayard/core/relay/RelayedHead';
 import createFingerprint from '@guavayard/core/quarantine/createFingerprint';
@@ -34,10 +35,16 @@
  * jitter as above. It is short, because the caller reaches another entry.
  */
 const STOPPING_RETRY_AFTER_MS = 30;
+/**
+ * Retry delay for a caller whose key this entry cannot confirm, in milliseconds, with jitter as
+ * above. It is short, because most often other entries can.
+ */
+const UNPROVEN_RETRY_AFTER_MS = 30;
 /** Retry delays by the reason of the refusal; the others say none. */
 const RETRY_DELAYS: Partial<Record<ErrorKind, number>> = {
   noConfiguration: RETRY_AFTER_MS,
   shuttingDown: STOPPING_RETRY_AFTER_MS,
+  keysUnproven: UNPROVEN_RETRY_AFTER_MS,
 };
 
 /** Where a relayed request comes from, and what the other entry tells of it. */
@@ -147,7 +154,14 @@
     const path = req.url ?? '/';
     const match = matchDeclaredRoute(declaration, host, path);
     if (match === undefined) return fail('noRoute', `version ${declaration.version}`);
-    const [routeName, route] = match;
+    const [routeName, declaredRoute] = match;
+    const { keys } = this.dependencies;
+    const tenant = keys.findTenant(req.rawHeaders, routeName);
+    if (tenant.err) return tenant;
+    const route = applyTenant(declaredRoute, tenant.val);
+    if (route.homeRegions?.length === 0) {
+      return fail('noTarget', 'no region is allowed for both the route and the tenant');
+    }
     const method = req.method ?? 'GET';
     const fingerprint = createFingerprint({
       caller: req.socket.remoteAddress ?? '',
@@ -173,6 +187,7 @@
       path,
       routeName,
       route,
+      tenant: tenant.val,
       service: this.chooseService(routeName, route, relayed),
       maxBodyBytes: declaration.limits.maxBodyBytes,
       version: declaration.version,
--- a/packages/gateway/src/GatewayRequest.ts
+++ b/packages/gateway/src/GatewayRequest.ts
@@ -11,6 +11,7 @@
   readonly method: string;
   readonly path: string;
   readonly routeName: string;
+  /** The route, with priority and home regions as they apply to the tenant. */
   readonly route: DeclaredRoute;
   readonly service: string;
   /** Tenant that holds the key of the request; undefined on public routes and without tenants. */
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -9,11 +9,14 @@
 import type DeclaredRoute from '@guavayard/core/registry/DeclaredRoute';
 import type RequestLimitNotice from '@guavayard/core/requestLimit/RequestLimitNotice';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
+import TenantDirectory from '@guavayard/core/tenants/TenantDirectory';
+import type TenantTable from '@guavayard/core/tenants/TenantTable';
 import type Random from '@guavayard/core/types/Random';
 
 import CrashWatch from '../../src/CrashWatch';
 import DirectReply from '../../src/DirectReply';
 import GatewayHandler from '../../src/GatewayHandler';
+import KeyGate from '../../src/KeyGate';
 import Placement from '../../src/Placement';
 import RelayAdmission from '../../src/RelayAdmission';
 import RequestLog from '../../src/RequestLog';
@@ -62,6 +65,12 @@
   /** Version of the declaration in force. */
   version = 1;
 
+  /** Tenants of the declaration in force, undefined if it has none. */
+  tenants: TenantTable | undefined;
+
+  /** Whether the declaration is recent enough to decide about keys. */
+  isProven = true;
+
   evacuated = new Set<string>();
 
   /** Random numbers that the entry uses, from 0 to 1. */
@@ -180,6 +189,11 @@
       placement,
       prober,
       crashes,
+      keys: new KeyGate({
+        dialect,
+        directory: () => this.tenants && new TenantDirectory(this.tenants),
+        isProven: () => this.isProven,
+      }),
       log: new RequestLog(log, clock),
       responseBytes: this.responseBytes,
       requestBytes: this.requestBytes,
--- a/packages/gateway/test/support/PlainDialect.ts
+++ b/packages/gateway/test/support/PlainDialect.ts
@@ -32,8 +32,19 @@
     };
   }
 
+  readKeys(rawHeaders: readonly string[]): string[] {
+    return rawHeaders.filter((_value, index) => index % 2 === 1 && rawHeaders[index - 1] === 'key');
+  }
+
   createHeaders(rawHeaders: readonly string[], metadata: TargetRequestMetadata): string[] {
-    return [...rawHeaders, 'expected', metadata.targetId, 'left', String(metadata.remainingMs)];
+    return [
+      ...rawHeaders,
+      'expected',
+      metadata.targetId,
+      'left',
+      String(metadata.remainingMs),
+      ...(metadata.tenant?.label === undefined ? [] : ['tenant', metadata.tenant.label]),
+    ];
   }
 
   readResponse(headers: AnswerHeaders): ResponseMetadata {
--- a/packages/gateway/test/support/fleet/FleetEntry.ts
+++ b/packages/gateway/test/support/fleet/FleetEntry.ts
@@ -9,6 +9,7 @@
 
 import CrashWatch from '../../../src/CrashWatch';
 import GatewayHandler from '../../../src/GatewayHandler';
+import KeyGate from '../../../src/KeyGate';
 import Placement from '../../../src/Placement';
 import RequestLog from '../../../src/RequestLog';
 import TargetPool from '../../../src/TargetPool';
@@ -126,6 +127,7 @@
       crashes: new CrashWatch({
         clock, log, pool, prober, report: () => undefined, reportAnswered: () => undefined,
       }),
+      keys: new KeyGate({ dialect, directory: () => undefined, isProven: () => true }),
       log: new RequestLog(log, clock),
       responseBytes: new ByteBudget(BUFFER_BYTES),
       requestBytes: new ByteBudget(BUFFER_BYTES),
--- a/packages/vm/src/registry/RegistryStore.ts
+++ b/packages/vm/src/registry/RegistryStore.ts
@@ -33,7 +33,21 @@
 
   private areEvacuationsDirty = false;
 
-  constructor(private readonly clock: Clock, initial: RegistryState | undefined, index: number) {
+  /** What entries get in place of the source of the declaration, by that source. */
+  private entrySource = { source: '', published: '' };
+
+  /**
+   * @param clock - monotonic clock, in milliseconds
+   * @param initial - the registry of the snapshot, if there is one
+   * @param index - index up to which it was applied
+   * @param createEntrySource - creates what entries get in place of the source of a declaration
+   */
+  constructor(
+    private readonly clock: Clock,
+    initial: RegistryState | undefined,
+    index: number,
+    private readonly createEntrySource: (source: string) => string = () => '',
+  ) {
     this.registry = structuredClone(initial ?? createRegistryState());
     this.index = index;
     this.baseIndex = index;
@@ -170,11 +184,16 @@
   }
 
   /**
-   * Returns the declaration without its source: entries use only the decoded document, and the
-   * source would double the size of every update.
+   * Returns the declaration with only the part of its source that entries use: the whole source
+   * would double the size of every update, and it holds keys.
    */
   private createEntryDeclaration(): RegistryState['declaration'] {
     const { declaration } = this.registry;
-    return declaration === undefined ? undefined : { ...declaration, source: '' };
+    if (declaration === undefined) return undefined;
+    const { source } = declaration;
+    if (source !== this.entrySource.source) {
+      this.entrySource = { source, published: this.createEntrySource(source) };
+    }
+    return { ...declaration, source: this.entrySource.published };
   }
 }
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -99,7 +99,12 @@
   constructor(private readonly options: RegistryTaskOptions) {
     const { clock, durable, hub } = options;
     const { snapshot } = durable;
-    this.store = new RegistryStore(clock, snapshot.data.registry, snapshot.lastIndex);
+    this.store = new RegistryStore(
+      clock,
+      snapshot.data.registry,
+      snapshot.lastIndex,
+      options.createEntrySource,
+    );
     this.presence = new PresenceTable(clock, options.targetTimeoutMs);
     this.consensus = new ConsensusTask({
       ...options,
--- a/packages/vm/src/registry/RegistryTaskOptions.ts
+++ b/packages/vm/src/registry/RegistryTaskOptions.ts
@@ -31,6 +31,11 @@
   readonly dataCentres: ReadonlySet<string> | undefined;
   /** Time of day, in milliseconds since 1970. */
   readonly timeOfDay: () => number;
+  /**
+   * Creates what entries get in place of the source of a declaration; by default they get nothing
+   * of it.
+   */
+  readonly createEntrySource?: (source: string) => string;
   /** Called when the replica has stopped, as its state may differ from its log. */
   readonly onFailure: (err: Error) => void;
 }
