Prove that the declaration at an entry is recent before it decides about keys

A control VM answers once it has applied a read point that the leader took after the question arrived, so neither buffered messages nor a replaced leader make an old state look recent. Without a proof, a request with a key gets 503; public routes go on.

Requests go only to entries that check keys. Entries of older builds get no failure kind that they do not know.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -17,6 +17,7 @@
 import PlatformDialect from '@guavayard/platform/PlatformDialect';
 import ReadinessApi from '@guavayard/platform/ReadinessApi';
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
+import CurrencyClient from '@guavayard/vm/registry/CurrencyClient';
 import RegistrySubscription from '@guavayard/vm/registry/RegistrySubscription';
 import RelayClient from '@guavayard/vm/relay/RelayClient';
 import RelayServer from '@guavayard/vm/relay/RelayServer';
@@ -135,11 +136,14 @@
     reportAnswered: (fingerprint) => subscription.reportAnswered(fingerprint),
   });
   const tenants = new TenantSource();
+  const currency = settings.revocation === undefined ? undefined
+    : new CurrencyClient(settings.revocation.seconds * MS_PER_SECOND, createVmClock());
   const subscription: RegistrySubscription = new RegistrySubscription({
     hub,
     identity,
     seeds,
     clock,
+    currency,
     listener: {
       onChange: () => {
         const { declaration, evacuated, targets } = subscription;
@@ -161,7 +165,11 @@
       },
     },
   });
-  const keys = new KeyGate({ dialect, directory: () => tenants.directory, isProven: () => true });
+  const keys = new KeyGate({
+    dialect,
+    directory: () => tenants.directory,
+    isProven: () => currency?.isProven ?? true,
+  });
   const requestLog = new RequestLog(log, clock);
   const relay = new RelayClient({
     hub,
@@ -219,6 +227,9 @@
       unreachableServices: pool.paths.reachability.unreachableCount,
       sharingEntries: pool.share.findShare(clock())?.entryCount ?? 0,
       refusedRetries: placement.refusedRetries,
+      keys: keys.keyCount,
+      refusedKeys: keys.refusedCount,
+      unprovenKeys: keys.unprovenCount,
       version: subscription.declaration?.version ?? 0,
       isCurrent: subscription.isFollowing,
       leaderSilenceMs: 0,
--- a/packages/cli/src/settings/GatewaySettings.ts
+++ b/packages/cli/src/settings/GatewaySettings.ts
@@ -52,6 +52,11 @@
     coldSlack: z.number().min(0),
     probesPerSecond: z.number().min(0),
   }),
+  /** Revocation of keys within a bound, at every entry; without it, entries use what they know. */
+  revocation: z.object({
+    /** Time after which a key that a configuration has taken away works at no entry, in seconds. */
+    seconds: z.number().positive(),
+  }).optional(),
   /** Listener that serves metrics; without it none are served. */
   metrics: z.object({ listen: HostPort }).optional(),
   log: z.object({ level: z.enum(['debug', 'info', 'warn', 'error']) }).default({ level: 'info' }),
--- a/packages/core/src/relay/RelayRequest.ts
+++ b/packages/core/src/relay/RelayRequest.ts
@@ -14,6 +14,8 @@
   readonly deadlineMs: number;
   /** The only regions to which the request may be sent; undefined if every region may get it. */
   readonly homeRegions: readonly string[] | undefined;
+  /** Whether only an entry may get it that checks keys of tenants, which older builds do not. */
+  readonly needsKeyCheck: boolean;
   /** Opens the body, once another entry has agreed to serve the request. */
   readonly openBody: () => Readable | null;
 }
--- a/packages/gateway/src/KeyGate.ts
+++ b/packages/gateway/src/KeyGate.ts
@@ -22,9 +22,33 @@
  * their key along, so it is looked up anew before each send.
  */
 export default class KeyGate {
+  private refused = 0;
+
+  private unproven = 0;
+
   /** @param options - the tenants in force and the proof that they are recent */
   constructor(private readonly options: KeyGateOptions) {}
 
+  /** Number of times that a request was refused for its key. */
+  get refusedCount(): number {
+    return this.refused;
+  }
+
+  /** Number of times that a request was refused as its key could not be confirmed. */
+  get unprovenCount(): number {
+    return this.unproven;
+  }
+
+  /** Number of keys in force. */
+  get keyCount(): number {
+    return this.options.directory()?.keyCount ?? 0;
+  }
+
+  /** Whether the declaration in force has tenants. */
+  get hasTenants(): boolean {
+    return this.options.directory() !== undefined;
+  }
+
   /**
    * Finds the tenant of a request.
    *
@@ -42,12 +66,20 @@
     if (tenants === undefined || tenants.isPublic(routeName)) return Ok(undefined);
     const keys = dialect.readKeys(rawHeaders);
     const [key] = keys;
-    if (key === undefined) return fail('unauthorized', 'the request has no key');
-    if (keys.length > 1) return fail('unauthorized', 'the request has several keys');
+    if (key === undefined) return this.refuse('the request has no key');
+    if (keys.length > 1) return this.refuse('the request has several keys');
     // An unknown key may have been added since, so that is not decided without a proof either.
-    if (!isProven()) return fail('keysUnproven');
+    if (!isProven()) {
+      this.unproven += 1;
+      return fail('keysUnproven');
+    }
     const tenant = tenants.findTenant(key);
-    return tenant === undefined ? fail('unauthorized', 'the key is unknown') : Ok(tenant);
+    return tenant === undefined ? this.refuse('the key is unknown') : Ok(tenant);
+  }
+
+  private refuse(detail: string): Result<never, Failure> {
+    this.refused += 1;
+    return fail('unauthorized', detail);
   }
 
   /**
--- a/packages/gateway/src/RelayAttempt.ts
+++ b/packages/gateway/src/RelayAttempt.ts
@@ -28,6 +28,8 @@
   readonly takeAllowance: () => RelayAllowance;
   /** Returns the version of the declaration that is in force at this entry. */
   readonly version: () => number;
+  /** Whether only an entry may get the request that checks the keys of tenants. */
+  readonly needsKeyCheck: boolean;
   readonly body: ReplayableBody;
   readonly reply: CallerReply;
 }
@@ -75,6 +77,7 @@
       version,
       deadlineMs: request.deadlineMs,
       homeRegions: route.homeRegions,
+      needsKeyCheck: this.options.needsKeyCheck,
       openBody: () => body.open(),
     }, this);
   }
--- a/packages/gateway/src/RelayHandover.ts
+++ b/packages/gateway/src/RelayHandover.ts
@@ -88,7 +88,7 @@
   start(): void {
     const {
       dependencies: {
-        clock, relay, pool, prober, version,
+        clock, keys, relay, pool, prober, version,
       },
       request, body, reply, triedIds,
     } = this.options;
@@ -99,7 +99,15 @@
     });
     this.relays += 1;
     const attempt = new RelayAttempt({
-      clock, relay, request, triedIds, takeAllowance, version, body, reply,
+      clock,
+      relay,
+      request,
+      triedIds,
+      takeAllowance,
+      version,
+      needsKeyCheck: keys.hasTenants,
+      body,
+      reply,
     }, {
       onRefused: (reason) => this.handleRefusal(reason),
       onFailed: (failure, retryAfterMs) => this.handleFailure(failure, retryAfterMs),
--- a/packages/metrics/src/GatewayMetrics.ts
+++ b/packages/metrics/src/GatewayMetrics.ts
@@ -45,6 +45,9 @@
   readonly unreachableServices: number;
   readonly sharingEntries: number;
   readonly refusedRetries: number;
+  readonly keys: number;
+  readonly refusedKeys: number;
+  readonly unprovenKeys: number;
   readonly version: number;
   readonly isCurrent: boolean;
   readonly leaderSilenceMs: number;
@@ -99,6 +102,9 @@
       ['unreachable_services', ({ unreachableServices }) => unreachableServices],
       ['sharing_entries', ({ sharingEntries }) => sharingEntries],
       ['refused_retries_total', ({ refusedRetries }) => refusedRetries],
+      ['keys', ({ keys }) => keys],
+      ['refused_keys_total', ({ refusedKeys }) => refusedKeys],
+      ['unproven_keys_total', ({ unprovenKeys }) => unprovenKeys],
       ['declaration_version', ({ version }) => version],
       ['is_current', ({ isCurrent }) => Number(isCurrent)],
       ['leader_silence_seconds', ({ leaderSilenceMs }) => leaderSilenceMs / MS_PER_SECOND],
--- a/packages/metrics/src/gatewayMetricTable.ts
+++ b/packages/metrics/src/gatewayMetricTable.ts
@@ -36,6 +36,15 @@
   refused_retries_total: {
     type: 'counter', tags: [], meaning: 'retries that the retry budget did not allow',
   },
+  keys: {
+    type: 'gauge', tags: [], meaning: 'keys of tenants in force on this VM; 0 at control VMs',
+  },
+  refused_keys_total: {
+    type: 'counter', tags: [], meaning: 'requests refused because they carried no valid key, or several',
+  },
+  unproven_keys_total: {
+    type: 'counter', tags: [], meaning: 'requests with a key refused because control had not confirmed in time that the keys of this VM are in force',
+  },
   declaration_version: {
     type: 'gauge', tags: [], meaning: 'version of the declaration in force on this VM',
   },
--- a/packages/vm/src/messages/registryMessages.ts
+++ b/packages/vm/src/messages/registryMessages.ts
@@ -32,6 +32,22 @@
   }),
   /** Reports whether the control VM leads or still receives messages from the leader. */
   z.strictObject({ kind: z.literal('registryPulse'), isCurrent: z.boolean() }),
+  /**
+   * An entry asks the control VM that it follows whether it holds all that was acknowledged before
+   * this question. From version 5 on.
+   */
+  z.strictObject({ kind: z.literal('currencyAsk'), number: z.int().min(0) }),
+  /** The entry does, once it has processed what was sent before this answer. From version 5 on. */
+  z.strictObject({ kind: z.literal('currencyAnswer'), number: z.int().min(0) }),
+  /** A control VM asks the leader for a read point. From version 5 on. */
+  z.strictObject({ kind: z.literal('readPointAsk'), number: z.int().min(0) }),
+  /**
+   * Index of the log that includes all that was acknowledged before the question, after a quorum
+   * has confirmed the leader. From version 5 on.
+   */
+  z.strictObject({
+    kind: z.literal('readPoint'), number: z.int().min(0), index: z.int().min(0),
+  }),
   /** A control VM reports to the leader which targets and entries have contacted it. */
   z.strictObject({
     kind: z.literal('presence'), targetIds: z.array(z.string()), entries: z.array(VmLocation),
--- a/packages/vm/src/registry/RegistryPublisher.ts
+++ b/packages/vm/src/registry/RegistryPublisher.ts
@@ -227,7 +227,8 @@
     if (own.length > 0) this.relay({ kind: 'requestLimits', notices: [...own], isRelayed: true });
   }
 
-  private flush(): void {
+  /** Sends subscribers the changes applied since the last update. */
+  flush(): void {
     clearTimeout(this.timer);
     this.timer = undefined;
     const update = this.store.collectUpdate();
--- a/packages/vm/src/registry/RegistryStore.ts
+++ b/packages/vm/src/registry/RegistryStore.ts
@@ -57,6 +57,11 @@
     return this.registry;
   }
 
+  /** Index up to which the log has been applied. */
+  get appliedIndex(): number {
+    return this.index;
+  }
+
   /** @returns the time until a target is warm, in milliseconds */
   coldLeftMs(id: string): number {
     return Math.max(0, (this.warmAtMs.get(id) ?? 0) - this.clock());
--- a/packages/vm/src/registry/RegistrySubscription.ts
+++ b/packages/vm/src/registry/RegistrySubscription.ts
@@ -9,9 +9,11 @@
 import findProtocolVersion from '../session/findProtocolVersion';
 import type VmIdentity from '../session/VmIdentity';
 import type VmSession from '../session/VmSession';
+import type CurrencyClient from './CurrencyClient';
 import type RegistryListener from './RegistryListener';
 import type Roster from './Roster';
 import understandsAnswers from './understandsAnswers';
+import understandsTenants from './understandsTenants';
 
 type View = Extract<VmMessage, { kind: 'registryView' }>;
 type Update = Extract<VmMessage, { kind: 'registryUpdate' }>;
@@ -40,6 +42,8 @@
   readonly identity: VmIdentity;
   readonly seeds: readonly string[];
   readonly clock: Clock;
+  /** Keeps the proof that this copy is recent; absent if nothing needs one. */
+  readonly currency?: CurrencyClient | undefined;
   readonly listener: RegistryListener;
 }
 
@@ -130,6 +134,7 @@
   /** Stops following control. */
   close(): void {
     this.isClosed = true;
+    this.options.currency?.stop();
     clearTimeout(this.searchTimer);
     clearTimeout(this.silenceTimer);
   }
@@ -151,7 +156,8 @@
       if (message.kind === 'registryView') this.applyView(session, message);
     }
     if (session !== this.source) return;
-    if (message.kind === 'registryUpdate') this.applyUpdate(message);
+    if (message.kind === 'registryUpdate') this.applyUpdate(session, message);
+    if (message.kind === 'currencyAnswer') this.options.currency?.handleAnswer(message.number);
     if (message.kind === 'roster') this.applyRoster(message);
     if (message.kind === 'requestLimits') this.options.listener.onRequestLimits(message.notices);
     if (message.kind === 'crashReport') this.options.listener.onCrash(message.fingerprint);
@@ -195,7 +201,7 @@
     clearTimeout(this.searchTimer);
     clearTimeout(this.silenceTimer);
     this.silenceTimer = setTimeout(() => this.dropSource('silent'), SOURCE_TIMEOUT_MS);
-    this.declaration = view.declaration;
+    this.applyDeclaration(session, view.declaration);
     this.evacuated = new Set(view.evacuated);
     this.targets.clear();
     view.targets.forEach((target) => this.targets.set(target.id, target));
@@ -206,14 +212,22 @@
     this.knownCrashes.clear();
     this.options.listener.onSourceChange(session.peer?.name, 'subscribed');
     this.options.listener.onChange();
+    this.options.currency?.follow(session);
   }
 
   private countKnownCrash(fingerprint: string): void {
     this.knownCrashes.set(fingerprint, (this.knownCrashes.get(fingerprint) ?? 0) + 1);
   }
 
-  private applyUpdate(update: Update): void {
-    if (update.declaration !== undefined) this.declaration = update.declaration;
+  /** Applies a declaration. Control VMs of older builds do not tell its tenants. */
+  private applyDeclaration(session: VmSession, declaration: Declaration | undefined): void {
+    const source = declaration?.source === '' && !understandsTenants(session)
+      ? this.declaration?.source ?? '' : declaration?.source;
+    this.declaration = declaration && { ...declaration, source: source ?? '' };
+  }
+
+  private applyUpdate(session: VmSession, update: Update): void {
+    if (update.declaration !== undefined) this.applyDeclaration(session, update.declaration);
     if (update.evacuated !== undefined) this.evacuated = new Set(update.evacuated);
     update.removedIds.forEach((id) => this.targets.delete(id));
     update.targets.forEach((target) => this.targets.set(target.id, target));
@@ -258,6 +272,7 @@
     this.options.listener.onSourceChange(undefined, reason);
     const address = this.source?.peer?.address;
     this.source = undefined;
+    this.options.currency?.stop();
     // A silent session may not recover, so a new one is opened.
     if (address !== undefined) this.disconnect(address);
     clearTimeout(this.searchTimer);
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -26,6 +26,7 @@
 import type VmSession from '../session/VmSession';
 import createWriteReports from '../control/createWriteReports';
 import createVmLocation from './createVmLocation';
+import CurrencyTask from './CurrencyTask';
 import DeclarationGate from './DeclarationGate';
 import OrderGate from './OrderGate';
 import OrderSubmitter from './OrderSubmitter';
@@ -69,6 +70,8 @@
 
   private readonly publisher: RegistryPublisher;
 
+  private readonly currency: CurrencyTask;
+
   private readonly presence: PresenceTable;
 
   private readonly orders: OrderGate;
@@ -116,6 +119,7 @@
           this.store.restore(data.registry, lastIndex);
           this.endDeclarations();
           this.publisher.schedule();
+          this.currency.handleApplied();
         },
         onCaughtUp: () => this.publisher.sendPulses(),
         onLeaderChange: (leader) => {
@@ -139,6 +143,16 @@
       (...message) => hub.sendToControl(...message),
       clock,
     );
+    this.currency = new CurrencyTask({
+      hub,
+      consensus: this.consensus,
+      appliedIndex: () => this.store.appliedIndex,
+      flush: () => this.publisher.flush(),
+      isSameDeclaration: async () => {
+        const source = await this.readDeclaration();
+        return source.ok && source.val === this.store.state.declaration?.source;
+      },
+    });
     this.router = new CallRouter({
       hub,
       clock,
@@ -204,7 +218,7 @@
   /** Starts taking part in the consensus group. */
   start(): void {
     const { hub } = this.options;
-    [this.consensus, this.router, this.publisher, this]
+    [this.consensus, this.router, this.publisher, this.currency, this]
       .forEach((handler) => hub.addHandler(handler));
     this.consensus.start();
     this.submitter.tick();
@@ -416,6 +430,7 @@
     });
     this.endDeclarations();
     this.publisher.schedule();
+    this.currency.handleApplied();
   }
 
   private reportPresence(): void {
--- a/packages/vm/src/relay/OutgoingRelay.ts
+++ b/packages/vm/src/relay/OutgoingRelay.ts
@@ -12,6 +12,7 @@
 import type VmMessage from '../messages/VmMessage';
 import type VmLocation from '../registry/VmLocation';
 import type VmSession from '../session/VmSession';
+import understandsTenants from '../registry/understandsTenants';
 import type PeerSessions from './PeerSessions';
 
 /** Why an entry was not given a request. */
@@ -90,6 +91,10 @@
     const { head: { service }, version } = this.request;
     this.stopWaiting = this.options.sessions.use(peer, (session) => {
       if (this.isOver || this.peer !== peer) return;
+      if (this.request.needsKeyCheck && !understandsTenants(session)) {
+        this.refuse('version');
+        return;
+      }
       this.session = session;
       session.send({
         kind: 'relayAsk', relayId: this.id, service, version: version(),
--- a/packages/vm/src/relay/RelayServer.ts
+++ b/packages/vm/src/relay/RelayServer.ts
@@ -7,6 +7,7 @@
 import type SessionHandler from '../session/SessionHandler';
 import type VmHub from '../session/VmHub';
 import type VmSession from '../session/VmSession';
+import adaptFailure from './adaptFailure';
 import RelayedMessage from './RelayedMessage';
 import RelayedReply from './RelayedReply';
 
@@ -117,7 +118,10 @@
     const req = new RelayedMessage(head, (bytes) => {
       session.send({ kind: 'relayBodyRead', relayId, bytes });
     });
-    const reply = new RelayedReply(relayId, (message) => session.send(message));
+    const reply = new RelayedReply(relayId, (message) => session.send(
+      message.kind === 'relayFailure'
+        ? { ...message, failure: adaptFailure(message.failure, session) } : message,
+    ));
     relays.set(relayId, { req, reply });
     reply.onClose(() => {
       relays.delete(relayId);
--- a/packages/vm/src/session/protocolVersion.ts
+++ b/packages/vm/src/session/protocolVersion.ts
@@ -5,7 +5,8 @@
  * - 2: `leave` and `left`
  * - 3: `basis` of changes, and the failure `overtaken` in response
  * - 4: `targetCrashed` and `requestAnswered`
- * - 5: usage of quotas, roll-outs, and versions of targets
+ * - 5: questions about currency and read points, the sources of declarations with tenants, usage of
+ *   quotas, roll-outs, and versions of targets
  */
 const protocolVersion = 5;
 
--- a/packages/vm/test/relay.test.ts
+++ b/packages/vm/test/relay.test.ts
@@ -135,6 +135,7 @@
         version: () => 3,
         deadlineMs: performance.now() + 5000,
         homeRegions: undefined,
+        needsKeyCheck: false,
         openBody: () => (body === undefined
           ? null
           : Readable.from([body.subarray(0, 1000), body.subarray(1000)])),
