--- a/packages/vm/test/relay.test.ts
+++ b/packages/vm/test/relay.test.ts
@@ -172,6 +172,17 @@
   await retryUntil(() => assert.equal(peer.server.count, 0));
 });
 
+// An entry of an older build would pass the key on to the target, unchecked.
+test('a request that needs a check of its key is not given to an entry of an older build', async (t) => {
+  const peer = await startPeer(t, 'b');
+  const current = await startPeer(t, 'c.5');
+  const sent = startOrigin(t, [peer]).send(undefined, { needsKeyCheck: true });
+  await retryUntil(() => assert.deepEqual(sent.events, ['refused version']));
+  const other = startOrigin(t, [current]).send(undefined, { needsKeyCheck: true });
+  await retryUntil(() => assert.equal(current.served.length, 1));
+  assert.deepEqual([peer.served.length, other.events], [0, ['granted c.5']]);
+});
+
 test('a body is sent no faster than the other entry reads it', async (t) => {
   const peer = await startPeer(t, 'b');
   const origin = startOrigin(t, [peer]);
--- a/packages/vm/test/subscription.test.ts
+++ b/packages/vm/test/subscription.test.ts
@@ -162,3 +162,29 @@
   assert.deepEqual(entry.crashes, ['2 known of a', 'a']);
   entry.subscription.close();
 });
+
+const DECLARATION = {
+  version: 1,
+  routes: {},
+  services: {},
+  limits: {
+    maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+  },
+  source: 'tenants',
+};
+
+// Older builds publish no tenants, which is not the same as a declaration without any.
+test('an entry keeps the tenants that it knows when a control VM of an older build publishes', (t) => {
+  [['00.4', 'tenants'], ['00.5', '']].forEach(([startId, kept]) => {
+    const { subscription, session } = createFollowingEntry(t, startId);
+    [DECLARATION, { ...DECLARATION, version: 2, source: '' }].forEach((declaration, index) => {
+      subscription.onMessage(session, {
+        kind: 'registryUpdate', index: index + 2, targets: [], removedIds: [], declaration,
+      });
+    });
+    const { version, source } = subscription.declaration ?? {};
+    assert.deepEqual([version, source], [2, kept]);
+    subscription.close();
+    t.mock.timers.reset();
+  });
+});
