--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -7,14 +7,17 @@
 import ByteBudget from '@guavayard/core/limits/ByteBudget';
 import CrashWatch from '@guavayard/gateway/CrashWatch';
 import GatewayHandler from '@guavayard/gateway/GatewayHandler';
+import KeyGate from '@guavayard/gateway/KeyGate';
 import Placement from '@guavayard/gateway/Placement';
 import RelayAdmission from '@guavayard/gateway/RelayAdmission';
 import RequestLog from '@guavayard/gateway/RequestLog';
 import TargetPool from '@guavayard/gateway/TargetPool';
 import TargetProber from '@guavayard/gateway/TargetProber';
+import TenantSource from '@guavayard/gateway/TenantSource';
 import PlatformDialect from '@guavayard/platform/PlatformDialect';
 import ReadinessApi from '@guavayard/platform/ReadinessApi';
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
+import CurrencyClient from '@guavayard/vm/registry/CurrencyClient';
 import RegistrySubscription from '@guavayard/vm/registry/RegistrySubscription';
 import RelayClient from '@guavayard/vm/relay/RelayClient';
 import RelayServer from '@guavayard/vm/relay/RelayServer';
@@ -134,14 +137,19 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a response
     reportAnswered: (fingerprint) => subscription.reportAnswered(fingerprint),
   });
+  const tenants = new TenantSource();
+  const currency = settings.revocation === undefined ? undefined
+    : new CurrencyClient(settings.revocation.seconds * MS_PER_SECOND, createVmClock());
   const subscription: RegistrySubscription = new RegistrySubscription({
     hub,
     identity,
     seeds,
     clock,
+    currency,
     listener: {
       onChange: () => {
         const { declaration, evacuated, targets } = subscription;
+        tenants.update(declaration);
         pool.update(declaration, evacuated, targets);
         if (declaration === undefined) return;
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- set by then
@@ -159,6 +167,11 @@
       },
     },
   });
+  const keys = new KeyGate({
+    dialect,
+    directory: () => tenants.directory,
+    isProven: () => currency?.isProven ?? true,
+  });
   const requestLog = new RequestLog(log, clock);
   const relay = new RelayClient({
     hub,
@@ -175,6 +188,7 @@
     placement,
     prober,
     crashes,
+    keys,
     log: requestLog,
     responseBytes: new ByteBudget(RESPONSE_BUFFER_BYTES),
     requestBytes: new ByteBudget(REQUEST_BUFFER_BYTES),
@@ -217,6 +231,9 @@
       unreachableServices: pool.paths.reachability.unreachableCount,
       sharingEntries: pool.share.findShare(clock())?.entryCount ?? 0,
       refusedRetries: placement.refusedRetries,
+      keys: keys.keyCount,
+      refusedKeys: keys.refusedCount,
+      unprovenKeys: keys.unprovenCount,
       version: subscription.declaration?.version ?? 0,
       isCurrent: subscription.isFollowing,
       leaderSilenceMs: 0,
--- a/packages/gateway/src/AttemptRunner.ts
+++ b/packages/gateway/src/AttemptRunner.ts
@@ -58,7 +58,11 @@
     });
     this.hedges = new HedgeController({ dependencies, request, triedIds }, {
       findLimit: () => rules.findHedgeLimit(),
-      onPlaced: (target, release) => this.run(target, release),
+      onPlaced: (target, release) => {
+        // The key may have been taken away while the first attempt runs.
+        if (dependencies.keys.findRefusal(request) === undefined) this.run(target, release);
+        else release();
+      },
     });
   }
 
--- a/packages/gateway/src/AttemptSender.ts
+++ b/packages/gateway/src/AttemptSender.ts
@@ -38,7 +38,7 @@
    */
   send(attempt: Attempt, body: Readable | null): void {
     const state = attempt;
-    const { dialect, sender } = this.dependencies;
+    const { dialect, keys, sender } = this.dependencies;
     const { request } = this;
     const { record } = attempt.target;
     const dispatch = sender.send(
@@ -49,6 +49,7 @@
         headers: dialect.createHeaders(request.req.rawHeaders, {
           remainingMs: Math.max(1, Math.floor(request.deadlineMs - attempt.startedAtMs)),
           targetId: record.id,
+          ...keys.describeTenant(request),
         }),
         body,
         purpose: 'bound',
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -141,7 +141,10 @@
   }
 
   private send(target: PlacedTarget, release: Attempt['release']): void {
-    if (this.response.isEnded) {
+    const refusal = this.response.isEnded
+      ? undefined : this.dependencies.keys.findRefusal(this.request);
+    if (refusal !== undefined) this.fail(refusal, RETRY_AFTER_MS);
+    if (this.response.isEnded || refusal !== undefined) {
       release();
       return;
     }
