--- /dev/null
+++ b/packages/core/src/quota/QuotaBoard.ts
@@ -0,0 +1,246 @@
+import type QuotaCount from './QuotaCount';
+import type QuotaRule from './QuotaRule';
+import type QuotaShare from './QuotaShare';
+import type QuotaState from './QuotaState';
+import TenantLevel from './TenantLevel';
+import type TenantLimit from './TenantLimit';
+import hasQuota from './hasQuota';
+
+const MS_PER_SECOND = 1000;
+/** Interval at which the other control VMs are sent the totals that have changed, in ms. */
+const TOTALS_INTERVAL_MS = 250;
+/**
+ * Requests of a tenant that are passed on at once, as a time at its rate, in milliseconds. One of
+ * five control VMs gathers them in 0.6 s of usual demand, and in 0.06 s of ten times that.
+ */
+const URGENT_MS = 80;
+/** Fewest requests that are passed on at once. */
+const MIN_URGENT = 4;
+/** Least change of a share that is published. */
+const SHARE_STEP = 0.01;
+
+interface QuotaBoardOptions {
+  readonly rule: QuotaRule;
+  /** Returns the tenants in force, and the same array as long as they have not changed. */
+  readonly tenants: () => readonly TenantLimit[];
+  /** When this control VM started, in milliseconds of the clock. */
+  readonly startedAtMs: number;
+}
+
+/** What is known of one start of another control VM. */
+interface KnownRun {
+  readonly startId: string;
+  heardAtMs: number;
+  readonly totals: Map<string, QuotaCount>;
+}
+
+/**
+ * The quotas of all tenants as one control VM sees them. It counts the requests that its entries
+ * report, takes over what the other control VMs count, and derives the shares to publish.
+ */
+export default class QuotaBoard {
+  private limits: readonly TenantLimit[] = [];
+
+  private readonly levels = new Map<string, TenantLevel>();
+
+  /** Requests that entries have reported to this control VM since its start. */
+  private readonly totals = new Map<string, QuotaCount>();
+
+  /** Requests asked for since the totals were last passed on. */
+  private readonly unsent = new Map<string, number>();
+
+  private readonly runs = new Map<string, KnownRun>();
+
+  private readonly published = new Map<string, QuotaShare>();
+
+  private totalsSentAtMs = -Infinity;
+
+  private hasAdopted = false;
+
+  /** @param options - the rule, and the tenants that it holds for */
+  constructor(private readonly options: QuotaBoardOptions) {}
+
+  /** Whether there is nothing to pass on and no tenant is limited. */
+  get isIdle(): boolean {
+    return this.unsent.size === 0 && this.published.size === 0;
+  }
+
+  /** Number of tenants whose requests are limited now. */
+  get limitedCount(): number {
+    return this.published.size;
+  }
+
+  /** The shares in force, for an entry that subscribes. */
+  get shares(): Record<string, QuotaShare> {
+    return Object.fromEntries(this.published);
+  }
+
+  /**
+   * Records what an entry reports.
+   *
+   * @param usage - requests by tenant since its last report
+   * @param nowMs - monotonic clock, in milliseconds
+   */
+  recordUsage(usage: Readonly<Record<string, QuotaCount>>, nowMs: number): void {
+    this.updateLimits(nowMs);
+    Object.entries(usage).forEach(([name, [asked, admitted]]) => {
+      // An entry may know a tenant, or one that has been removed, earlier or later than this VM.
+      if (!this.levels.has(name)) return;
+      const [askedBefore, admittedBefore] = this.totals.get(name) ?? [0, 0];
+      this.totals.set(name, [askedBefore + asked, admittedBefore + admitted]);
+      this.unsent.set(name, (this.unsent.get(name) ?? 0) + asked);
+      this.levels.get(name)?.record([asked, admitted], nowMs);
+    });
+  }
+
+  /**
+   * Takes over the requests that another control VM has counted since its start.
+   *
+   * @param peer - name of the control VM
+   * @param startId - id of its start
+   * @param totals - requests by tenant; tenants without further requests are omitted
+   * @param nowMs - monotonic clock, in milliseconds
+   */
+  recordTotals(
+    peer: string,
+    startId: string,
+    totals: Readonly<Record<string, QuotaCount>>,
+    nowMs: number,
+  ): void {
+    const run = this.runs.get(peer);
+    // The state of a start always comes first; without it, the totals have no base.
+    if (run?.startId === startId) this.countTotals(run, totals, nowMs);
+  }
+
+  /**
+   * Takes over the state that another control VM sends when a session with it opens.
+   *
+   * @param peer - name of the control VM
+   * @param startId - id of its start
+   * @param state - its totals and levels
+   * @param nowMs - monotonic clock, in milliseconds
+   */
+  recordState(peer: string, startId: string, state: QuotaState, nowMs: number): void {
+    const { windowMs } = this.options.rule;
+    const known = this.runs.get(peer);
+    const isKnown = known?.startId === startId && nowMs - known.heardAtMs < windowMs;
+    if (known !== undefined && isKnown) {
+      this.countTotals(known, state.totals, nowMs);
+      return;
+    }
+    const run: KnownRun = { startId, heardAtMs: nowMs, totals: new Map() };
+    this.runs.set(peer, run);
+    if (state.uptimeMs < windowMs) {
+      // All that it has counted lies within a window.
+      this.countTotals(run, state.totals, nowMs);
+      return;
+    }
+    Object.entries(state.totals).forEach(([name, total]) => run.totals.set(name, total));
+    this.adoptLevels(state, nowMs);
+  }
+
+  /**
+   * Returns the state for a control VM with which a session opens.
+   *
+   * @param nowMs - monotonic clock, in milliseconds
+   */
+  createState(nowMs: number): QuotaState {
+    this.updateLimits(nowMs);
+    return {
+      uptimeMs: Math.max(0, Math.round(nowMs - this.options.startedAtMs)),
+      totals: Object.fromEntries(this.totals),
+      levels: Object.fromEntries([...this.levels].map(([name, level]) => (
+        [name, Math.floor(level.tokensAt(nowMs))]))),
+    };
+  }
+
+  /**
+   * Returns the totals to pass on to the other control VMs.
+   *
+   * @param nowMs - monotonic clock, in milliseconds
+   * @returns the totals that have changed, undefined if none are due
+   */
+  collectTotals(nowMs: number): Record<string, QuotaCount> | undefined {
+    if (this.unsent.size === 0) return undefined;
+    const isUrgent = this.limits.some(({ name, ratePerSecond }) => (
+      (this.unsent.get(name) ?? 0)
+        >= Math.max(MIN_URGENT, (ratePerSecond * URGENT_MS) / MS_PER_SECOND)));
+    if (!isUrgent && nowMs - this.totalsSentAtMs < TOTALS_INTERVAL_MS) return undefined;
+    this.totalsSentAtMs = nowMs;
+    const changed = [...this.unsent.keys()]
+      .map((name): [string, QuotaCount] => [name, this.totals.get(name) ?? [0, 0]]);
+    this.unsent.clear();
+    return Object.fromEntries(changed);
+  }
+
+  /**
+   * Returns the shares to publish to entries.
+   *
+   * @param nowMs - monotonic clock, in milliseconds
+   * @returns the shares that have changed, undefined if none have
+   */
+  collectShares(nowMs: number): Record<string, QuotaShare> | undefined {
+    this.updateLimits(nowMs);
+    const changed: Record<string, QuotaShare> = {};
+    this.levels.forEach((level, name) => {
+      const share = level.calculateShare(nowMs);
+      const before = this.published.get(name)?.[0] ?? 1;
+      const isLimited = share[0] < 1;
+      const isChanged = Math.abs(share[0] - before) >= SHARE_STEP
+        || isLimited !== (before < 1) || (share[0] === 0 && before > 0);
+      if (!isChanged) return;
+      changed[name] = share;
+      if (isLimited) this.published.set(name, share);
+      else this.published.delete(name);
+    });
+    return Object.keys(changed).length === 0 ? undefined : changed;
+  }
+
+  private countTotals(
+    run: KnownRun,
+    totals: Readonly<Record<string, QuotaCount>>,
+    nowMs: number,
+  ): void {
+    this.updateLimits(nowMs);
+    const state = run;
+    state.heardAtMs = nowMs;
+    Object.entries(totals).forEach(([name, total]) => {
+      const [askedBefore, admittedBefore] = run.totals.get(name) ?? [0, 0];
+      run.totals.set(name, total);
+      const [asked, admitted] = total;
+      this.levels.get(name)?.record([Math.max(0, asked - askedBefore), admitted - admittedBefore], nowMs);
+    });
+  }
+
+  /** Takes over the levels of a control VM that has counted what this one has missed. */
+  private adoptLevels(state: QuotaState, nowMs: number): void {
+    const { rule: { windowMs }, startedAtMs } = this.options;
+    if (state.uptimeMs < windowMs) return;
+    this.updateLimits(nowMs);
+    const isNew = nowMs - startedAtMs < windowMs && !this.hasAdopted;
+    this.hasAdopted = true;
+    Object.entries(state.levels).forEach(([name, tokens]) => {
+      const level = this.levels.get(name);
+      // The other one has not counted what entries have reported to this one.
+      const adopted = tokens - (isNew ? this.totals.get(name)?.[1] ?? 0 : 0);
+      level?.adopt(isNew ? adopted : Math.min(level.tokensAt(nowMs), adopted), nowMs);
+    });
+  }
+
+  private updateLimits(nowMs: number): void {
+    const tenants = this.options.tenants();
+    if (tenants === this.limits) return;
+    this.limits = tenants;
+    const limited = new Map(tenants.filter(hasQuota).map((tenant) => [tenant.name, tenant]));
+    [...this.levels.keys()].filter((name) => !limited.has(name))
+      .forEach((name) => this.levels.delete(name));
+    // A VM that has just started has missed what entries admitted before.
+    const isCounted = nowMs - this.options.startedAtMs >= this.options.rule.windowMs;
+    limited.forEach((tenant, name) => {
+      const level = this.levels.get(name);
+      if (level === undefined) {
+        this.levels.set(name, new TenantLevel(tenant, this.options.rule, nowMs, isCounted));
+      } else level.setLimit(tenant, nowMs);
+    });
+  }
+}
