--- a/packages/core/src/quota/EntryQuota.ts
+++ b/packages/core/src/quota/EntryQuota.ts
@@ -9,13 +9,17 @@
 import hasQuota from './hasQuota';
 
 /**
- * Time without control after which an entry limits tenants itself, in milliseconds. Following
- * another control VM takes 0.8 s to notice and 0.1 s to subscribe; within one second, ten times the
- * usual requests use up no more than one window allows.
+ * Time without a message of control after which an entry limits tenants itself, in milliseconds. It
+ * takes 0.8 s to notice that a control VM is silent and less than 0.1 s to follow another one. A
+ * published share is used no longer either: in the first moments of a surge it spends a level that
+ * would soon be used up.
  */
-const CONTACT_LIMIT_MS = 1000;
-/** Time without control for which the shares last published stay in use, in milliseconds. */
-const SHARE_LIFETIME_MS = 3000;
+const CONTACT_LIMIT_MS = 900;
+/**
+ * Time without a control VM to follow after which it does so, in milliseconds. It is shorter, as the
+ * entry knows at once that the session has ended, and takes 0.1 to 0.2 s to follow another one.
+ */
+const SEARCH_LIMIT_MS = 250;
 /** Retry delay for callers refused without control, in milliseconds. */
 const FALLBACK_RETRY_AFTER_MS = 1000;
 /** Factor that spreads the fallback of tenants over entries: the golden ratio less one. */
@@ -33,7 +37,7 @@
 }
 
 function hashName(name: string): number {
-  const sum = [...name].reduce((hash, char) => (hash * 31 + char.charCodeAt(0)) % 65_521, 7);
+  const sum = Buffer.from(name).reduce((hash, byte) => (hash * 31 + byte) % 65_521, 7);
   return (sum * PHASE_STEP) % 1;
 }
 
@@ -49,6 +53,9 @@
 
   private contactAtMs = -Infinity;
 
+  /** Since when there is no control VM to follow; undefined while there is one. */
+  private searchSinceMs: number | undefined = -Infinity;
+
   /** @param options - the rule, and random numbers */
   constructor(private readonly options: EntryQuotaOptions) {
     this.ledger = new UsageLedger(options.rule.windowMs);
@@ -68,6 +75,21 @@
     this.contactAtMs = nowMs;
   }
 
+  /**
+   * Records that the entry follows another control VM, or none.
+   *
+   * @param isFollowing - whether it follows one
+   * @param nowMs - monotonic clock, in milliseconds
+   */
+  setFollowing(isFollowing: boolean, nowMs: number): void {
+    if (isFollowing) {
+      this.searchSinceMs = undefined;
+      this.recordContact(nowMs);
+      // What the former control VM did not confirm may be lost with it.
+      this.ledger.restart(false);
+    } else this.searchSinceMs ??= nowMs;
+  }
+
   /** Sets the place of this entry among all entries. */
   setPlace(place: EntryPlace | undefined): void {
     this.place = place;
@@ -101,14 +123,26 @@
     return decision;
   }
 
+  /**
+   * Counts requests without a decision, such as repeats, or gives credit back.
+   *
+   * @param tenant - rate and burst of the tenant
+   * @param count - number of requests; negative to give credit back
+   * @param nowMs - monotonic clock, in milliseconds
+   */
+  adjust(tenant: TenantLimit, count: number, nowMs: number): void {
+    if (hasQuota(tenant)) this.ledger.record(tenant.name, [0, count], nowMs);
+  }
+
   private findDecision(tenant: TenantLimit, nowMs: number): QuotaDecision {
     const state = this.findState(tenant.name);
-    const lastContactMs = Math.min(this.contactAtMs, this.ledger.unconfirmedSinceMs ?? Infinity);
-    const silenceMs = nowMs - lastContactMs;
     const share = this.shares.get(tenant.name);
-    const isShareValid = silenceMs <= (share === undefined ? CONTACT_LIMIT_MS : SHARE_LIFETIME_MS);
-    if (!isShareValid) {
-      const sinceMs = lastContactMs + CONTACT_LIMIT_MS;
+    const heardAtMs = Math.min(this.contactAtMs, this.ledger.unconfirmedSinceMs ?? Infinity);
+    const sinceMs = Math.min(
+      heardAtMs + CONTACT_LIMIT_MS,
+      (this.searchSinceMs ?? Infinity) + SEARCH_LIMIT_MS,
+    );
+    if (nowMs > sinceMs) {
       const isAdmitted = state.fallback.take(tenant, this.place, sinceMs, nowMs);
       return isAdmitted
         ? { isAdmitted }
--- a/packages/core/src/quota/FallbackQuota.ts
+++ b/packages/core/src/quota/FallbackQuota.ts
@@ -1,14 +1,10 @@
 import calculateQuotaBounds from './calculateQuotaBounds';
 import type EntryPlace from './EntryPlace';
 import type QuotaRule from './QuotaRule';
+import surgeFactor from './surgeFactor';
 import type TenantLimit from './TenantLimit';
 
 const MS_PER_SECOND = 1000;
-/**
- * Demand that all entries may have admitted before they noticed that control is out of reach, as a
- * multiple of the rate of the tenant. It covers ten times a usual rate that is 1 / 1.6 of the quota.
- */
-const UNNOTICED_FACTOR = 6.25;
 /** A window touches two slots, so each has half of what the window allows. */
 const SLOTS_PER_WINDOW = 2;
 
@@ -21,9 +17,9 @@
 }
 
 /**
- * The part of a tenant's quota that one entry may use without control. Time is divided into slots of
- * one window. The parts are fractions of requests, so each slot gives whole requests to some of the
- * entries, chosen such that all entries together get the sum of the parts.
+ * The part of a tenant's quota that one entry may use without control. Time is divided into slots
+ * of one window. The parts are fractions of requests, so each slot gives whole requests to some of
+ * the entries, chosen such that all entries together get the sum of the parts.
  */
 export default class FallbackQuota {
   private slot = -1;
@@ -66,7 +62,7 @@
     const { quota, excess } = calculateQuotaBounds(limit, this.options.rule);
     const perSlot = quota / SLOTS_PER_WINDOW;
     if (!isFirst) return perSlot / count;
-    const unnoticed = (UNNOTICED_FACTOR * limit.ratePerSecond * this.options.unnoticedMs)
+    const unnoticed = (surgeFactor * limit.ratePerSecond * this.options.unnoticedMs)
       / MS_PER_SECOND;
     // The first slots lie in one window with what was admitted unnoticed.
     return Math.max(0, Math.min(perSlot, (quota + excess - unnoticed) / SLOTS_PER_WINDOW)) / count;
--- a/packages/core/src/quota/QuotaBoard.ts
+++ b/packages/core/src/quota/QuotaBoard.ts
@@ -1,4 +1,6 @@
+import EarlierUsage from './EarlierUsage';
 import type QuotaCount from './QuotaCount';
+import type QuotaHistory from './QuotaHistory';
 import type QuotaRule from './QuotaRule';
 import type QuotaShare from './QuotaShare';
 import type QuotaState from './QuotaState';
@@ -16,6 +18,8 @@
 const URGENT_MS = 80;
 /** Fewest requests that are passed on at once. */
 const MIN_URGENT = 4;
+/** Age up to which requests count as present demand, in milliseconds. */
+const MAX_DEMAND_AGE_MS = 300;
 /** Least change of a share that is published. */
 const SHARE_STEP = 0.01;
 
@@ -53,6 +57,8 @@
 
   private readonly published = new Map<string, QuotaShare>();
 
+  private readonly earlier = new EarlierUsage();
+
   private totalsSentAtMs = -Infinity;
 
   private hasAdopted = false;
@@ -62,7 +68,28 @@
 
   /** Whether there is nothing to pass on and no tenant is limited. */
   get isIdle(): boolean {
-    return this.unsent.size === 0 && this.published.size === 0;
+    return this.unsent.size === 0 && this.published.size === 0 && !this.earlier.isDue;
+  }
+
+  /** Whether a tenant has a limit. */
+  get hasTenants(): boolean {
+    return this.levels.size > 0;
+  }
+
+  /** Whether entries have reported what was not passed on. */
+  get hasUnsent(): boolean {
+    return this.unsent.size > 0;
+  }
+
+  /**
+   * Returns whether entries that subscribe are to report all that they admitted within a window, as
+   * this control VM has just started and no other one knows it.
+   *
+   * @param nowMs - monotonic clock, in milliseconds
+   */
+  needsHistory(nowMs: number): boolean {
+    const { rule: { windowMs }, startedAtMs } = this.options;
+    return !this.hasAdopted && nowMs - startedAtMs < windowMs;
   }
 
   /** Number of tenants whose requests are limited now. */
@@ -70,26 +97,33 @@
     return this.published.size;
   }
 
-  /** The shares in force, for an entry that subscribes. */
-  get shares(): Record<string, QuotaShare> {
-    return Object.fromEntries(this.published);
-  }
-
   /**
    * Records what an entry reports.
    *
    * @param usage - requests by tenant since its last report
+   * @param ageMs - time since the requests arrived, in milliseconds
    * @param nowMs - monotonic clock, in milliseconds
    */
-  recordUsage(usage: Readonly<Record<string, QuotaCount>>, nowMs: number): void {
+  recordUsage(
+    usage: Readonly<Record<string, QuotaCount>>,
+    ageMs: number,
+    nowMs: number,
+  ): void {
     this.updateLimits(nowMs);
+    const isEarlier = nowMs - ageMs < this.options.startedAtMs;
     Object.entries(usage).forEach(([name, [asked, admitted]]) => {
       // An entry may know a tenant, or one that has been removed, earlier or later than this VM.
       if (!this.levels.has(name)) return;
+      if (isEarlier) {
+        this.levels.get(name)?.recordEarlier(admitted, nowMs - ageMs, nowMs);
+        this.earlier.add(name, admitted, nowMs - ageMs);
+        return;
+      }
       const [askedBefore, admittedBefore] = this.totals.get(name) ?? [0, 0];
       this.totals.set(name, [askedBefore + asked, admittedBefore + admitted]);
       this.unsent.set(name, (this.unsent.get(name) ?? 0) + asked);
-      this.levels.get(name)?.record([asked, admitted], nowMs);
+      const isDemand = ageMs <= MAX_DEMAND_AGE_MS;
+      this.levels.get(name)?.record([isDemand ? asked : 0, admitted], nowMs);
     });
   }
 
@@ -107,9 +141,13 @@
     totals: Readonly<Record<string, QuotaCount>>,
     nowMs: number,
   ): void {
-    const run = this.runs.get(peer);
-    // The state of a start always comes first; without it, the totals have no base.
-    if (run?.startId === startId) this.countTotals(run, totals, nowMs);
+    let run = this.runs.get(peer);
+    if (run?.startId !== startId) {
+      // It has sent no state, as it had counted nothing when the session opened.
+      run = { startId, heardAtMs: nowMs, totals: new Map() };
+      this.runs.set(peer, run);
+    }
+    this.countTotals(run, totals, nowMs);
   }
 
   /**
@@ -139,6 +177,36 @@
     this.adoptLevels(state, nowMs);
   }
 
+  /**
+   * Takes over requests that entries have reported to another control VM that has just started.
+   *
+   * @param history - requests that were admitted before it started
+   * @param nowMs - monotonic clock, in milliseconds
+   */
+  recordHistory(history: QuotaHistory, nowMs: number): void {
+    this.updateLimits(nowMs);
+    history.forEach(({ ageMs, admitted }) => {
+      const atMs = nowMs - ageMs;
+      // A VM that was up then has counted them.
+      if (atMs >= this.options.startedAtMs) return;
+      Object.entries(admitted).forEach(([name, count]) => (
+        this.levels.get(name)?.recordEarlier(count, atMs, nowMs)));
+    });
+  }
+
+  /**
+   * Returns what entries have reported to this VM from before its start.
+   *
+   * @param isComplete - whether to return what was returned before, too
+   * @param nowMs - monotonic clock, in milliseconds
+   * @returns the requests to pass on to other control VMs, empty if there are none
+   */
+  collectHistory(isComplete: boolean, nowMs: number): QuotaHistory {
+    const { windowMs } = this.options.rule;
+    this.earlier.expire(nowMs - windowMs);
+    return this.earlier.collect(isComplete, windowMs, nowMs);
+  }
+
   /**
    * Returns the state for a control VM with which a session opens.
    *
@@ -196,6 +264,18 @@
     return Object.keys(changed).length === 0 ? undefined : changed;
   }
 
+  /**
+   * Returns the shares for an entry that subscribes; tenants that are omitted have no limit.
+   *
+   * @param nowMs - monotonic clock, in milliseconds
+   */
+  listShares(nowMs: number): Record<string, QuotaShare> {
+    this.updateLimits(nowMs);
+    const shares = [...this.levels]
+      .map(([name, level]): [string, QuotaShare] => [name, level.calculateShare(nowMs)]);
+    return Object.fromEntries(shares.filter(([, [share]]) => share < 1));
+  }
+
   private countTotals(
     run: KnownRun,
     totals: Readonly<Record<string, QuotaCount>>,
@@ -208,7 +288,8 @@
       const [askedBefore, admittedBefore] = run.totals.get(name) ?? [0, 0];
       run.totals.set(name, total);
       const [asked, admitted] = total;
-      this.levels.get(name)?.record([Math.max(0, asked - askedBefore), admitted - admittedBefore], nowMs);
+      const count: QuotaCount = [Math.max(0, asked - askedBefore), admitted - admittedBefore];
+      this.levels.get(name)?.record(count, nowMs);
     });
   }
 
--- a/packages/core/src/quota/QuotaDecision.ts
+++ b/packages/core/src/quota/QuotaDecision.ts
@@ -1,6 +1,5 @@
 /** What an entry decides on a request of a tenant. */
-type QuotaDecision =
-  | { readonly isAdmitted: true }
+type QuotaDecision = | { readonly isAdmitted: true }
   | {
     readonly isAdmitted: false;
     /** Delay after which the tenant has credit again, in milliseconds. */
--- a/packages/core/src/quota/ShareDiffusion.ts
+++ b/packages/core/src/quota/ShareDiffusion.ts
@@ -1,6 +1,6 @@
 /**
- * Admits a share of a sequence of requests by error diffusion: after any number of requests, as many
- * have been admitted as the sum of the shares, less than one more or fewer.
+ * Admits a share of a sequence of requests by error diffusion: after any number of requests, as
+ * many have been admitted as the sum of the shares, less than one more or fewer.
  */
 export default class ShareDiffusion {
   /** @param error - where the sequence starts, from 0 to 1; entries start at different places */
--- a/packages/core/src/quota/TenantLevel.ts
+++ b/packages/core/src/quota/TenantLevel.ts
@@ -2,7 +2,9 @@
 import type QuotaCount from './QuotaCount';
 import type QuotaRule from './QuotaRule';
 import type QuotaShare from './QuotaShare';
+import surgeFactor from './surgeFactor';
 import type TenantLimit from './TenantLimit';
+import WindowCount from './WindowCount';
 
 const MS_PER_SECOND = 1000;
 /** Time constant of the estimate of the demand, in milliseconds. */
@@ -12,6 +14,11 @@
  * time that a change of the share needs to take effect, so that the level does not oscillate.
  */
 const HORIZON_MS = 500;
+/**
+ * Part of the tolerated excess up to which a window may be filled. It is seldom reached, as the
+ * level limits before, except after a start, when the level does not know what was admitted before.
+ */
+const WINDOW_PART = 0.8;
 /** Longest delay that refused callers are given, in milliseconds. */
 const MAX_RETRY_AFTER_MS = 5000;
 /** Shortest one, in milliseconds: a new share needs as long to reach the entries. */
@@ -25,6 +32,8 @@
 
   private updatedAtMs: number;
 
+  private readonly window: WindowCount;
+
   private bounds: ReturnType<typeof calculateQuotaBounds>;
 
   /**
@@ -41,7 +50,10 @@
   ) {
     this.bounds = calculateQuotaBounds(limit, rule);
     this.level = isCounted ? this.bounds.maxLevel : this.bounds.startLevel;
+    // Until it is measured, the demand may be any.
+    if (!isCounted) this.demandPerSecond = surgeFactor * limit.ratePerSecond;
     this.updatedAtMs = nowMs;
+    this.window = new WindowCount(rule.windowMs);
   }
 
   /**
@@ -62,9 +74,21 @@
   record([asked, admitted]: QuotaCount, nowMs: number): void {
     this.advance(nowMs);
     this.setLevel(this.level - admitted);
+    this.window.add(admitted, nowMs, nowMs);
     this.demandPerSecond += (asked * MS_PER_SECOND) / DEMAND_TIME_MS;
   }
 
+  /**
+   * Records requests that were admitted before this control VM started.
+   *
+   * @param admitted - the requests
+   * @param atMs - when that was
+   * @param nowMs - monotonic clock, in milliseconds
+   */
+  recordEarlier(admitted: number, atMs: number, nowMs: number): void {
+    this.window.add(admitted, atMs, nowMs);
+  }
+
   /**
    * Sets the level to that of a control VM that knows the requests of a whole window.
    *
@@ -74,6 +98,7 @@
   adopt(tokens: number, nowMs: number): void {
     this.advance(nowMs);
     this.setLevel(tokens);
+    this.demandPerSecond = Math.min(this.demandPerSecond, this.limit.ratePerSecond);
   }
 
   /**
@@ -100,8 +125,14 @@
    */
   calculateShare(nowMs: number): QuotaShare {
     this.advance(nowMs);
-    const { limit: { ratePerSecond }, level, demandPerSecond } = this;
-    const allowedPerSecond = Math.max(0, ratePerSecond + (level * MS_PER_SECOND) / HORIZON_MS);
+    const {
+      limit: { ratePerSecond }, bounds: { quota, excess }, level, demandPerSecond,
+    } = this;
+    const room = quota + WINDOW_PART * excess - this.window.sumAt(nowMs);
+    const allowedPerSecond = Math.max(0, Math.min(
+      ratePerSecond + (level * MS_PER_SECOND) / HORIZON_MS,
+      (room * MS_PER_SECOND) / HORIZON_MS,
+    ));
     if (demandPerSecond <= allowedPerSecond) return [1, 0];
     // Callers that are refused return as demand, so they are spread over the time that the rate
     // needs to serve those of the last second.
--- a/packages/core/src/quota/UsageLedger.ts
+++ b/packages/core/src/quota/UsageLedger.ts
@@ -3,12 +3,21 @@
 /** Requests by tenant that an entry reports in one message. */
 type Usage = Readonly<Record<string, QuotaCount>>;
 
-interface UnconfirmedUsage {
+interface SentUsage {
   readonly sequence: number;
+  readonly sinceMs: number;
   readonly sentAtMs: number;
   readonly usage: Usage;
 }
 
+/** What an entry reports in one message. */
+interface UsageReport {
+  readonly sequence: number;
+  /** Time since the requests arrived, in milliseconds. */
+  readonly ageMs: number;
+  readonly usage: Usage;
+}
+
 function add(into: Record<string, QuotaCount>, usage: Usage): void {
   const sums = into;
   Object.entries(usage).forEach(([name, [asked, admitted]]) => {
@@ -35,7 +44,10 @@
 export default class UsageLedger {
   private pending: UsageBucket[] = [];
 
-  private unconfirmed: UnconfirmedUsage[] = [];
+  /** What was sent within a window. */
+  private sent: SentUsage[] = [];
+
+  private confirmed = 0;
 
   private sequence = 0;
 
@@ -49,7 +61,7 @@
 
   /** When the oldest increments were sent that are not confirmed; undefined if all are. */
   get unconfirmedSinceMs(): number | undefined {
-    return this.unconfirmed[0]?.sentAtMs;
+    return this.sent.find(({ sequence }) => sequence > this.confirmed)?.sentAtMs;
   }
 
   /**
@@ -75,30 +87,39 @@
    * @param nowMs - monotonic clock, in milliseconds
    * @returns the next message, undefined if there is nothing to send
    */
-  take(nowMs: number): Pick<UnconfirmedUsage, 'sequence' | 'usage'> | undefined {
-    const sums: Record<string, QuotaCount> = {};
-    this.pending.filter(({ sinceMs }) => nowMs - sinceMs <= this.windowMs)
-      .forEach(({ usage }) => add(sums, usage));
-    this.pending = [];
-    const changed = Object.entries(sums)
-      .filter(([, [asked, admitted]]) => asked !== 0 || admitted !== 0);
-    if (changed.length === 0) return undefined;
+  take(nowMs: number): UsageReport | undefined {
+    this.sent = this.sent.filter(({ sinceMs }) => nowMs - sinceMs <= this.windowMs);
+    this.pending = this.pending.filter(({ sinceMs, usage }) => (
+      nowMs - sinceMs <= this.windowMs
+        && Object.values(usage).some(([asked, admitted]) => asked !== 0 || admitted !== 0)));
+    const next = this.pending.shift();
+    if (next === undefined) return undefined;
+    const { sinceMs, usage } = next;
     this.sequence += 1;
-    const usage = Object.fromEntries(changed);
-    this.unconfirmed.push({ sequence: this.sequence, sentAtMs: nowMs, usage });
-    return { sequence: this.sequence, usage };
+    const { sequence } = this;
+    this.sent.push({
+      sequence, sinceMs, sentAtMs: nowMs, usage,
+    });
+    return { sequence, ageMs: Math.max(0, Math.floor(nowMs - sinceMs)), usage };
   }
 
-  /** Forgets the increments up to a sequence number, as control has counted them. */
+  /** Records that control has counted the increments up to a sequence number. */
   confirm(sequence: number): void {
-    this.unconfirmed = this.unconfirmed.filter((sent) => sent.sequence > sequence);
+    this.confirmed = Math.max(this.confirmed, sequence);
   }
 
-  /** Makes the increments that are not confirmed ready to be sent again, to another control VM. */
-  restart(): void {
-    const again = this.unconfirmed
-      .map(({ sentAtMs, usage }) => ({ sinceMs: sentAtMs, usage: { ...usage } }));
-    this.pending = [...again, ...this.pending];
-    this.unconfirmed = [];
+  /**
+   * Makes increments that were sent ready to be sent again, as the entry follows another
+   * control VM.
+   *
+   * @param isComplete - whether those are included that a control VM has confirmed
+   */
+  restart(isComplete: boolean): void {
+    const again = this.sent.filter(({ sequence }) => isComplete || sequence > this.confirmed);
+    this.sent = this.sent.filter((usage) => !again.includes(usage));
+    this.pending = [
+      ...again.map(({ sinceMs, usage }) => ({ sinceMs, usage: { ...usage } })),
+      ...this.pending,
+    ];
   }
 }
--- a/packages/core/test/support/quota/ModelQuotaControl.ts
+++ b/packages/core/test/support/quota/ModelQuotaControl.ts
@@ -1,12 +1,14 @@
 import QuotaBoard from '@guavayard/core/quota/QuotaBoard';
-import type QuotaCount from '@guavayard/core/quota/QuotaCount';
 import type QuotaRule from '@guavayard/core/quota/QuotaRule';
 import type TenantLimit from '@guavayard/core/quota/TenantLimit';
+import type UsageLedger from '@guavayard/core/quota/UsageLedger';
 
 import type ModelQuotaEntry from './ModelQuotaEntry';
 import type ModelSession from './ModelSession';
 import type VirtualTime from './VirtualTime';
 
+type Report = NonNullable<ReturnType<UsageLedger['take']>>;
+
 const TICK_MS = 50;
 const PULSE_MS = 250;
 
@@ -76,18 +78,16 @@
     const link = this.peers.get(peer);
     const { startId } = this;
     const state = this.board.createState(this.options.time.nowMs);
+    const history = this.board.collectHistory(true, this.options.time.nowMs);
     link?.session.send(link.direction, () => {
       peer.board.recordState(this.name, startId, state, this.options.time.nowMs);
+      peer.board.recordHistory(history, this.options.time.nowMs);
       peer.wake();
     });
   }
 
-  receiveUsage(
-    session: ModelSession,
-    sequence: number,
-    usage: Readonly<Record<string, QuotaCount>>,
-  ): void {
-    this.board.recordUsage(usage, this.options.time.nowMs);
+  receiveUsage(session: ModelSession, { sequence, ageMs, usage }: Report): void {
+    this.board.recordUsage(usage, ageMs, this.options.time.nowMs);
     this.received.set(session, sequence);
     this.wake();
   }
@@ -107,6 +107,13 @@
       return;
     }
     const { startId } = this;
+    const history = this.board.collectHistory(false, time.nowMs);
+    if (history.length > 0) {
+      this.peers.forEach(({ session, direction }, peer) => session.send(direction, () => {
+        peer.board.recordHistory(history, time.nowMs);
+        peer.wake();
+      }));
+    }
     const totals = this.board.collectTotals(time.nowMs);
     if (totals !== undefined) {
       this.peers.forEach(({ session, direction }, peer) => session.send(direction, () => {
--- a/packages/core/test/support/quota/ModelQuotaEntry.ts
+++ b/packages/core/test/support/quota/ModelQuotaEntry.ts
@@ -11,7 +11,7 @@
 const SEND_INTERVAL_MS = 50;
 const CHECK_MS = 50;
 const SOURCE_TIMEOUT_MS = 800;
-/** Time after which the hub of a VM closes a session over which nothing arrives, in milliseconds. */
+/** Time after which a session closes over which nothing arrives, in milliseconds. */
 const SESSION_TIMEOUT_MS = 2000;
 
 interface ModelQuotaEntryOptions {
@@ -27,7 +27,7 @@
   readonly onRefused: (name: string) => void;
 }
 
-/** An entry of the model: what `QuotaEntryTask` and `RegistrySubscription` do, on a virtual clock. */
+/** An entry of the model, which does what `QuotaEntryTask` and `RegistrySubscription` do. */
 export default class ModelQuotaEntry {
   frozenUntilMs = 0;
 
@@ -95,7 +95,9 @@
   }
 
   private createQuota(): EntryQuota {
-    const { rule, random, index, count } = this.options;
+    const {
+      rule, random, index, count,
+    } = this.options;
     const quota = new EntryQuota({ rule, random });
     quota.setPlace({ index, count });
     return quota;
@@ -115,11 +117,13 @@
     const { time } = this.options;
     const { source } = this;
     if (source === undefined) return;
-    const message = this.quota.ledger.take(time.nowMs);
-    if (message === undefined) return;
-    this.sentAtMs = time.nowMs;
-    const { sequence, usage } = message;
-    source.session.send(0, () => source.control.receiveUsage(source.session, sequence, usage));
+    const { session, control } = source;
+    for (;;) {
+      const report = this.quota.ledger.take(time.nowMs);
+      if (report === undefined) return;
+      this.sentAtMs = time.nowMs;
+      session.send(0, () => control.receiveUsage(session, report));
+    }
   }
 
   /** Leaves a source that is silent or has closed the session, and looks for another one. */
@@ -136,6 +140,7 @@
       source.session.close();
       source.control.subscribers.delete(this);
       this.source = undefined;
+      this.quota.setFollowing(false, time.nowMs);
     }
     if (this.source === undefined && !this.isSubscribing) this.subscribe();
   }
@@ -164,8 +169,10 @@
     });
     control.subscribers.set(this, session);
     this.source = { control, session };
-    this.receiveShares(control.board.shares, true);
-    this.quota.ledger.restart();
+    this.quota.setFollowing(true, time.nowMs);
+    this.receiveShares(control.board.listShares(time.nowMs), true);
+    if (control.board.needsHistory(time.nowMs)) this.quota.ledger.restart(true);
+    control.wake();
     this.scheduleSend();
   }
 }
--- a/packages/core/test/support/quota/QuotaModel.ts
+++ b/packages/core/test/support/quota/QuotaModel.ts
@@ -67,8 +67,7 @@
         time,
         rule,
         random: this.random,
-        controls: this.controls.map((_control, rank) => (
-          this.controls[(nearest + rank) % controls]!)),
+        controls: [...this.controls.slice(nearest), ...this.controls.slice(0, nearest)],
         delayMs: () => this.delayMs(),
         onAdmitted: (name) => this.result(name).admittedAtMs.push(time.nowMs),
         onRefused: (name) => this.result(name).refusedAtMs.push(time.nowMs),
@@ -111,7 +110,7 @@
     const { admittedAtMs } = this.result(name);
     let start = 0;
     return admittedAtMs.reduce((worst, atMs, index) => {
-      while (admittedAtMs[start]! <= atMs - windowMs) start += 1;
+      while ((admittedAtMs[start] ?? atMs) <= atMs - windowMs) start += 1;
       return Math.max(worst, index - start + 1);
     }, 0);
   }
@@ -139,7 +138,7 @@
     const none = Math.exp(-ratePerSecond(this.time.nowMs) / MS_PER_SECOND / batch);
     for (let left = this.random(); left > none; left *= this.random()) {
       for (let sent = 0; sent < batch; sent += 1) {
-        this.entries[Math.floor(this.random() * this.entries.length)]!.request(tenant);
+        this.entries[Math.floor(this.random() * this.entries.length)]?.request(tenant);
       }
     }
     this.time.after(1, () => this.startTraffic(source));
--- a/packages/gateway/src/ExchangeDependencies.ts
+++ b/packages/gateway/src/ExchangeDependencies.ts
@@ -6,6 +6,7 @@
 import type CrashWatch from './CrashWatch';
 import type Dialect from './Dialect';
 import type Placement from './Placement';
+import type QuotaGate from './QuotaGate';
 import type RequestLog from './RequestLog';
 import type TargetProber from './TargetProber';
 import type TargetPool from './TargetPool';
@@ -26,6 +27,8 @@
   readonly requestBytes: ByteBudget;
   /** Relays requests whose targets cannot be reached to other entries. */
   readonly relay: RequestRelay;
+  /** Admits requests of tenants within their quotas; undefined if the settings name none. */
+  readonly quotas?: QuotaGate | undefined;
   /** Returns the version of the declaration in force, 0 if there is none. */
   readonly version: () => number;
 }
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -113,9 +113,13 @@
       },
       onMayHaveRun: () => {
         this.mayHaveRun = true;
+        request.quota?.recordSent();
       },
       onFailed: (failure, retryAfterMs) => this.fail(failure, retryAfterMs),
-      onAnswered: (decision, status) => this.finish(decision, status),
+      onAnswered: (decision, status) => {
+        request.quota?.recordSent();
+        this.finish(decision, status);
+      },
     });
   }
 
@@ -218,6 +222,7 @@
     const attempt = createAttempt(target, release, isNewConnection, nowMs);
     this.attempt = attempt;
     this.triedIds.push(target.record.id);
+    request.quota?.recordSent();
     this.recordRetrySent();
     const dispatch = sender.send(
       { address: target.record.address, connectionLimit: CONNECTION_LIMIT },
@@ -357,6 +362,7 @@
     recordRejection(state.target, verdict === 'not-run', nowMs);
     this.attemptLines.push(describeAttempt(state, verdict, failure, nowMs));
     if (verdict !== 'not-run') this.mayHaveRun = true;
+    else this.request.quota?.recordNotRun();
     this.reportToCrashDetection(state, verdict, failure);
     this.dispatch = undefined;
     if (verdict === 'answered' || state.isForwarding) this.forwardResponse(state, failure);
@@ -368,6 +374,7 @@
   /** Finds a target again for a request of which nothing was sent. */
   private placeAgain({ target, release }: Attempt): void {
     this.unsentCount += 1;
+    this.request.quota?.recordNotRun();
     this.triedIds.splice(this.triedIds.lastIndexOf(target.record.id), 1);
     this.dispatch = undefined;
     this.body.close();
@@ -503,6 +510,7 @@
     clearTimeout(this.timer);
     clearTimeout(this.unreadTimer);
     this.watchdog.stop();
+    request.quota?.end(this.mayHaveRun || this.handover.isSent);
     this.handover.end();
     this.leaveQueue?.();
     this.leaveQueue = undefined;
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -95,21 +95,44 @@
   private serve(req: InboundRequest, reply: CallerReply, relayed?: RelayOrigin): void {
     const request = this.accept(req, relayed);
     if (request.ok) {
-      const exchange = new GatewayExchange(this.dependencies, request.val, reply);
+      const quota = this.dependencies.quotas?.admit(request.val);
+      if (quota?.err === true) {
+        this.refuse(req, reply, quota.val.failure, quota.val.retryAfterMs, request.val);
+        return;
+      }
+      const admitted = { ...request.val, quota: quota?.val };
+      const exchange = new GatewayExchange(this.dependencies, admitted, reply);
       this.exchanges.add(exchange);
       reply.onClose(() => this.exchanges.delete(exchange));
       exchange.start();
       return;
     }
-    const { requestId } = this.dependencies.dialect.readRequest(req);
     const delayMs = RETRY_DELAYS[request.val.kind];
     const retryAfterMs = delayMs === undefined ? undefined : delayMs * (1 + Math.random());
-    const status = reply.refuse(request.val, retryAfterMs);
+    this.refuse(req, reply, request.val, retryAfterMs);
+  }
+
+  /** Refuses a request before an exchange has started, and logs why. */
+  private refuse(
+    req: InboundRequest,
+    reply: CallerReply,
+    failure: Failure,
+    retryAfterMs: number | undefined,
+    request?: GatewayRequest,
+  ): void {
+    const { requestId } = this.dependencies.dialect.readRequest(req);
+    const status = reply.refuse(failure, retryAfterMs);
     this.dependencies.log.write({
       requestId,
+      ...(request === undefined ? {} : {
+        route: request.routeName,
+        service: request.service,
+        version: request.version,
+        retryAfterMs: Math.round(retryAfterMs ?? 0),
+      }),
       attempts: [],
-      decision: request.val.kind,
-      detail: request.val.detail,
+      decision: failure.kind,
+      detail: failure.detail,
       status,
       ms: 0,
     });
--- a/packages/gateway/src/GatewayRequest.ts
+++ b/packages/gateway/src/GatewayRequest.ts
@@ -2,6 +2,8 @@
 import type DeclaredRoute from '@guavayard/core/registry/DeclaredRoute';
 import type DeclaredTenant from '@guavayard/core/tenants/DeclaredTenant';
 
+import type QuotaCredit from './QuotaCredit';
+
 /** A caller's request that matched a route. */
 interface GatewayRequest {
   readonly req: InboundRequest;
@@ -15,6 +17,8 @@
   readonly service: string;
   /** Tenant that holds the key of the request; undefined on public routes and without tenants. */
   readonly tenant?: DeclaredTenant | undefined;
+  /** What it takes from the quota of its tenant; undefined if it has none. */
+  readonly quota?: QuotaCredit | undefined;
   /** Maximum size of the body, in bytes. */
   readonly maxBodyBytes: number;
   /** Version of the declaration that contains the route. */
--- a/packages/vm/src/messages/VmMessage.ts
+++ b/packages/vm/src/messages/VmMessage.ts
@@ -5,6 +5,7 @@
 import idempotencyMessages from './idempotencyMessages';
 import leaseMessages from './leaseMessages';
 import loadMessages from './loadMessages';
+import quotaMessages from './quotaMessages';
 import registryMessages from './registryMessages';
 import relayMessages from './relayMessages';
 import reportMessages from './reportMessages';
@@ -18,6 +19,7 @@
   ...leaseMessages,
   ...loadMessages,
   ...sessionMessages,
+  ...quotaMessages,
   ...registryMessages,
   ...relayMessages,
   ...reportMessages,
