--- a/packages/core/test/quotaModel.test.ts
+++ b/packages/core/test/quotaModel.test.ts
@@ -143,7 +143,10 @@
 });
 
 /** Returns the refusals at which all that was asked for is within rate and burst. */
-function findWrongRefusals(model: QuotaModel, { name, ratePerSecond, burst }: TenantLimit): number[] {
+function findWrongRefusals(
+  model: QuotaModel,
+  { name, ratePerSecond, burst }: TenantLimit,
+): number[] {
   const { admittedAtMs, refusedAtMs, refusedAlone } = model.result(name);
   const refused = new Set([...refusedAtMs, ...refusedAlone]);
   let level = burst;
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -15,6 +15,7 @@
 import DirectReply from '../../src/DirectReply';
 import GatewayHandler from '../../src/GatewayHandler';
 import Placement from '../../src/Placement';
+import QuotaGate from '../../src/QuotaGate';
 import RelayAdmission from '../../src/RelayAdmission';
 import RequestLog from '../../src/RequestLog';
 import TargetPool from '../../src/TargetPool';
@@ -92,6 +93,14 @@
   /** Request limits that were shared with the other entries. */
   readonly notices: RequestLimitNotice[] = [];
 
+  /** Admits every request, unless a test replaces its decisions. */
+  readonly quotas = new QuotaGate({
+    decide: () => ({ isAdmitted: true }), adjust: () => undefined,
+  });
+
+  /** Log lines of requests. */
+  readonly lines: Parameters<RequestLog['write']>[0][] = [];
+
   private readonly handler: GatewayHandler;
 
   private readonly dialect = new PlainDialect();
@@ -172,6 +181,8 @@
     this.admission = new RelayAdmission({
       pool, prober, placement, version: () => this.version,
     });
+    const requestLog = new RequestLog(log, clock);
+    requestLog.observer = (line) => this.lines.push(line);
     this.handler = new GatewayHandler({
       clock,
       dialect,
@@ -180,10 +191,11 @@
       placement,
       prober,
       crashes,
-      log: new RequestLog(log, clock),
+      log: requestLog,
       responseBytes: this.responseBytes,
       requestBytes: this.requestBytes,
       relay: this.relay,
+      quotas: this.quotas,
       version: () => this.version,
     }, () => this.declaration);
   }
--- a/packages/report/test/explain.test.ts
+++ b/packages/report/test/explain.test.ts
@@ -44,6 +44,14 @@
   ]);
 });
 
+test('a request over a quota is explained with the quota and the version', () => {
+  const line = '{"vm":"entry-1","requestId":"r-5","route":"browse","service":"lots","version":6,"retryAfterMs":1250,"attempts":[],"decision":"quotaExceeded","detail":"tenant acme: 10/s, burst 5, version 6; share 0.160","status":429,"ms":0,"msg":"request","time":"2026-10-09T06:58:55.541Z"}';
+  assert.deepEqual(explainRequest([line], 'r-5'), [
+    '2026-10-09T06:58:55.541Z entry-1: route browse, service lots, version 6',
+    '  quotaExceeded (tenant acme: 10/s, burst 5, version 6; share 0.160): answered 429 after 0 ms, to come back after 1250 ms',
+  ]);
+});
+
 test('an unknown request id gives no lines', () => {
   assert.deepEqual(explainRequest(LINES, 'r-9'), []);
 });
