--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -4,12 +4,16 @@
 
 import ControlApi from '@guavayard/platform/ControlApi';
 import createEntrySource from '@guavayard/platform/createEntrySource';
+import readTenantTable from '@guavayard/core/tenants/readTenantTable';
 import RegistryTask from '@guavayard/vm/registry/RegistryTask';
+import QuotaControlTask from '@guavayard/vm/quota/QuotaControlTask';
 import splitHostPort from '@guavayard/core/utils/splitHostPort';
 
 import closeServer from '../run/closeServer';
 import createVmClock from '../run/createVmClock';
+import createQuotaRule from '../settings/createQuotaRule';
 import awaitReplica from './awaitReplica';
+import createTenantReader from './createTenantReader';
 import type GatewayContext from './GatewayContext';
 import type GatewayRole from './GatewayRole';
 
@@ -69,6 +73,16 @@
     },
   });
   task.start();
+  const rule = createQuotaRule(settings);
+  const quotas = rule === undefined ? undefined : new QuotaControlTask({
+    hub,
+    rule,
+    tenants: createTenantReader(() => task.declaration, (source) => (
+      readTenantTable(createEntrySource(source))?.tenants ?? [])),
+    clock: createVmClock(),
+  });
+  // After the registry, so that an entry gets its view before the shares.
+  if (quotas !== undefined) hub.addHandler(quotas);
   const api = new ControlApi(task, settings.regions, splitHostPort(address).port);
   const bound = await listeners.bind(api.server, address, 'control');
   if (bound.err) return bound;
@@ -84,6 +98,9 @@
       keys: 0,
       refusedKeys: 0,
       unprovenKeys: 0,
+      quotaAsked: 0,
+      quotaRefused: 0,
+      quotaLimitedTenants: quotas?.limitedCount ?? 0,
       version: task.version,
       isCurrent: task.isCurrent,
       leaderSilenceMs: task.leaderSilenceMs,
@@ -94,6 +111,7 @@
       // At once, so that a caller that holds up the one cannot keep the other from happening.
       await Promise.all([closeServer(api.server), task.leave()]);
       task.close();
+      quotas?.close();
     },
   });
 }
--- a/packages/cli/src/settings/GatewaySettings.ts
+++ b/packages/cli/src/settings/GatewaySettings.ts
@@ -62,6 +62,15 @@
     /** Time after which a key that a configuration has taken away works at no entry, in seconds. */
     seconds: z.number().positive(),
   }).optional(),
+  /** Limits of tenants over all entries; without them, rates of tenants are not limits. */
+  quota: z.object({
+    /** Window in which the requests of a tenant are bounded, in seconds. */
+    windowSeconds: z.number().positive(),
+    /** Tolerated requests beyond rate and burst in a window, as a share of them. */
+    overage: z.number().min(0),
+    /** Tolerated requests beyond that. */
+    slack: z.number().min(0),
+  }).optional(),
   /** Listener that serves metrics; without it none are served. */
   metrics: z.object({ listen: HostPort }).optional(),
   log: z.object({ level: z.enum(['debug', 'info', 'warn', 'error']) }).default({ level: 'info' }),
--- a/packages/gateway/src/AttemptRunner.ts
+++ b/packages/gateway/src/AttemptRunner.ts
@@ -83,12 +83,15 @@
    * @param release - frees the slot that is held on it
    */
   run(target: PlacedTarget, release: Attempt['release']): void {
-    const { dependencies: { clock, sender }, body, triedIds } = this.options;
+    const {
+      dependencies: { clock, sender }, request, body, triedIds,
+    } = this.options;
     const isNewConnection = sender.countReady(target.record.address) === 0;
     const isHedge = this.isRunning;
     const attempt = createAttempt(target, release, isNewConnection, isHedge, clock());
     this.running.add(attempt);
     triedIds.push(target.record.id);
+    request.quota?.recordSent();
     this.sender.send(attempt, isHedge ? body.openCopy() : body.open());
     if (attempt.isOver || isHedge) return;
     this.watchdog.start(attempt);
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -85,9 +85,13 @@
       onPlace: (retry) => this.search.start(retry),
       onMayHaveRun: () => {
         this.response.mayHaveRun = true;
+        request.quota?.recordSent();
       },
       onFailed: (failure, retryAfterMs) => this.fail(failure, retryAfterMs),
-      onAnswered: (decision, status) => this.response.finish(decision, status),
+      onAnswered: (decision, status) => {
+        request.quota?.recordSent();
+        this.response.finish(decision, status);
+      },
     });
     const { handover, attempts: { hedges } } = this;
     this.search = new TargetSearch({
@@ -164,7 +168,8 @@
     }
     const verdict = classifyAttempt(attempt, failure);
     this.outcomes.record(attempt, verdict, failure);
-    if (verdict !== 'not-run') this.response.mayHaveRun = true;
+    if (verdict === 'not-run') this.request.quota?.recordNotRun();
+    else this.response.mayHaveRun = true;
     const durationMs = this.dependencies.clock() - attempt.startedAtMs;
     if (verdict === 'answered' || attempt.isForwarding) {
       this.attempts.supersedeOthers(attempt);
@@ -183,6 +188,7 @@
   /** Finds a target again for a request of which nothing was sent. */
   private placeAgain({ target, release }: Attempt): void {
     this.unsentCount += 1;
+    this.request.quota?.recordNotRun();
     this.triedIds.splice(this.triedIds.lastIndexOf(target.record.id), 1);
     if (this.attempts.isRunning) {
       release();
@@ -265,6 +271,7 @@
   private stop(): void {
     clearTimeout(this.timer);
     this.attempts.stop();
+    this.request.quota?.end(this.response.mayHaveRun || this.handover.isSent);
     this.handover.end();
     this.search.end();
     this.body.discard();
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -18,6 +18,7 @@
 import GatewayHandler from '../../src/GatewayHandler';
 import KeyGate from '../../src/KeyGate';
 import Placement from '../../src/Placement';
+import QuotaGate from '../../src/QuotaGate';
 import RelayAdmission from '../../src/RelayAdmission';
 import RequestLog from '../../src/RequestLog';
 import TargetPool from '../../src/TargetPool';
@@ -104,6 +105,14 @@
   /** Request limits that were shared with the other entries. */
   readonly notices: RequestLimitNotice[] = [];
 
+  /** Admits every request, unless a test replaces its decisions. */
+  readonly quotas = new QuotaGate({
+    decide: () => ({ isAdmitted: true }), adjust: () => undefined,
+  });
+
+  /** Log lines of requests. */
+  readonly lines: Parameters<RequestLog['write']>[0][] = [];
+
   private readonly handler: GatewayHandler;
 
   private readonly dialect = new PlainDialect();
@@ -188,6 +197,8 @@
     this.admission = new RelayAdmission({
       pool, prober, placement, version: () => this.version,
     });
+    const requestLog = new RequestLog(log, clock);
+    requestLog.observer = (line) => this.lines.push(line);
     this.handler = new GatewayHandler({
       clock,
       dialect,
@@ -205,6 +216,7 @@
       responseBytes: this.responseBytes,
       requestBytes: this.requestBytes,
       relay: this.relay,
+      quotas: this.quotas,
       version: () => this.version,
     }, () => this.declaration);
   }
--- a/packages/metrics/src/GatewayMetrics.ts
+++ b/packages/metrics/src/GatewayMetrics.ts
@@ -50,6 +50,9 @@
   readonly keys: number;
   readonly refusedKeys: number;
   readonly unprovenKeys: number;
+  readonly quotaAsked: number;
+  readonly quotaRefused: number;
+  readonly quotaLimitedTenants: number;
   readonly version: number;
   readonly isCurrent: boolean;
   readonly leaderSilenceMs: number;
@@ -110,6 +113,10 @@
       ['keys', ({ keys }) => keys],
       ['refused_keys_total', ({ refusedKeys }) => refusedKeys],
       ['unproven_keys_total', ({ unprovenKeys }) => unprovenKeys],
+      ['quota_asked_total', ({ quotaAsked }) => quotaAsked],
+      ['quota_admitted_total', ({ quotaAsked, quotaRefused }) => quotaAsked - quotaRefused],
+      ['quota_refused_total', ({ quotaRefused }) => quotaRefused],
+      ['quota_limited_tenants', ({ quotaLimitedTenants }) => quotaLimitedTenants],
       ['declaration_version', ({ version }) => version],
       ['is_current', ({ isCurrent }) => Number(isCurrent)],
       ['leader_silence_seconds', ({ leaderSilenceMs }) => leaderSilenceMs / MS_PER_SECOND],
