--- a/packages/gateway/test/quota.test.ts
+++ b/packages/gateway/test/quota.test.ts
@@ -10,7 +10,7 @@
 import GatewayRig from './support/GatewayRig';
 
 const TENANT: DeclaredTenant = {
-  name: 'acme', keyHashes: [], ratePerSecond: 10, burst: 5,
+  name: 'acme', label: 'acme', keyHashes: [], ratePerSecond: 10, burst: 5,
 };
 
 /** Admits requests as long as there is credit, at once and without control. */
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -110,9 +110,6 @@
     decide: () => ({ isAdmitted: true }), adjust: () => undefined,
   });
 
-  /** Log lines of requests. */
-  readonly lines: Parameters<RequestLog['write']>[0][] = [];
-
   private readonly handler: GatewayHandler;
 
   private readonly dialect = new PlainDialect();
@@ -197,8 +194,6 @@
     this.admission = new RelayAdmission({
       pool, prober, placement, version: () => this.version,
     });
-    const requestLog = new RequestLog(log, clock);
-    requestLog.observer = (line) => this.lines.push(line);
     this.handler = new GatewayHandler({
       clock,
       dialect,
--- a/packages/vm/test/quota.test.ts
+++ b/packages/vm/test/quota.test.ts
@@ -17,7 +17,7 @@
 
 const RULE = { windowMs: 5000, overage: 0.1, slack: 20 };
 const TENANT = {
-  name: 'acme', keyHashes: [], ratePerSecond: 5, burst: 5,
+  name: 'acme', label: 'acme', keyHashes: [], ratePerSecond: 5, burst: 5,
 };
 const CURRENT = '00.5';
 const OLDER = '00.4';
--- a/packages/vm/test/support/presentSchemas.ts
+++ b/packages/vm/test/support/presentSchemas.ts
@@ -17,7 +17,6 @@
     readPointAsk: '2fdc50182f46',
     readPoint: 'bfd43d6d44f2',
     relayFailure: '9e040e538366',
-    relayFailure: '9e040e538366',
     quotaUsage: '684425662aed',
     quotaConfirm: '4ac6fe065b26',
     quotaState: 'a4fcc7100df9',
