--- a/packages/core/src/errors/errorTable.ts
+++ b/packages/core/src/errors/errorTable.ts
@@ -211,6 +211,27 @@
     retryable: true,
     text: 'this VM cannot confirm that the key is still in force',
   },
+  rolloutInProgress: {
+    code: 37,
+    status: 409,
+    outcome: 'not-run',
+    retryable: false,
+    text: 'another version of the service is brought in at present',
+  },
+  rolloutRefused: {
+    code: 38,
+    status: 422,
+    outcome: 'not-run',
+    retryable: false,
+    text: 'the order does not name a version that can be brought in',
+  },
+  noRollout: {
+    code: 39,
+    status: 404,
+    outcome: 'not-run',
+    retryable: false,
+    text: 'there was no roll-out of the service',
+  },
 } as const satisfies Readonly<Record<string, ErrorDefinition>>;
 
 export default errorTable;
--- a/packages/core/src/registry/RegisteredTarget.ts
+++ b/packages/core/src/registry/RegisteredTarget.ts
@@ -1,6 +1,7 @@
 import * as z from 'zod';
 
 import HostPort from '../types/HostPort';
+import VersionName from '../rollouts/VersionName';
 import ExternalName from '../types/ExternalName';
 
 /** Incarnation of a target, as announced by the target itself. */
@@ -18,6 +19,8 @@
   sequence: z.number(),
   /** Remaining time for which the target is cold, counted from the announcement. */
   coldLeftMs: z.number().min(0),
+  /** Version of its program, if it tells one. From version 5 of the messages on. */
+  version: VersionName.optional(),
 });
 type RegisteredTarget = z.infer<typeof RegisteredTarget>;
 
--- a/packages/core/src/registry/RegistryChange.ts
+++ b/packages/core/src/registry/RegistryChange.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod';
 
+import rolloutChanges from '../rollouts/rolloutChanges';
 import ExternalName from '../types/ExternalName';
 import Declaration from './Declaration';
 import RegisteredTarget from './RegisteredTarget';
@@ -16,6 +17,7 @@
   z.strictObject({
     kind: z.literal('expire'), targetId: z.string(), bornAtMs: z.number(), sequence: z.number(),
   }),
+  ...rolloutChanges,
 ]);
 type RegistryChange = z.infer<typeof RegistryChange>;
 
--- a/packages/core/src/registry/RegistryService.ts
+++ b/packages/core/src/registry/RegistryService.ts
@@ -1,6 +1,8 @@
 import type { Result } from 'ts-results';
 
 import type Failure from '../errors/Failure';
+import type Rollout from '../rollouts/Rollout';
+import type RolloutOrder from '../rollouts/RolloutOrder';
 import type Declaration from './Declaration';
 import type RegisteredTarget from './RegisteredTarget';
 
@@ -29,6 +31,10 @@
   findNearestControl: (dataCentre: string, region: string) => string | undefined;
   /** Deregisters a target, unless the caller has gone. */
   withdraw: (targetId: string, isAbandoned: () => boolean) => Promise<Result<undefined, Failure>>;
+  /** Brings a version of a service in by degrees, unless the order was accepted before. */
+  startRollout: (order: RolloutOrder) => Promise<Result<undefined, Failure>>;
+  /** Returns the last roll-out of a service, undefined if there was none. */
+  readRollout: (service: string) => Promise<Result<Pick<Rollout, 'phase' | 'targetVersion'> | undefined, Failure>>;
 }
 
 export default RegistryService;
--- a/packages/core/src/registry/RegistryState.ts
+++ b/packages/core/src/registry/RegistryState.ts
@@ -1,5 +1,6 @@
 import * as z from 'zod';
 
+import Rollout from '../rollouts/Rollout';
 import ExternalName from '../types/ExternalName';
 import Declaration from './Declaration';
 import RegisteredTarget from './RegisteredTarget';
@@ -15,6 +16,8 @@
    * incarnation are ignored.
    */
   ended: z.record(z.string(), z.number()),
+  /** The last roll-out of each service. From version 5 of the messages on. */
+  rollouts: z.record(ExternalName, Rollout).optional(),
 });
 type RegistryState = z.infer<typeof RegistryState>;
 
--- a/packages/core/src/registry/applyRegistryChange.ts
+++ b/packages/core/src/registry/applyRegistryChange.ts
@@ -1,3 +1,5 @@
+import admitBaseVersion from '../rollouts/admitBaseVersion';
+import applyRolloutChange from '../rollouts/applyRolloutChange';
 import findTarget from './findTarget';
 import isStaleAnnouncement from './isStaleAnnouncement';
 import type RegisteredTarget from './RegisteredTarget';
@@ -22,6 +24,7 @@
       endIncarnation(state, other.id, other.bornAtMs);
       delete state.targets[other.id];
     });
+  admitBaseVersion(state, findTarget(state, target.id), target);
   state.targets[target.id] = target;
 }
 
@@ -57,10 +60,13 @@
     case 'withdraw':
       withdraw(state, change.targetId);
       break;
-    default: {
+    case 'expire': {
       const known = findTarget(state, change.targetId);
       const isSame = known?.bornAtMs === change.bornAtMs && known.sequence === change.sequence;
       if (isSame) delete state.targets[change.targetId];
+      break;
     }
+    default:
+      applyRolloutChange(state, change);
   }
 }
--- a/packages/core/src/registry/isRedundantAnnouncement.ts
+++ b/packages/core/src/registry/isRedundantAnnouncement.ts
@@ -27,5 +27,6 @@
     && known.address === target.address
     && known.service === target.service
     && known.slots === target.slots
-    && known.dataCentre === target.dataCentre;
+    && known.dataCentre === target.dataCentre
+    && known.version === target.version;
 }
