--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -18,6 +18,7 @@
 import RegistrySubscription from '@guavayard/vm/registry/RegistrySubscription';
 import RelayClient from '@guavayard/vm/relay/RelayClient';
 import RelayServer from '@guavayard/vm/relay/RelayServer';
+import RolloutReporter from '@guavayard/vm/rollouts/RolloutReporter';
 
 import createVmClock from '../run/createVmClock';
 import type GatewayContext from './GatewayContext';
@@ -59,6 +60,9 @@
 /** Upper bound of that time as a share of the grace period. */
 const ACCEPTS_ALL_SHARE = 0.4;
 
+/** Share of the time to take a version back after which an entry without control does so. */
+const CONTACT_SHARE = 0.5;
+
 function clock(): number {
   return performance.now();
 }
@@ -79,7 +83,7 @@
   const {
     settings, identity, hub, log, errors, seeds, listeners,
   } = context;
-  const { bounds, regions } = settings;
+  const { bounds, regions, rollout } = settings;
   const sender = new UndiciTargetSender({
     keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
     localAddress: settings.vm.bindsToIp ? settings.vm.ip : undefined,
@@ -96,6 +100,7 @@
     regionOf: (dataCentre) => regions[dataCentre] ?? '',
     coldBurstFactor: bounds.coldBurstFactor,
     coldSlack: bounds.coldSlack,
+    contactTimeoutMs: rollout.rollbackSeconds * MS_PER_SECOND * CONTACT_SHARE,
     shareWindowMs: bounds.retryWindowSeconds * MS_PER_SECOND,
     onTargetRemoved: (address) => sender.closeConnections(address),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a response
@@ -139,13 +144,21 @@
     clock,
     listener: {
       onChange: () => {
-        const { declaration, evacuated, targets } = subscription;
+        const {
+          declaration, evacuated, targets, rollouts,
+        } = subscription;
+        pool.versions.update(rollouts);
         pool.update(declaration, evacuated, targets);
+        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- set by then
+        reporter.update();
         if (declaration === undefined) return;
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- set by then
         caller.server.keepAliveTimeout = declaration.limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
       },
-      onContact: () => pool.share.recordContact(clock()),
+      onContact: () => {
+        pool.share.recordContact(clock());
+        pool.versions.recordContact();
+      },
       onRosterChange: ({ entries }) => pool.setEntries(entries),
       onRequestLimits: (notices) => pool.recordLimitNotices(notices),
       onCrash: (fingerprint, targetId) => crashes.recordReportedCrash(fingerprint, targetId),
@@ -157,6 +170,13 @@
       },
     },
   });
+  const reporter = new RolloutReporter({
+    clock,
+    name: identity.name,
+    startId: identity.startId,
+    list: () => pool.rolloutCounts,
+    send: (message, sinceVersion) => subscription.report(message, sinceVersion),
+  });
   const requestLog = new RequestLog(log, clock);
   const relay = new RelayClient({
     hub,
@@ -213,6 +233,8 @@
       unreachableServices: pool.paths.reachability.unreachableCount,
       sharingEntries: pool.share.findShare(clock())?.entryCount ?? 0,
       refusedRetries: placement.refusedRetries,
+      runningRollouts: pool.versions.underWayCount,
+      rolloutSends: pool.versions.sentCount,
       version: subscription.declaration?.version ?? 0,
       isCurrent: subscription.isFollowing,
       leaderSilenceMs: 0,
--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -34,7 +34,7 @@
   const {
     settings, identity, hub, log, seeds, listeners,
   } = context;
-  const { bounds, vm } = settings;
+  const { bounds, vm, rollout } = settings;
   const opened = await awaitReplica({
     path: folderPath,
     vmName: identity.name,
@@ -60,6 +60,7 @@
     targetTimeoutMs: MAX_MISSED_HEARTBEATS * bounds.targetHeartbeatSeconds * MS_PER_SECOND,
     dataCentres: new Set(Object.keys(settings.regions)),
     timeOfDay: Date.now,
+    rollout,
     onFailure: (err) => {
       log.fatal({ err }, 'the replica has failed; exiting to replay its log');
       task.close();
@@ -80,6 +81,8 @@
       sharingEntries: 0,
       refusedRetries: 0,
       version: task.version,
+      runningRollouts: task.rolloutCount,
+      rolloutSends: 0,
       isCurrent: task.isCurrent,
       leaderSilenceMs: task.leaderSilenceMs,
       silentMembers: task.silentMemberCount,
--- a/packages/cli/src/settings/GatewaySettings.ts
+++ b/packages/cli/src/settings/GatewaySettings.ts
@@ -52,6 +52,21 @@
     coldSlack: z.number().min(0),
     probesPerSecond: z.number().min(0),
   }),
+  /** How versions of services are brought in by degrees. */
+  rollout: z.object({
+    /**
+     * Largest share of the requests to a service that a bad version may get between an order and
+     * its deadline.
+     */
+    share: z.number().gt(0).lt(1).default(0.1),
+    /** Requests beyond the share that a bad version may get, for messages that come late. */
+    slack: z.number().min(0).default(50),
+    /**
+     * Longest time for which a version that turns out to be bad gets requests, in seconds. An entry
+     * without control sends it none after half of that.
+     */
+    rollbackSeconds: z.number().gt(0).default(5),
+  }).prefault({}),
   /** Listener that serves metrics; without it none are served. */
   metrics: z.object({ listen: HostPort }).optional(),
   log: z.object({ level: z.enum(['debug', 'info', 'warn', 'error']) }).default({ level: 'info' }),
--- a/packages/core/src/rollouts/CountCollector.ts
+++ b/packages/core/src/rollouts/CountCollector.ts
@@ -48,7 +48,7 @@
   record(entry: string, counts: RolloutCounts, nowMs: number): void {
     const key = `${entry} ${counts.startId}`;
     const last = this.reports.get(key)?.counts;
-    if (last !== undefined && (counts.requests < last.requests || counts.sent < last.sent)) return;
+    if (last !== undefined && counts.sequence <= last.sequence) return;
     const known = new Map(last?.cells.map((cell) => [keyOf(cell), cell]));
     this.fresh.push(...counts.cells
       .map((cell) => subtract(cell, known.get(keyOf(cell))))
--- a/packages/core/src/rollouts/RolloutCounts.ts
+++ b/packages/core/src/rollouts/RolloutCounts.ts
@@ -21,6 +21,8 @@
 const RolloutCounts = z.strictObject({
   /** Id of the process of the entry: counts of another one start from zero. */
   startId: z.string().max(64),
+  /** Increases with each report of the process. */
+  sequence: z.int().min(0),
   service: ExternalName,
   /** Number of the roll-out. */
   number: z.int().min(1),
--- a/packages/core/src/rollouts/VersionGate.ts
+++ b/packages/core/src/rollouts/VersionGate.ts
@@ -1,9 +1,6 @@
 import findVersionOf from './findVersionOf';
 import type RolloutNotice from './RolloutNotice';
 
-/** Time without control after which the target version gets no request, in milliseconds. */
-const CONTACT_TIMEOUT_MS = 2500;
-
 interface GatedTarget {
   readonly service: string;
   readonly version?: string | undefined;
@@ -28,6 +25,12 @@
 
   private phase = 0.5;
 
+  /**
+   * @param contactTimeoutMs - time without control after which target versions get no request, in
+   *   milliseconds
+   */
+  constructor(private readonly contactTimeoutMs: number) {}
+
   /** Sets the part of a request with which each roll-out begins, from 0 to 1. */
   setPhase(phase: number): void {
     this.phase = phase;
@@ -92,7 +95,7 @@
   /** @returns whether a version is the target of a roll-out that is under way */
   isTargetVersion(target: GatedTarget): boolean {
     const rollout = this.rollouts.get(target.service);
-    return rollout !== undefined && rollout.notice.targetVersion === findVersionOf(target);
+    return rollout?.notice.targetVersion === findVersionOf(target);
   }
 
   /** @returns whether all requests of a service go to the target version of its roll-out */
@@ -108,6 +111,7 @@
    * @param targets - the targets
    * @param isChosen - whether the request was chosen for the target version
    * @param nowMs - monotonic clock, in milliseconds
+   * @param recordOf - returns what a target has registered
    * @returns those that may get it: for a chosen one, of the target version if there are any
    */
   filter<Target>(
@@ -136,6 +140,6 @@
   }
 
   private isInContact(nowMs: number): boolean {
-    return nowMs - this.contactAtMs <= CONTACT_TIMEOUT_MS;
+    return nowMs - this.contactAtMs <= this.contactTimeoutMs;
   }
 }
--- a/packages/core/src/rollouts/VersionJudge.ts
+++ b/packages/core/src/rollouts/VersionJudge.ts
@@ -57,6 +57,8 @@
 
   private responses = 0;
 
+  private excess = 0;
+
   private judgedAtMs: number | undefined;
 
   /** Number of responses of the target version that were judged. */
@@ -64,6 +66,11 @@
     return this.responses;
   }
 
+  /** Number of bad responses of the target version beyond the usual ones. */
+  get excessCount(): number {
+    return this.excess;
+  }
+
   /** The strongest evidence against the target version; undefined before its first response. */
   get strongest(): Evidence | undefined {
     return this.list().sort((a, b) => b.level - a.level)[0];
@@ -101,6 +108,7 @@
       this.assess(cell).forEach(({
         kind, bad, total, usualShare,
       }) => {
+        this.excess += bad - total * usualShare;
         judgeLimits.excesses.forEach((excess) => {
           const evidence = weighEvidence(bad, total, usualShare, excess);
           [createKey(kind, excess), createKey(kind, excess, cell.route)].forEach((key) => (
--- a/packages/core/test/support/RolloutModel.ts
+++ b/packages/core/test/support/RolloutModel.ts
@@ -67,7 +67,7 @@
   let badCount = 0;
   // Requests that were sent before the order are in flight.
   for (let nowMs = -3000; nowMs < plan.switchAtMs; nowMs += STEP_MS) {
-    arrivals += requestsPerSecond * STEP_MS / MS_PER_SECOND * 2 * random();
+    arrivals += 2 * random() * requestsPerSecond * (STEP_MS / MS_PER_SECOND);
     for (; arrivals >= 1; arrivals -= 1) {
       credit += nowMs < 0 ? 0 : plan.canaryShare;
       const isTargetVersion = credit >= 1;
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -175,6 +175,8 @@
       homeRegions: route.homeRegions,
       triedIds: this.triedIds,
       permittedIds: request.permittedIds,
+      // What the target version has failed to serve, the others do.
+      isCanary: request.isCanary && this.triedIds.length === request.triedIds.length,
       priority: route.priority,
       targetLatencyMs: route.targetLatencyMs,
       hasLargeBody: this.hasLargeBody,
@@ -356,7 +358,10 @@
     }
     recordRejection(state.target, verdict === 'not-run', nowMs);
     this.attemptLines.push(describeAttempt(state, verdict, failure, nowMs));
-    if (verdict !== 'not-run') this.mayHaveRun = true;
+    if (verdict !== 'not-run') {
+      this.mayHaveRun = true;
+      this.recordVersion(state, verdict === 'answered');
+    }
     this.reportToCrashDetection(state, verdict, failure);
     this.dispatch = undefined;
     if (verdict === 'answered' || state.isForwarding) this.forwardResponse(state, failure);
@@ -365,6 +370,15 @@
     state.release(verdict === 'answered' ? nowMs - state.startedAtMs : undefined);
   }
 
+  private recordVersion({ target, startedAtMs, coldLeftMs }: Attempt, isAnswered: boolean): void {
+    const { clock, pool } = this.dependencies;
+    const { routeName } = this.request;
+    const durationMs = isAnswered ? clock() - startedAtMs : undefined;
+    pool.versions.recordOutcome({
+      target, routeName, wasCold: coldLeftMs > 0, durationMs,
+    });
+  }
+
   /** Finds a target again for a request of which nothing was sent. */
   private placeAgain({ target, release }: Attempt): void {
     this.unsentCount += 1;
@@ -472,6 +486,7 @@
     const kind = isSent || this.mayHaveRun ? 'deadlineExceeded' : 'deadlineBeforeDispatch';
     if (attempt !== undefined && !attempt.isOver) {
       recordOutcome(attempt.target, true, this.dependencies.clock());
+      this.recordVersion(attempt, false);
     }
     this.giveUp({ kind, detail: '' }, RETRY_AFTER_MS);
   }
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -165,6 +165,7 @@
     if (this.stop !== undefined && !mayFinishBeforeStop(this.stop, deadlineMs, arrivedAtMs)) {
       return fail('shuttingDown', 'the request may outlast the stop');
     }
+    const service = this.chooseService(routeName, route, relayed);
     return Ok({
       req,
       requestId,
@@ -173,7 +174,9 @@
       path,
       routeName,
       route,
-      service: this.chooseService(routeName, route, relayed),
+      service,
+      // The entry that relays a request has counted it.
+      isCanary: relayed === undefined && this.dependencies.pool.versions.choose(service),
       maxBodyBytes: declaration.limits.maxBodyBytes,
       version: declaration.version,
       arrivedAtMs,
--- a/packages/gateway/src/GatewayRequest.ts
+++ b/packages/gateway/src/GatewayRequest.ts
@@ -13,6 +13,8 @@
   readonly routeName: string;
   readonly route: DeclaredRoute;
   readonly service: string;
+  /** Whether it was chosen for the target version of a roll-out. */
+  readonly isCanary: boolean;
   /** Tenant that holds the key of the request; undefined on public routes and without tenants. */
   readonly tenant?: DeclaredTenant | undefined;
   /** Maximum size of the body, in bytes. */
--- a/packages/gateway/src/PlacementQueue.ts
+++ b/packages/gateway/src/PlacementQueue.ts
@@ -164,9 +164,10 @@
   }
 
   private findEligible({
-    service, homeRegions, triedIds, permittedIds,
+    service, homeRegions, triedIds, permittedIds, isCanary,
   }: PlacementRequest): PlacedTarget[] {
-    return this.options.pool.findEligible(service, homeRegions, triedIds, permittedIds);
+    return this.options.pool
+      .findEligible(service, homeRegions, triedIds, permittedIds, isCanary);
   }
 
   private search(queued: QueuedRequest): void {
@@ -356,7 +357,7 @@
     this.remove(queued);
     this.admission.recordDispatch(attempt.sentAtMs);
     target.inFlight.add(attempt);
-    pool.recordSend(target, queued.request.permittedIds);
+    pool.recordSend(target, queued.request.permittedIds, queued.request.isCanary);
     queued.request.onPlaced(target, (durationMs) => {
       if (!target.inFlight.delete(attempt)) return;
       if (durationMs !== undefined) this.speed.record(durationMs, slowness, used);
--- a/packages/gateway/src/PlacementRequest.ts
+++ b/packages/gateway/src/PlacementRequest.ts
@@ -10,6 +10,8 @@
   readonly triedIds: readonly string[];
   /** Targets that it may be sent to beyond the share of this entry in their request limits. */
   readonly permittedIds: readonly string[];
+  /** Whether it was chosen for the target version of a roll-out. */
+  readonly isCanary: boolean;
   /** Priority; lower values are served first, starting at 0. */
   readonly priority: number;
   /** Time within which a response has its full value for the caller, in milliseconds. */
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -22,6 +22,7 @@
 
 import type EntryLocation from './EntryLocation';
 import RequestLimitTracker from './RequestLimitTracker';
+import ServiceVersions from './ServiceVersions';
 import TargetNotices from './TargetNotices';
 import TargetPaths from './TargetPaths';
 
@@ -40,6 +41,8 @@
   readonly regionOf: (dataCentre: string) => string;
   readonly coldBurstFactor: number;
   readonly coldSlack: number;
+  /** Time without control after which versions of roll-outs get no request, in milliseconds. */
+  readonly contactTimeoutMs: number;
   /** Longest window of a limit that all entries share, in milliseconds. */
   readonly shareWindowMs: number;
   /** Called with the address of a target that was removed. */
@@ -77,6 +80,9 @@
   /** What the targets say of themselves. */
   readonly notices: TargetNotices;
 
+  /** Which versions of services get requests. */
+  readonly versions: ServiceVersions;
+
   /** Which paths to targets work. */
   readonly paths: TargetPaths;
 
@@ -97,6 +103,7 @@
       share: options.shareLimit,
     });
     this.notices = new TargetNotices(options);
+    this.versions = new ServiceVersions(options);
     this.share = new EntryShareTracker(options.shareWindowMs);
     this.paths = new TargetPaths({
       ...options,
@@ -116,12 +123,18 @@
     const nearNames = entries.filter(({ region }) => region === this.options.location.region)
       .map(({ name }) => name);
     this.nearRosters.setEntries(nearNames, this.options.elapsedClock());
+    this.versions.setEntries(entries.map(({ name }) => name), this.options.location.name);
     // Control may not have heard of this entry yet.
     const names = new Set([this.options.location.name, ...entries.map(({ name }) => name)]);
     this.share.recordCount(names.size, this.options.clock());
     this.updateLimitContext();
   }
 
+  /** Counts of the roll-outs that are under way. */
+  get rolloutCounts(): ReturnType<ServiceVersions['list']> {
+    return this.versions.list(this.targets.values());
+  }
+
   /** Records whether this entry follows control. */
   setFollowing(isFollowing: boolean): void {
     this.nearRosters.setFollowing(isFollowing, this.options.elapsedClock());
@@ -160,6 +173,7 @@
    * @param homeRegions - the only regions that may serve it; undefined if every region may
    * @param triedIds - ids of the targets of earlier attempts
    * @param permittedIds - ids of targets whose request limits allow the request anyway
+   * @param isCanary - whether the request was chosen for the target version of a roll-out
    * @returns the targets, those of this entry's region first
    */
   findEligible(
@@ -167,11 +181,13 @@
     homeRegions: readonly string[] | undefined,
     triedIds: readonly string[],
     permittedIds: readonly string[] = [],
+    isCanary = false,
   ): PlacedTarget[] {
     const nowMs = this.options.clock();
-    return this.findUsable(service, homeRegions, triedIds)
+    const allowed = this.findUsable(service, homeRegions, triedIds)
       .filter((target) => mayReturn(target, nowMs)
         && (permittedIds.includes(target.record.id) || this.limits.allows(target)));
+    return this.versions.filter(service, allowed, isCanary);
   }
 
   /**
@@ -191,7 +207,8 @@
     ahead: number,
   ): number | undefined {
     const nowMs = this.options.clock();
-    const usable = this.findUsable(service, homeRegions, triedIds);
+    const usable = this.versions
+      .filter(service, this.findUsable(service, homeRegions, triedIds), false);
     const awake = usable.filter((target) => !isResting(target, nowMs));
     const limitWaitMs = this.limits.estimateWaitMs(awake, ahead) ?? Infinity;
     const restWaitMs = estimateRestWait(usable, ahead, nowMs) ?? Infinity;
@@ -253,8 +270,10 @@
    *
    * @param target - the target
    * @param permittedIds - ids of targets for which another entry has given up a part of its share
+   * @param isCanary - whether the request was chosen for the target version of a roll-out
    */
-  recordSend(target: PlacedTarget, permittedIds: readonly string[]): void {
+  recordSend(target: PlacedTarget, permittedIds: readonly string[], isCanary = false): void {
+    this.versions.recordSend(target, isCanary);
     const state = target;
     const nowMs = this.options.clock();
     state.lastSentAtMs = nowMs;
@@ -283,9 +302,10 @@
       && !triedIds.includes(target.record.id)
       && (homeRegions === undefined || homeRegions.includes(target.region))
       && this.limits.allows(target));
+    const allowed = this.versions.filter(service, limited, false);
     const available = ({ requestLimit }: PlacedTarget): number => (
       requestLimit?.allowance?.available(nowMs) ?? 0);
-    return limited.sort((a, b) => available(b) - available(a))
+    return allowed.sort((a, b) => available(b) - available(a))
       .slice(0, MAX_PERMITS)
       .map((target) => {
         target.requestLimit?.allowance?.take(1);
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -128,6 +128,7 @@
       regionOf: (dataCentre) => dataCentre,
       coldBurstFactor: 1.5,
       coldSlack: 5,
+      contactTimeoutMs: 2500,
       shareWindowMs: 10_000,
       onTargetRemoved: () => undefined,
       shareLimit: (notice) => this.notices.push(notice),
--- a/packages/gateway/test/support/fleet/FleetEntry.ts
+++ b/packages/gateway/test/support/fleet/FleetEntry.ts
@@ -84,6 +84,7 @@
       regionOf: () => 'near',
       coldBurstFactor: 1.5,
       coldSlack: 5,
+      contactTimeoutMs: 2500,
       shareWindowMs: 10_000,
       onTargetRemoved: (address) => this.sender.closeConnections(address),
       shareLimit: () => undefined,
--- a/packages/metrics/src/GatewayMetrics.ts
+++ b/packages/metrics/src/GatewayMetrics.ts
@@ -45,6 +45,8 @@
   readonly unreachableServices: number;
   readonly sharingEntries: number;
   readonly refusedRetries: number;
+  readonly runningRollouts: number;
+  readonly rolloutSends: number;
   readonly version: number;
   readonly isCurrent: boolean;
   readonly leaderSilenceMs: number;
@@ -99,6 +101,8 @@
       ['unreachable_services', ({ unreachableServices }) => unreachableServices],
       ['sharing_entries', ({ sharingEntries }) => sharingEntries],
       ['refused_retries_total', ({ refusedRetries }) => refusedRetries],
+      ['running_rollouts', ({ runningRollouts }) => runningRollouts],
+      ['rollout_sends_total', ({ rolloutSends }) => rolloutSends],
       ['declaration_version', ({ version }) => version],
       ['is_current', ({ isCurrent }) => Number(isCurrent)],
       ['leader_silence_seconds', ({ leaderSilenceMs }) => leaderSilenceMs / MS_PER_SECOND],
--- a/packages/metrics/src/gatewayMetricTable.ts
+++ b/packages/metrics/src/gatewayMetricTable.ts
@@ -30,6 +30,12 @@
   limited_targets: {
     type: 'gauge', tags: [], meaning: 'targets that name a limit on the requests they take',
   },
+  running_rollouts: {
+    type: 'gauge', tags: [], meaning: 'versions that are being brought in',
+  },
+  rollout_sends_total: {
+    type: 'counter', tags: [], meaning: 'requests sent to versions while they were brought in',
+  },
   sharing_entries: {
     type: 'gauge', tags: [], meaning: 'entries that divide limits with this one; 0 while it has no share',
   },
--- a/packages/metrics/test/gatewayMetrics.test.ts
+++ b/packages/metrics/test/gatewayMetrics.test.ts
@@ -14,6 +14,8 @@
     unreachableServices: 2,
     sharingEntries: 4,
     refusedRetries: 9,
+    runningRollouts: 1,
+    rolloutSends: 12,
     version: 26,
     isCurrent: true,
     leaderSilenceMs: 2500,
--- a/packages/vm/src/control/CallRouter.ts
+++ b/packages/vm/src/control/CallRouter.ts
@@ -86,7 +86,7 @@
         resolve(result);
       });
       const adapted = adaptCall(call, hub.protocolVersionOf(leaderName));
-      if (!hub.send(leaderName, { kind: 'controlCall', callId, call: adapted })) {
+      if (adapted === undefined || !hub.send(leaderName, { kind: 'controlCall', callId, call: adapted })) {
         this.settle(callId, undefined);
       }
     });
--- a/packages/vm/src/control/ControlCall.ts
+++ b/packages/vm/src/control/ControlCall.ts
@@ -1,6 +1,8 @@
 import * as z from 'zod';
 
 import RegistryChange from '@guavayard/core/registry/RegistryChange';
+import RolloutOrder from '@guavayard/core/rollouts/RolloutOrder';
+import ExternalName from '@guavayard/core/types/ExternalName';
 import ConfigurationPatch from '@guavayard/core/types/ConfigurationPatch';
 
 /** A call of the operators' API that only the leader can serve. */
@@ -21,6 +23,10 @@
     basis: z.int().min(0).optional(),
   }),
   z.strictObject({ kind: z.literal('declaration') }),
+  /** Brings a version of a service in. From version 5 on. */
+  z.strictObject({ kind: z.literal('startRollout'), order: RolloutOrder }),
+  /** Reads the last roll-out of a service. From version 5 on. */
+  z.strictObject({ kind: z.literal('rollout'), service: ExternalName }),
 ]);
 type ControlCall = z.infer<typeof ControlCall>;
 
--- a/packages/vm/src/control/adaptCall.ts
+++ b/packages/vm/src/control/adaptCall.ts
@@ -1,3 +1,5 @@
+import removeVersion from '../rollouts/removeVersion';
+import ROLLOUT_VERSION from '../rollouts/rolloutVersion';
 import type ControlCall from './ControlCall';
 
 /** Version of the messages from which on leaders understand the basis of a change. */
@@ -8,9 +10,16 @@
  *
  * @param call - the call
  * @param protocolVersion - version of the messages that the leader understands
- * @returns the call as the leader understands it
+ * @returns the call as the leader understands it, undefined if it does not know such calls
  */
-export default function adaptCall(call: ControlCall, protocolVersion: number): ControlCall {
-  if (call.kind !== 'change' || protocolVersion >= BASIS_PROTOCOL_VERSION) return call;
-  return { kind: 'change', change: call.change };
+export default function adaptCall(
+  call: ControlCall,
+  protocolVersion: number,
+): ControlCall | undefined {
+  if (protocolVersion >= ROLLOUT_VERSION) return call;
+  if (call.kind === 'startRollout' || call.kind === 'rollout') return undefined;
+  if (call.kind !== 'change') return call;
+  const { kind, change, basis } = call;
+  const isKept = basis !== undefined && protocolVersion >= BASIS_PROTOCOL_VERSION;
+  return { kind, change: removeVersion(change), ...(isKept ? { basis } : {}) };
 }
--- a/packages/vm/src/messages/VmMessage.ts
+++ b/packages/vm/src/messages/VmMessage.ts
@@ -8,6 +8,7 @@
 import registryMessages from './registryMessages';
 import relayMessages from './relayMessages';
 import reportMessages from './reportMessages';
+import rolloutMessages from './rolloutMessages';
 import sessionMessages from './sessionMessages';
 
 /** Any message between VMs of the system, distinguished by its `kind`. */
@@ -21,6 +22,7 @@
   ...registryMessages,
   ...relayMessages,
   ...reportMessages,
+  ...rolloutMessages,
 ]);
 type VmMessage = z.infer<typeof VmMessage>;
 
--- a/packages/vm/src/messages/registryMessages.ts
+++ b/packages/vm/src/messages/registryMessages.ts
@@ -3,6 +3,7 @@
 import RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import RequestLimitNotice from '@guavayard/core/requestLimit/RequestLimitNotice';
 import Declaration from '@guavayard/core/registry/Declaration';
+import RolloutNotice from '@guavayard/core/rollouts/RolloutNotice';
 import ExternalName from '@guavayard/core/types/ExternalName';
 
 import VmLocation from '../registry/VmLocation';
@@ -20,6 +21,8 @@
     declaration: Declaration.optional(),
     evacuated: z.array(ExternalName),
     targets: z.array(RegisteredTarget),
+    /** The last roll-out of each service. From version 5 on. */
+    rollouts: z.array(RolloutNotice).optional(),
   }),
   /** Changes since the previous view or update; omitted fields are unchanged. */
   z.strictObject({
@@ -29,6 +32,7 @@
     evacuated: z.array(ExternalName).optional(),
     targets: z.array(RegisteredTarget),
     removedIds: z.array(z.string()),
+    rollouts: z.array(RolloutNotice).optional(),
   }),
   /** Reports whether the control VM leads or still receives messages from the leader. */
   z.strictObject({ kind: z.literal('registryPulse'), isCurrent: z.boolean() }),
--- a/packages/vm/src/registry/LeaderCalls.ts
+++ b/packages/vm/src/registry/LeaderCalls.ts
@@ -3,6 +3,9 @@
 import type ConsensusTask from '../control/ConsensusTask';
 import type ControlCall from '../control/ControlCall';
 import type ControlResponse from '../control/ControlResponse';
+import removeVersion from '../rollouts/removeVersion';
+import type RolloutGate from '../rollouts/RolloutGate';
+import type RolloutOrders from '../rollouts/RolloutOrders';
 import type DeclarationGate from './DeclarationGate';
 import OrderGate from './OrderGate';
 import type RegistryStore from './RegistryStore';
@@ -13,6 +16,8 @@
   readonly consensus: Pick<ConsensusTask, 'awaitReadPoint' | 'confirmedVoterCount' | 'hasCommittedInTerm' | 'isLeader' | 'propose'>;
   readonly store: Pick<RegistryStore, 'changedAtIndex' | 'state'>;
   readonly declarations: DeclarationGate;
+  readonly rollouts: RolloutOrders;
+  readonly gate: Pick<RolloutGate, 'isOpen'>;
   /** Returns whether this replica is in contact with its group. */
   readonly isInContact: () => boolean;
   /** Number of voters required before a system without a declaration accepts any change. */
@@ -34,17 +39,25 @@
    * @returns the response, undefined if this replica does not lead or cannot say
    */
   async handle(call: ControlCall): Promise<ControlResponse | undefined> {
-    const { consensus, store, isInContact } = this.options;
+    const {
+      consensus, store, isInContact, rollouts,
+    } = this.options;
     if (!consensus.isLeader || !isInContact()) return undefined;
     if (call.kind === 'declaration') {
       if (!await consensus.awaitReadPoint()) return undefined;
       return { kind: 'declaration', source: store.state.declaration?.source };
     }
+    if (call.kind === 'rollout') return rollouts.read(call.service);
+    if (call.kind === 'startRollout') return rollouts.start(call.order);
     return call.kind === 'change' ? this.handleChange(call) : undefined;
   }
 
-  private async handleChange({ change, basis }: ChangeCall): Promise<ControlResponse | undefined> {
-    const { consensus, store, requiredVoters } = this.options;
+  private async handleChange(call: ChangeCall): Promise<ControlResponse | undefined> {
+    const {
+      consensus, store, requiredVoters, gate,
+    } = this.options;
+    const { basis } = call;
+    const change = gate.isOpen ? call.change : removeVersion(call.change);
     const hasRequiredVoters = store.state.declaration !== undefined
       || consensus.confirmedVoterCount >= requiredVoters;
     // Before all voters hold the log, an accepted change would survive fewer losses than promised.
--- a/packages/vm/src/registry/OperatorCalls.ts
+++ b/packages/vm/src/registry/OperatorCalls.ts
@@ -5,6 +5,8 @@
 import fail from '@guavayard/core/errors/fail';
 import type Declaration from '@guavayard/core/registry/Declaration';
 import findDeclarationMistakes from '@guavayard/core/registry/findDeclarationMistakes';
+import type Rollout from '@guavayard/core/rollouts/Rollout';
+import type RolloutOrder from '@guavayard/core/rollouts/RolloutOrder';
 
 import type ConsensusTask from '../control/ConsensusTask';
 import type DeclarationGate from './DeclarationGate';
@@ -21,7 +23,7 @@
   readonly log: Logger;
 }
 
-/** Carries out the calls of operators that concern the declaration and data centres. */
+/** Carries out the calls of operators. */
 export default class OperatorCalls {
   constructor(private readonly options: OperatorCallsOptions) {}
 
@@ -75,4 +77,33 @@
     log.info({ dataCentre, isOut, outcome }, 'evacuation');
     return accepted;
   }
+
+  /**
+   * Brings a version of a service in by degrees, unless the order was accepted before.
+   *
+   * @param order - the order
+   * @returns nothing once a quorum has synced it, `rolloutInProgress`, `rolloutRefused`, or
+   *   `noQuorum`
+   */
+  async startRollout(order: RolloutOrder): Promise<Result<undefined, Failure>> {
+    const { leader, log } = this.options;
+    const response = await leader.call({ kind: 'startRollout', order });
+    const outcome = response.ok ? 'accepted' : response.val.kind;
+    log.info({ ...order, outcome }, 'order of a roll-out');
+    return response.map(() => undefined);
+  }
+
+  /**
+   * Reads the last roll-out of a service.
+   *
+   * @param service - the service
+   * @returns the roll-out, undefined if there was none, or `noQuorum`
+   */
+  async readRollout(
+    service: string,
+  ): Promise<Result<Pick<Rollout, 'phase' | 'targetVersion'> | undefined, Failure>> {
+    const response = await this.options.leader.call({ kind: 'rollout', service });
+    if (response.err) return response;
+    return Ok(response.val.kind === 'rollout' ? response.val.rollout : undefined);
+  }
 }
--- a/packages/vm/src/registry/RegistryPublisher.ts
+++ b/packages/vm/src/registry/RegistryPublisher.ts
@@ -4,6 +4,9 @@
 import type Clock from '@guavayard/core/types/Clock';
 
 import type VmMessage from '../messages/VmMessage';
+import adaptUpdate from '../rollouts/adaptUpdate';
+import adaptView from '../rollouts/adaptView';
+import understandsRollouts from '../rollouts/understandsRollouts';
 import encodeFrame from '../session/encodeFrame';
 import type SessionHandler from '../session/SessionHandler';
 import type VmIdentity from '../session/VmIdentity';
@@ -53,6 +56,9 @@
   /** The encoded view, undefined once the registry has changed. */
   private viewFrame: Buffer | undefined;
 
+  /** The view for entries of builds without roll-outs. */
+  private olderViewFrame: Buffer | undefined;
+
   private viewEncodedAtMs = 0;
 
   private timer: NodeJS.Timeout | undefined;
@@ -121,7 +127,7 @@
     // An entry counts the reports before its view as what is known, not as further crashes.
     this.sendCrashes(session, 1);
     this.subscribers.add(session);
-    session.sendFrame(this.encodeView());
+    session.sendFrame(this.encodeView(session));
     if (this.rosterFrame !== undefined) session.sendFrame(this.rosterFrame);
     const notices = this.limits.list();
     if (notices.length > 0) session.send({ kind: 'requestLimits', notices, isRelayed: true });
@@ -156,13 +162,23 @@
    * Encodes the view for a new subscriber. After a start of the whole system, all entries subscribe
    * within a fraction of a second, so one encoding serves them until the registry changes.
    */
-  private encodeView(): Buffer {
+  private encodeView(session: VmSession): Buffer {
     const nowMs = this.clock();
-    if (this.viewFrame === undefined || nowMs - this.viewEncodedAtMs >= VIEW_REUSE_MS) {
-      this.viewFrame = encodeFrame(this.store.createView());
+    if (nowMs - this.viewEncodedAtMs >= VIEW_REUSE_MS) this.forgetView();
+    if (this.viewFrame === undefined && this.olderViewFrame === undefined) {
       this.viewEncodedAtMs = nowMs;
     }
-    return this.viewFrame;
+    if (understandsRollouts(session)) {
+      this.viewFrame ??= encodeFrame(this.store.createView());
+      return this.viewFrame;
+    }
+    this.olderViewFrame ??= encodeFrame(adaptView(this.store.state, this.store.createView()));
+    return this.olderViewFrame;
+  }
+
+  private forgetView(): void {
+    this.viewFrame = undefined;
+    this.olderViewFrame = undefined;
   }
 
   private broadcastCrash(session: VmSession, report: CrashReport): void {
@@ -232,8 +248,15 @@
     this.timer = undefined;
     const update = this.store.collectUpdate();
     if (update === undefined) return;
-    this.viewFrame = undefined;
-    this.broadcast(update);
+    this.forgetView();
+    const older = [...this.subscribers].filter((session) => !understandsRollouts(session));
+    const frame = encodeFrame(update);
+    this.subscribers.forEach((session) => {
+      if (!older.includes(session)) session.sendFrame(frame);
+    });
+    if (older.length === 0) return;
+    const olderFrame = encodeFrame(adaptUpdate(this.store, update));
+    older.forEach((session) => session.sendFrame(olderFrame));
   }
 
   private broadcast(message: VmMessage): void {
--- a/packages/vm/src/registry/RegistryStore.ts
+++ b/packages/vm/src/registry/RegistryStore.ts
@@ -1,3 +1,5 @@
+import createConfigurationSnapshot from '@guavayard/core/configuration/createConfigurationSnapshot';
+import type ConfigurationSnapshot from '@guavayard/core/configuration/ConfigurationSnapshot';
 import applyRegistryChange from '@guavayard/core/registry/applyRegistryChange';
 import createSubjectKey from '@guavayard/core/registry/createSubjectKey';
 import createRegistryState from '@guavayard/core/registry/createRegistryState';
@@ -8,6 +10,8 @@
 import type Clock from '@guavayard/core/types/Clock';
 
 import type VmMessage from '../messages/VmMessage';
+import createNotices from '../rollouts/createNotices';
+import RolloutTimes from '../rollouts/RolloutTimes';
 
 type View = Extract<VmMessage, { kind: 'registryView' }>;
 type Update = Extract<VmMessage, { kind: 'registryUpdate' }>;
@@ -33,8 +37,22 @@
 
   private areEvacuationsDirty = false;
 
-  constructor(private readonly clock: Clock, initial: RegistryState | undefined, index: number) {
+  private areRolloutsDirty = false;
+
+  /**
+   * @param clock - monotonic clock, in milliseconds
+   * @param initial - the registry of the snapshot on the disk, undefined if there is none
+   * @param index - last index of the log that it includes
+   * @param times - when roll-outs were ordered
+   */
+  constructor(
+    private readonly clock: Clock,
+    initial: RegistryState | undefined,
+    index: number,
+    readonly times = new RolloutTimes(clock, Date.now),
+  ) {
     this.registry = structuredClone(initial ?? createRegistryState());
+    times.recordSnapshot(this.registry);
     this.index = index;
     this.baseIndex = index;
   }
@@ -65,16 +83,24 @@
    * @param change - the committed change
    * @param isCurrentTerm - false for a change from an earlier term. Its age is unknown, so its
    *   target is taken to be warm.
+   * @param isLive - whether the change has just been committed
    */
-  apply(index: number, change: RegistryChange, isCurrentTerm = true): void {
+  apply(
+    index: number,
+    change: RegistryChange,
+    isCurrentTerm = true,
+    isLive = isCurrentTerm,
+  ): void {
     this.index = index;
-    const before = this.registry.declaration;
+    const { declaration: before, rollouts } = this.registry;
     const known = new Set(Object.keys(this.registry.targets));
     const wasEvacuated = new Set(this.registry.evacuated);
     const bornAtMs = change.kind === 'announce'
       ? findTarget(this.registry, change.target.id)?.bornAtMs : undefined;
     applyRegistryChange(this.registry, change);
     this.recordChange(change, wasEvacuated, bornAtMs);
+    this.times.recordChange(change, this.registry, isLive);
+    if (this.registry.rollouts !== rollouts) this.areRolloutsDirty = true;
     if (change.kind === 'declare' && this.registry.declaration !== before) {
       this.isDeclarationDirty = true;
     }
@@ -89,6 +115,11 @@
     });
   }
 
+  /** @returns the snapshot of the registry */
+  createSnapshot(): ConfigurationSnapshot {
+    return { ...createConfigurationSnapshot(), registry: structuredClone(this.registry) };
+  }
+
   /** Advances the applied index past log entries without a registry change. */
   advance(index: number): void {
     this.index = Math.max(this.index, index);
@@ -104,6 +135,8 @@
     this.changedAt.clear();
     this.isDeclarationDirty = true;
     this.areEvacuationsDirty = true;
+    this.areRolloutsDirty = true;
+    this.times.recordSnapshot(this.registry);
   }
 
   /** @returns the complete registry, for a new subscriber */
@@ -114,12 +147,14 @@
       declaration: this.createEntryDeclaration(),
       evacuated: [...this.registry.evacuated],
       targets: Object.values(this.registry.targets).map((target) => this.withColdLeft(target)),
+      ...this.describeRollouts(),
     };
   }
 
   /** @returns the changes since the last call, undefined if there are none */
   collectUpdate(): Update | undefined {
-    const isDirty = this.isDeclarationDirty || this.areEvacuationsDirty || this.dirtyIds.size > 0;
+    const isDirty = this.isDeclarationDirty || this.areEvacuationsDirty || this.areRolloutsDirty
+      || this.dirtyIds.size > 0;
     if (!isDirty) return undefined;
     const ids = [...this.dirtyIds];
     const update: Update = {
@@ -132,13 +167,20 @@
         return target === undefined ? [] : [this.withColdLeft(target)];
       }),
       removedIds: ids.filter((id) => !Object.hasOwn(this.registry.targets, id)),
+      ...(this.areRolloutsDirty ? this.describeRollouts() : {}),
     };
     this.dirtyIds.clear();
     this.isDeclarationDirty = false;
     this.areEvacuationsDirty = false;
+    this.areRolloutsDirty = false;
     return update;
   }
 
+  private describeRollouts(): Pick<View, 'rollouts'> {
+    if (this.registry.rollouts === undefined) return {};
+    return { rollouts: createNotices(this.registry, this.times) };
+  }
+
   private recordChange(
     change: RegistryChange,
     wasEvacuated: ReadonlySet<string>,
--- a/packages/vm/src/registry/RegistrySubscription.ts
+++ b/packages/vm/src/registry/RegistrySubscription.ts
@@ -1,4 +1,5 @@
 import type Declaration from '@guavayard/core/registry/Declaration';
+import type RolloutNotice from '@guavayard/core/rollouts/RolloutNotice';
 import type RequestLimitNotice from '@guavayard/core/requestLimit/RequestLimitNotice';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import type Clock from '@guavayard/core/types/Clock';
@@ -9,6 +10,8 @@
 import findProtocolVersion from '../session/findProtocolVersion';
 import type VmIdentity from '../session/VmIdentity';
 import type VmSession from '../session/VmSession';
+import ANSWERED_VERSION from './answeredVersion';
+import ControlConnections from './ControlConnections';
 import type RegistryListener from './RegistryListener';
 import type Roster from './Roster';
 import understandsAnswers from './understandsAnswers';
@@ -56,6 +59,9 @@
 
   readonly targets = new Map<string, RegisteredTarget>();
 
+  /** The last roll-out of each service. */
+  rollouts: readonly RolloutNotice[] = [];
+
   roster: Roster = { controls: [], entries: [] };
 
   private index = -1;
@@ -69,7 +75,7 @@
   /** Crashes that the control VM reported before its view, by the fingerprint of the request. */
   private knownCrashes = new Map<string, number>();
 
-  private readonly connectedAddresses = new Set<string>();
+  private readonly connections: ControlConnections;
 
   /** Open sessions with control VMs. */
   private readonly controlSessions = new Set<VmSession>();
@@ -86,7 +92,9 @@
   /** Restarted by each message of the source. */
   private silenceTimer: NodeJS.Timeout | undefined;
 
-  constructor(private readonly options: RegistrySubscriptionOptions) {}
+  constructor(private readonly options: RegistrySubscriptionOptions) {
+    this.connections = new ControlConnections(options.hub);
+  }
 
   /** Whether this entry follows a control VM that is current. */
   get isFollowing(): boolean {
@@ -102,7 +110,7 @@
   /** Reports a target crash to the other entries through the source, if there is one. */
   reportCrash(fingerprint: string, targetId: string): void {
     if (this.source === undefined) return;
-    this.source.send(understandsAnswers(this.source)
+    this.report(understandsAnswers(this.source)
       ? {
         kind: 'targetCrashed', fingerprint, targetId, isRelayed: false,
       }
@@ -111,20 +119,28 @@
 
   /** Tells the other entries that a target has answered a request, if there is a source. */
   reportAnswered(fingerprint: string): void {
-    if (this.source === undefined || !understandsAnswers(this.source)) return;
-    this.source.send({ kind: 'requestAnswered', fingerprint, isRelayed: false });
+    this.report({ kind: 'requestAnswered', fingerprint, isRelayed: false }, ANSWERED_VERSION);
   }
 
   /** Tells control that an incarnation of a target is about to leave, if there is a source. */
   reportLeaving(targetId: string, bornAtMs: number): void {
-    const peer = this.source?.peer;
-    if (peer === undefined || findProtocolVersion(peer) < LEAVING_PROTOCOL_VERSION) return;
-    this.source?.send({ kind: 'targetLeaving', targetId, bornAtMs });
+    this.report({ kind: 'targetLeaving', targetId, bornAtMs }, LEAVING_PROTOCOL_VERSION);
   }
 
   /** Tells the other entries of the request limit of a target, if there is a source. */
   shareLimit(notice: RequestLimitNotice): void {
-    this.source?.send({ kind: 'requestLimits', notices: [notice], isRelayed: false });
+    this.report({ kind: 'requestLimits', notices: [notice], isRelayed: false });
+  }
+
+  /**
+   * Sends a message to the source, if there is one that understands it.
+   *
+   * @param message - the message
+   * @param sinceVersion - version of the messages that has it first
+   */
+  report(message: VmMessage, sinceVersion = 1): void {
+    const peer = this.source?.peer;
+    if (peer !== undefined && findProtocolVersion(peer) >= sinceVersion) this.source?.send(message);
   }
 
   /** Stops following control. */
@@ -199,8 +215,9 @@
     this.evacuated = new Set(view.evacuated);
     this.targets.clear();
     view.targets.forEach((target) => this.targets.set(target.id, target));
+    this.rollouts = view.rollouts ?? [];
     this.index = view.index;
-    this.disconnectOthers(session.peer?.address);
+    this.connections.disconnectOthers(session.peer?.address);
     this.knownCrashes.forEach((count, fingerprint) => (
       this.options.listener.onKnownCrashes(fingerprint, count)));
     this.knownCrashes.clear();
@@ -215,6 +232,7 @@
   private applyUpdate(update: Update): void {
     if (update.declaration !== undefined) this.declaration = update.declaration;
     if (update.evacuated !== undefined) this.evacuated = new Set(update.evacuated);
+    if (update.rollouts !== undefined) this.rollouts = update.rollouts;
     update.removedIds.forEach((id) => this.targets.delete(id));
     update.targets.forEach((target) => this.targets.set(target.id, target));
     this.index = update.index;
@@ -244,7 +262,7 @@
     this.nextNearerSearchMs = nowMs + NEARER_SEARCH_INTERVAL_MS;
     this.roster.controls
       .filter(({ region }) => region === this.options.identity.region)
-      .forEach(({ address }) => this.connect(address));
+      .forEach(({ address }) => this.connections.connect(address));
   }
 
   /** Repeats the question: a control VM that was still starting has not handled the first one. */
@@ -259,7 +277,7 @@
     const address = this.source?.peer?.address;
     this.source = undefined;
     // A silent session may not recover, so a new one is opened.
-    if (address !== undefined) this.disconnect(address);
+    if (address !== undefined) this.connections.disconnect(address);
     clearTimeout(this.searchTimer);
     clearTimeout(this.silenceTimer);
     this.searchForSource();
@@ -271,23 +289,7 @@
 
   private connectAll(): void {
     // Seeds remain candidates, because all control VMs of the roster may have been replaced.
-    this.options.seeds.forEach((address) => this.connect(address));
-    this.roster.controls.forEach(({ address }) => this.connect(address));
-  }
-
-  private connect(address: string): void {
-    if (this.connectedAddresses.has(address)) return;
-    this.connectedAddresses.add(address);
-    this.options.hub.connect(address);
-  }
-
-  private disconnect(address: string): void {
-    this.connectedAddresses.delete(address);
-    this.options.hub.disconnect(address);
-  }
-
-  private disconnectOthers(kept: string | undefined): void {
-    [...this.connectedAddresses].filter((address) => address !== kept)
-      .forEach((address) => this.disconnect(address));
+    this.options.seeds.forEach((address) => this.connections.connect(address));
+    this.roster.controls.forEach(({ address }) => this.connections.connect(address));
   }
 }
--- a/packages/vm/src/registry/RegistryTask.ts
+++ b/packages/vm/src/registry/RegistryTask.ts
@@ -1,12 +1,11 @@
 import type { Result } from 'ts-results';
 
-import createConfigurationSnapshot from '@guavayard/core/configuration/createConfigurationSnapshot';
-import type ConfigurationSnapshot from '@guavayard/core/configuration/ConfigurationSnapshot';
 import type LogEntry from '@guavayard/core/consensus/LogEntry';
 import type Failure from '@guavayard/core/errors/Failure';
 import type Declaration from '@guavayard/core/registry/Declaration';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import type RegistryService from '@guavayard/core/registry/RegistryService';
+import type RolloutOrder from '@guavayard/core/rollouts/RolloutOrder';
 
 import CallRouter from '../control/CallRouter';
 import ConsensusTask from '../control/ConsensusTask';
@@ -16,6 +15,9 @@
 import type SessionHandler from '../session/SessionHandler';
 import type VmSession from '../session/VmSession';
 import createWriteReports from '../control/createWriteReports';
+import createRollouts from '../rollouts/createRollouts';
+import type RolloutTask from '../rollouts/RolloutTask';
+import RolloutTimes from '../rollouts/RolloutTimes';
 import DeclarationGate from './DeclarationGate';
 import LeaderCalls from './LeaderCalls';
 import LeaderClient from './LeaderClient';
@@ -66,12 +68,19 @@
 
   private readonly registration: TargetRegistration;
 
+  private readonly rollouts: RolloutTask;
+
   private timers: NodeJS.Timeout[] = [];
 
   constructor(private readonly options: RegistryTaskOptions) {
     const { clock, durable, hub } = options;
     const { snapshot } = durable;
-    this.store = new RegistryStore(clock, snapshot.data.registry, snapshot.lastIndex);
+    this.store = new RegistryStore(
+      clock,
+      snapshot.data.registry,
+      snapshot.lastIndex,
+      new RolloutTimes(clock, options.timeOfDay),
+    );
     this.consensus = new ConsensusTask({
       ...options,
       onMalformedCommand: (reason) => options.log.error({ err: reason }, 'command refused'),
@@ -89,30 +98,33 @@
           this.presence.reset();
           this.publisher.sendPulses();
         },
-        createSnapshot: (): ConfigurationSnapshot => ({
-          ...createConfigurationSnapshot(), registry: structuredClone(this.store.state),
-        }),
+        createSnapshot: () => this.store.createSnapshot(),
       },
     });
     this.connections = new MemberConnections({ ...options, consensus: this.consensus });
     this.watch = new GroupWatch({
       ...options, consensus: this.consensus, reopen: (name) => this.connections.reopen(name),
     });
+    const { consensus, store } = this;
     this.publisher = new RegistryPublisher(
-      this.store,
+      store,
       () => this.isCurrent,
       (...message) => hub.sendToControl(...message),
       clock,
     );
+    const { publisher } = this;
     this.presence = new PresenceReporter({
-      ...options, consensus: this.consensus, store: this.store, publisher: this.publisher,
+      ...options, consensus, store, publisher,
+    });
+    const { gate, task, orders } = createRollouts(options, {
+      consensus, store, entries: () => publisher.knownEntries,
     });
+    const shared = {
+      ...options, consensus, store, gate, declarations: this.declarations,
+    };
+    this.rollouts = task;
     const calls = new LeaderCalls({
-      consensus: this.consensus,
-      store: this.store,
-      declarations: this.declarations,
-      isInContact: () => this.isInContact,
-      requiredVoters: options.requiredVoters,
+      ...shared, rollouts: orders, isInContact: () => this.isInContact,
     });
     this.router = new CallRouter({
       hub,
@@ -129,21 +141,10 @@
       lastLogIndex: () => this.consensus.lastLogIndex,
       submit: async (change, basis) => leader.submit(change, basis),
     });
-    this.operators = new OperatorCalls({
-      store: this.store,
-      consensus: this.consensus,
-      declarations: this.declarations,
-      leader,
-      submitter: this.submitter,
-      log: options.log,
-    });
+    const { submitter, presence } = this;
+    this.operators = new OperatorCalls({ ...shared, leader, submitter });
     this.registration = new TargetRegistration({
-      ...options,
-      store: this.store,
-      presence: this.presence,
-      leader,
-      submitter: this.submitter,
-      isCurrent: () => this.isCurrent,
+      ...shared, presence, leader, submitter, isCurrent: () => this.isCurrent,
     });
   }
 
@@ -176,6 +177,11 @@
     return Object.keys(this.store.state.targets).length;
   }
 
+  /** Number of versions that are being brought in. */
+  get rolloutCount(): number {
+    return this.rollouts.underWayCount;
+  }
+
   /** Time since this replica last led or heard the leader, in milliseconds. */
   get leaderSilenceMs(): number {
     return this.watch.leaderSilenceMs;
@@ -194,7 +200,7 @@
   /** Starts taking part in the consensus group. */
   start(): void {
     const { hub } = this.options;
-    [this.consensus, this.router, this.publisher, this]
+    [this.consensus, this.router, this.publisher, this.rollouts, this]
       .forEach((handler) => hub.addHandler(handler));
     this.consensus.start();
     this.submitter.tick();
@@ -206,6 +212,7 @@
         this.publisher.sendPulses();
       }, PULSE_INTERVAL_MS),
       this.presence.start(() => this.connections.update()),
+      this.rollouts.start(),
     ];
   }
 
@@ -261,6 +268,14 @@
     return this.registration.withdraw(targetId, isAbandoned);
   }
 
+  async startRollout(order: RolloutOrder): Promise<Result<undefined, Failure>> {
+    return this.operators.startRollout(order);
+  }
+
+  async readRollout(service: string): ReturnType<RegistryService['readRollout']> {
+    return this.operators.readRollout(service);
+  }
+
   findNearestControl(dataCentre: string, region: string): string | undefined {
     return this.presence.findNearestControl(dataCentre, region);
   }
@@ -275,7 +290,8 @@
     const { term: currentTerm } = this.consensus;
     entries.forEach(({ index, term, command }) => {
       if (command.kind === 'members') this.options.log.info({ index, ...command.members }, 'members changed');
-      if (command.kind === 'registry') this.store.apply(index, command.change, term === currentTerm);
+      const isLive = term === currentTerm && this.consensus.hasCaughtUp;
+      if (command.kind === 'registry') this.store.apply(index, command.change, term === currentTerm, isLive);
       else this.store.advance(index);
     });
     this.endDeclarations();
--- a/packages/vm/src/registry/RegistryTaskOptions.ts
+++ b/packages/vm/src/registry/RegistryTaskOptions.ts
@@ -6,6 +6,7 @@
 import type Clock from '@guavayard/core/types/Clock';
 import type Random from '@guavayard/core/types/Random';
 
+import type RolloutLimits from '../rollouts/RolloutLimits';
 import type VmHub from '../session/VmHub';
 import type VmIdentity from '../session/VmIdentity';
 
@@ -31,6 +32,7 @@
   readonly dataCentres: ReadonlySet<string> | undefined;
   /** Time of day, in milliseconds since 1970. */
   readonly timeOfDay: () => number;
+  readonly rollout: RolloutLimits;
   /** Called when the replica has stopped, as its state may differ from its log. */
   readonly onFailure: (err: Error) => void;
 }
--- a/packages/vm/src/registry/TargetRegistration.ts
+++ b/packages/vm/src/registry/TargetRegistration.ts
@@ -8,6 +8,7 @@
 import isStaleAnnouncement from '@guavayard/core/registry/isStaleAnnouncement';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 
+import type RolloutGate from '../rollouts/RolloutGate';
 import type LeaderClient from './LeaderClient';
 import type OrderSubmitter from './OrderSubmitter';
 import type PresenceReporter from './PresenceReporter';
@@ -18,6 +19,7 @@
   readonly store: Pick<RegistryStore, 'coldLeftMs' | 'state'>;
   readonly presence: Pick<PresenceReporter, 'recordAnnouncement'>;
   readonly leader: Pick<LeaderClient, 'submit'>;
+  readonly gate: Pick<RolloutGate, 'isOpen'>;
   readonly submitter: Pick<OrderSubmitter, 'submit'>;
   /** Returns whether the applied state is recent. */
   readonly isCurrent: () => boolean;
@@ -30,15 +32,18 @@
   /**
    * Registers a target or updates its registration.
    *
-   * @param target - the announcement of the target
+   * @param announcement - the announcement of the target
    * @returns nothing once every entry that follows control will receive it, `noQuorum`,
    *   `invalidAnnouncement` if no target can have sent it, or `staleAnnouncement` without effect
    */
-  async announce(target: RegisteredTarget): Promise<Result<undefined, Failure>> {
+  async announce(announcement: RegisteredTarget): Promise<Result<undefined, Failure>> {
     const {
-      dataCentres, timeOfDay, isCurrent, presence, leader, log, store,
+      dataCentres, timeOfDay, isCurrent, presence, leader, log, store, gate,
     } = this.options;
     if (!isCurrent()) return fail('noQuorum', 'this VM does not hear the leader');
+    const { version, ...unversioned } = announcement;
+    // The log may hold no version before all members of the group can read one.
+    const target = gate.isOpen ? announcement : unversioned;
     const mistake = findAnnouncementMistake(target, { dataCentres, nowMs: timeOfDay() });
     if (mistake !== undefined) return fail('invalidAnnouncement', mistake);
     const { state } = store;
@@ -51,7 +56,7 @@
     presence.recordAnnouncement(id);
     const outcome = accepted.ok ? 'accepted' : accepted.val.kind;
     log.info({
-      target: id, service: target.service, state: announced, coldLeftMs, outcome,
+      target: id, service: target.service, version, state: announced, coldLeftMs, outcome,
     }, 'target announced');
     return accepted;
   }
--- /dev/null
+++ b/packages/vm/src/rollouts/RolloutGate.ts
@@ -0,0 +1,39 @@
+import type RegistryState from '@guavayard/core/registry/RegistryState';
+
+import type ConsensusTask from '../control/ConsensusTask';
+import type VmHub from '../session/VmHub';
+import ROLLOUT_VERSION from './rolloutVersion';
+
+interface RolloutGateOptions {
+  readonly consensus: Pick<ConsensusTask, 'learnerNames' | 'voterNames'>;
+  readonly hub: Pick<VmHub, 'protocolVersionOf'>;
+  readonly ownName: string;
+  /** Number of voters of a complete group. */
+  readonly requiredVoters: number;
+  readonly state: () => RegistryState;
+}
+
+/**
+ * Decides whether the log may hold roll-outs and the versions of targets, which older builds cannot
+ * read: once all members of a complete group tell that they can. Once the log holds one, there is
+ * no way back, so a member that is lost or unreachable no longer matters.
+ */
+export default class RolloutGate {
+  private hasRecords = false;
+
+  constructor(private readonly options: RolloutGateOptions) {}
+
+  /** Whether the log may hold them. */
+  get isOpen(): boolean {
+    const {
+      consensus, hub, ownName, requiredVoters, state,
+    } = this.options;
+    const { rollouts, targets } = state();
+    this.hasRecords ||= rollouts !== undefined
+      || Object.values(targets).some(({ version }) => version !== undefined);
+    if (this.hasRecords) return true;
+    const { voterNames, learnerNames } = consensus;
+    return voterNames.length >= requiredVoters && [...voterNames, ...learnerNames]
+      .every((name) => name === ownName || hub.protocolVersionOf(name) >= ROLLOUT_VERSION);
+  }
+}
--- a/packages/vm/test/lateCalls.test.ts
+++ b/packages/vm/test/lateCalls.test.ts
@@ -107,5 +107,5 @@
 test('a leader of an older build gets no basis', () => {
   const change = { kind: 'restore', dataCentre: 'cork' } as const;
   assert.deepEqual(adaptCall({ kind: 'change', change, basis: 4 }, 1), { kind: 'change', change });
-  assert.deepEqual(adaptCall({ kind: 'change', change, basis: 4 }, 3).kind === 'change', true);
+  assert.deepEqual(adaptCall({ kind: 'change', change, basis: 4 }, 3)?.kind, 'change');
 });
--- a/packages/vm/test/support/RegistryGroup.ts
+++ b/packages/vm/test/support/RegistryGroup.ts
@@ -160,6 +160,7 @@
       dataCentres: undefined,
       timeOfDay: Date.now,
       targetTimeoutMs: 60_000,
+      rollout: { share: 0.1, slack: 50 },
       onFailure: (err) => {
         throw err;
       },
--- a/packages/vm/test/support/presentSchemas.ts
+++ b/packages/vm/test/support/presentSchemas.ts
@@ -1,13 +1,26 @@
-import releasedSchemas from './releasedSchemas';
+import versionFourSchemas from './versionFourSchemas';
 
-/** Hashes of the schemas in builds that tell version 4: those of version 3, and what it adds. */
+/**
+ * Hashes of the schemas in builds that tell version 5: those of version 4, what it adds, and what
+ * it extends by fields and values that are sent only to VMs of that version.
+ */
 const presentSchemas = {
-  ...releasedSchemas,
-  protocolVersion: 4,
+  ...versionFourSchemas,
+  protocolVersion: 5,
   messages: {
-    ...releasedSchemas.messages,
-    targetCrashed: '7173d510cc61',
-    requestAnswered: 'da01e6183fe1',
+    ...versionFourSchemas.messages,
+    consensus: '91989e8c5d75',
+    controlCall: '14401ca981f2',
+    controlAnswer: '64f8d1deeab3',
+    registryView: '17db272eec82',
+    registryUpdate: 'cea6fb151192',
+    relayFailure: 'b60426193714',
+    rolloutCounts: 'ddc4709a7645',
+  },
+  records: {
+    ...versionFourSchemas.records,
+    snapshot: 'd9464ac25847',
+    append: 'ce6576a892e8',
   },
 } as const;
 
--- a/packages/vm/test/support/simulation/SimulatedControl.ts
+++ b/packages/vm/test/support/simulation/SimulatedControl.ts
@@ -132,6 +132,7 @@
         dataCentres: undefined,
         timeOfDay: () => clock.nowMs,
         targetTimeoutMs: TARGET_TIMEOUT_MS,
+        rollout: { share: 0.1, slack: 50 },
         onFailure: (err) => {
           throw err;
         },
