--- a/packages/core/src/rollouts/findSwitchTime.ts
+++ b/packages/core/src/rollouts/findSwitchTime.ts
@@ -8,8 +8,8 @@
   readonly sent: number;
 }
 
-/** Growth of the requests in the last phase that the switch allows for. */
-const GROWTH = 1.1;
+/** Growth of the requests in the last phase that the switch allows for, beside their chance. */
+const GROWTH = 1.03;
 
 /**
  * Finds when the target version may get all requests of its service: later than planned if it has
@@ -35,7 +35,9 @@
   const sentAtSwitch = sent + ahead * plan.canaryShare;
   // sentAtSwitch + x = maxShare (requests + ahead + x), for x requests in the last phase.
   const left = (maxShare * (requests + ahead) - sentAtSwitch) / (1 - maxShare);
-  const allowedMs = left / (requestsPerMs * GROWTH);
-  const switchAtMs = durationMs - Math.max(0, allowedMs);
+  // Requests that come at random are more than the mean x by the square root of x in many cases.
+  const allowed = ((Math.sqrt(1 + 4 * Math.max(0, left)) - 1) / 2) ** 2;
+  const allowedMs = allowed / (requestsPerMs * GROWTH);
+  const switchAtMs = durationMs - allowedMs;
   return Math.min(plan.lastSwitchAtMs, Math.max(plan.switchAtMs, switchAtMs));
 }
--- a/scripts/build/variant/sourceEdits.ts
+++ b/scripts/build/variant/sourceEdits.ts
@@ -75,15 +75,27 @@
   },
   {
     path: REGISTRY,
-    from: 'private publishRoster(): void {',
-    to: `novelty: string | undefined;
+    from: 'this.presence.start(() => this.connections.update()),',
+    to: `this.presence.start(() => {
+        this.agree();
+        this.connections.update();
+      }),`,
+  },
+  {
+    path: REGISTRY,
+    from: '  private applyAll(',
+    to: `  novelty: string | undefined;
 
-      private publishRoster(): void {
+      private agree(): void {
         const members = [...this.consensus.voterNames, ...this.consensus.learnerNames];
         const { hub, identity, requiredVoters } = this.options;
-        if (this.novelty === undefined && isAgreed(hub, identity.name, members, requiredVoters)) {
+        if (this.novelty === undefined && this.consensus.isLeader
+          && isAgreed(hub, identity.name, members, requiredVoters)) {
           this.consensus.propose({ kind: 'novelty', text: 'agreed' }).catch(() => undefined);
-        }`,
+        }
+      }
+
+      private applyAll(`,
   },
   {
     path: REGISTRY,
@@ -99,9 +111,11 @@
   },
   {
     path: REGISTRY,
-    from: 'registry: structuredClone(this.store.state),',
-    to: `registry: structuredClone(this.store.state),
-      ...(this.novelty === undefined ? {} : { novelty: this.novelty }),`,
+    from: 'createSnapshot: () => this.store.createSnapshot(),',
+    to: `createSnapshot: () => ({
+          ...this.store.createSnapshot(),
+          ...(this.novelty === undefined ? {} : { novelty: this.novelty }),
+        }),`,
   },
   {
     path: REGISTRY,
