--- a/packages/core/src/rollouts/VersionGate.ts
+++ b/packages/core/src/rollouts/VersionGate.ts
@@ -134,6 +134,26 @@
     return chosen.length > 0 ? chosen : ofBase();
   }
 
+  /**
+   * Returns whether a target may get requests now or soon, so that it is worth a probe, and its
+   * silence says something of the service.
+   *
+   * @param target - what the target has registered
+   * @param nowMs - monotonic clock, in milliseconds
+   * @returns false if its version has been taken out of service
+   */
+  isWanted(target: GatedTarget, nowMs: number): boolean {
+    const rollout = this.rollouts.get(target.service);
+    if (rollout === undefined) return true;
+    const { notice: { phase, baseVersions, targetVersion } } = rollout;
+    const version = findVersionOf(target);
+    if (phase === 'completed' || this.hasSwitched(target.service, nowMs)) {
+      return version === targetVersion;
+    }
+    return baseVersions.includes(version)
+      || (phase !== 'rolledBack' && version === targetVersion);
+  }
+
   private isEvaluating({ notice: { phase }, switchAtMs }: KnownRollout, nowMs: number): boolean {
     return (phase === 'running' || phase === 'switching') && nowMs < switchAtMs
       && this.isInContact(nowMs);
--- a/packages/gateway/src/ServiceVersions.ts
+++ b/packages/gateway/src/ServiceVersions.ts
@@ -90,6 +90,11 @@
     return this.gate.filter(service, targets, isChosen, nowMs, ({ record }) => record);
   }
 
+  /** @returns whether a target may get requests now or soon */
+  isWanted({ record }: PlacedTarget): boolean {
+    return this.gate.isWanted(record, this.options.elapsedClock());
+  }
+
   /** Records that a request is sent to a target. */
   recordSend({ record }: PlacedTarget, isChosen: boolean): void {
     const isTargetVersion = this.gate.isTargetVersion(record);
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -332,9 +332,10 @@
     }, location.name, nowMs);
   }
 
-  private isServing({ record, leaving }: PlacedTarget): boolean {
+  private isServing(target: PlacedTarget): boolean {
+    const { record, leaving } = target;
     return record.state === 'ready' && leaving === undefined
-      && !this.evacuated.has(record.dataCentre);
+      && !this.evacuated.has(record.dataCentre) && this.versions.isWanted(target);
   }
 
   /** Updates what determines the shares of request limits, if it has changed. */
