--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -62,6 +62,8 @@
 
 /** Share of the time to take a version back after which an entry without control does so. */
 const CONTACT_SHARE = 0.5;
+/** Time to take a version back where the settings have none, as after they were removed. */
+const DEFAULT_ROLLBACK_SECONDS = 5;
 
 function clock(): number {
   return performance.now();
@@ -100,7 +102,8 @@
     regionOf: (dataCentre) => regions[dataCentre] ?? '',
     coldBurstFactor: bounds.coldBurstFactor,
     coldSlack: bounds.coldSlack,
-    contactTimeoutMs: rollout.rollbackSeconds * MS_PER_SECOND * CONTACT_SHARE,
+    contactTimeoutMs: CONTACT_SHARE * MS_PER_SECOND
+      * (rollout?.rollbackSeconds ?? DEFAULT_ROLLBACK_SECONDS),
     shareWindowMs: bounds.retryWindowSeconds * MS_PER_SECOND,
     onTargetRemoved: (address) => sender.closeConnections(address),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a response
--- a/packages/cli/src/settings/GatewaySettings.ts
+++ b/packages/cli/src/settings/GatewaySettings.ts
@@ -52,7 +52,10 @@
     coldSlack: z.number().min(0),
     probesPerSecond: z.number().min(0),
   }),
-  /** How versions of services are brought in by degrees. */
+  /**
+   * How versions of services are brought in by degrees. Without it they are not, and versions of
+   * targets are not recorded, so that an older build can read the log.
+   */
   rollout: z.object({
     /**
      * Largest share of the requests to a service that a bad version may get between an order and
@@ -66,7 +69,7 @@
      * without control sends it none after half of that.
      */
     rollbackSeconds: z.number().gt(0).default(5),
-  }).prefault({}),
+  }).optional(),
   /** Listener that serves metrics; without it none are served. */
   metrics: z.object({ listen: HostPort }).optional(),
   log: z.object({ level: z.enum(['debug', 'info', 'warn', 'error']) }).default({ level: 'info' }),
--- a/packages/vm/src/registry/RegistryTaskOptions.ts
+++ b/packages/vm/src/registry/RegistryTaskOptions.ts
@@ -32,7 +32,8 @@
   readonly dataCentres: ReadonlySet<string> | undefined;
   /** Time of day, in milliseconds since 1970. */
   readonly timeOfDay: () => number;
-  readonly rollout: RolloutLimits;
+  /** Limits of roll-outs; undefined if the system has none. */
+  readonly rollout: RolloutLimits | undefined;
   /** Called when the replica has stopped, as its state may differ from its log. */
   readonly onFailure: (err: Error) => void;
 }
--- a/packages/vm/src/rollouts/RolloutGate.ts
+++ b/packages/vm/src/rollouts/RolloutGate.ts
@@ -10,12 +10,15 @@
   readonly ownName: string;
   /** Number of voters of a complete group. */
   readonly requiredVoters: number;
+  /** Whether the settings have limits of roll-outs. */
+  readonly isEnabled: boolean;
   readonly state: () => RegistryState;
 }
 
 /**
  * Decides whether the log may hold roll-outs and the versions of targets, which older builds cannot
- * read: once all members of a complete group tell that they can. Once the log holds one, there is
+ * read: in systems with settings for roll-outs, once all members of a complete group tell that they
+ * can. Once the log holds one, there is
  * no way back, so a member that is lost or unreachable no longer matters.
  */
 export default class RolloutGate {
@@ -23,6 +26,11 @@
 
   constructor(private readonly options: RolloutGateOptions) {}
 
+  /** Whether the system has settings for roll-outs, or has had some. */
+  get isEnabled(): boolean {
+    return this.options.isEnabled || this.isOpen;
+  }
+
   /** Whether the log may hold them. */
   get isOpen(): boolean {
     const {
@@ -32,6 +40,7 @@
     this.hasRecords ||= rollouts !== undefined
       || Object.values(targets).some(({ version }) => version !== undefined);
     if (this.hasRecords) return true;
+    if (!this.options.isEnabled) return false;
     const { voterNames, learnerNames } = consensus;
     return voterNames.length >= requiredVoters && [...voterNames, ...learnerNames]
       .every((name) => name === ownName || hub.protocolVersionOf(name) >= ROLLOUT_VERSION);
--- a/packages/vm/src/rollouts/RolloutOrders.ts
+++ b/packages/vm/src/rollouts/RolloutOrders.ts
@@ -14,7 +14,7 @@
 interface RolloutOrdersOptions {
   readonly consensus: Pick<ConsensusTask, 'awaitReadPoint' | 'hasCommittedInTerm' | 'propose'>;
   readonly store: Pick<RegistryStore, 'state' | 'times'>;
-  readonly gate: Pick<RolloutGate, 'isOpen'>;
+  readonly gate: Pick<RolloutGate, 'isEnabled' | 'isOpen'>;
   readonly log: Logger;
   readonly limits: RolloutLimits;
   /** Time of day, in milliseconds since 1970. */
@@ -62,6 +62,10 @@
     } = this.options;
     // Until then an order that was accepted in an earlier term may be missing.
     if (!consensus.hasCommittedInTerm) return undefined;
+    if (!gate.isEnabled) {
+      const detail = 'the settings have no roll-outs';
+      return { kind: 'failure', failure: { kind: 'rolloutRefused', detail } };
+    }
     const sinceLastMs = store.times.elapsedMs(store.state, order.service);
     const decision = decideRolloutOrder(store.state, order, sinceLastMs);
     if (decision.err) return { kind: 'failure', failure: decision.val };
--- a/packages/vm/src/rollouts/createRollouts.ts
+++ b/packages/vm/src/rollouts/createRollouts.ts
@@ -1,5 +1,6 @@
 import type RegistryTaskOptions from '../registry/RegistryTaskOptions';
 import RolloutGate from './RolloutGate';
+import type RolloutLimits from './RolloutLimits';
 import RolloutOrders from './RolloutOrders';
 import RolloutTask from './RolloutTask';
 
@@ -7,6 +8,9 @@
 type OrderOptions = ConstructorParameters<typeof RolloutOrders>[0];
 type GateOptions = ConstructorParameters<typeof RolloutGate>[0];
 
+/** Limits of roll-outs that were ordered before their settings were removed. */
+const DEFAULT_LIMITS: RolloutLimits = { share: 0.1, slack: 50 };
+
 interface RolloutParts {
   readonly gate: RolloutGate;
   readonly task: RolloutTask;
@@ -22,13 +26,19 @@
  */
 export default function createRollouts(
   {
-    hub, identity, requiredVoters, log, clock, timeOfDay, rollout: limits,
+    hub, identity, requiredVoters, log, clock, timeOfDay, rollout,
   }: RegistryTaskOptions,
   { consensus, store, entries }: Pick<TaskOptions, 'entries' | 'store'>
     & { consensus: TaskOptions['consensus'] & OrderOptions['consensus'] & GateOptions['consensus'] },
 ): RolloutParts {
+  const limits = rollout ?? DEFAULT_LIMITS;
   const gate = new RolloutGate({
-    consensus, hub, ownName: identity.name, requiredVoters, state: () => store.state,
+    consensus,
+    hub,
+    ownName: identity.name,
+    requiredVoters,
+    isEnabled: rollout !== undefined,
+    state: () => store.state,
   });
   return {
     gate,
--- a/packages/vm/test/rollouts.test.ts
+++ b/packages/vm/test/rollouts.test.ts
@@ -54,6 +54,9 @@
 // against orders that are refused while a member is lost although all can read them.
 [
   { name: 'all members know of roll-outs', versions: { a: 5, b: 5 }, isOpen: true },
+  {
+    name: 'the settings have no roll-outs', versions: { a: 5, b: 5 }, isEnabled: false, isOpen: false,
+  },
   { name: 'a member is of an older build', versions: { a: 5, b: 4 }, isOpen: false },
   { name: 'a member cannot be reached', versions: { a: 5 }, isOpen: false },
   {
@@ -66,7 +69,7 @@
     name: 'a member is lost and the log holds a version', versions: { a: 5 }, changes: ANNOUNCEMENTS, isOpen: true,
   },
 ].forEach(({
-  name, versions, learners = [], voters = ['own', 'a', 'b'], changes = [], isOpen,
+  name, versions, learners = [], voters = ['own', 'a', 'b'], changes = [], isEnabled = true, isOpen,
 }) => {
   test(`the log ${isOpen ? 'may' : 'must not'} hold versions: ${name}`, () => {
     const known = new Map<string, number>(Object.entries(versions));
@@ -75,6 +78,7 @@
       hub: { protocolVersionOf: (peer) => known.get(peer) ?? 0 },
       ownName: 'own',
       requiredVoters: 3,
+      isEnabled,
       state: () => createState(...changes),
     });
     assert.equal(gate.isOpen, isOpen);
