--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -23,6 +23,7 @@
 import RegistrySubscription from '@guavayard/vm/registry/RegistrySubscription';
 import RelayClient from '@guavayard/vm/relay/RelayClient';
 import RelayServer from '@guavayard/vm/relay/RelayServer';
+import RolloutReporter from '@guavayard/vm/rollouts/RolloutReporter';
 
 import createVmClock from '../run/createVmClock';
 import createQuotaRule from '../settings/createQuotaRule';
@@ -66,6 +67,11 @@
 /** Upper bound of that time as a share of the grace period. */
 const ACCEPTS_ALL_SHARE = 0.4;
 
+/** Share of the time to take a version back after which an entry without control does so. */
+const CONTACT_SHARE = 0.5;
+/** Time to take a version back where the settings have none, as after they were removed. */
+const DEFAULT_ROLLBACK_SECONDS = 5;
+
 function clock(): number {
   return performance.now();
 }
@@ -86,7 +92,9 @@
   const {
     settings, identity, hub, log, errors, seeds, listeners,
   } = context;
-  const { bounds, hedging, regions } = settings;
+  const {
+    bounds, hedging, regions, rollout,
+  } = settings;
   const sender = new UndiciTargetSender({
     keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
     localAddress: settings.vm.bindsToIp ? settings.vm.ip : undefined,
@@ -103,6 +111,8 @@
     regionOf: (dataCentre) => regions[dataCentre] ?? '',
     coldBurstFactor: bounds.coldBurstFactor,
     coldSlack: bounds.coldSlack,
+    contactTimeoutMs: CONTACT_SHARE * MS_PER_SECOND
+      * (rollout?.rollbackSeconds ?? DEFAULT_ROLLBACK_SECONDS),
     shareWindowMs: bounds.retryWindowSeconds * MS_PER_SECOND,
     onTargetRemoved: (address) => sender.closeConnections(address),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a response
@@ -156,9 +166,14 @@
     currency,
     listener: {
       onChange: () => {
-        const { declaration, evacuated, targets } = subscription;
+        const {
+          declaration, evacuated, targets, rollouts,
+        } = subscription;
         tenants.update(declaration);
+        pool.versions.update(rollouts);
         pool.update(declaration, evacuated, targets);
+        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- set by then
+        reporter.update();
         if (declaration === undefined) return;
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- set by then
         caller.server.keepAliveTimeout = declaration.limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
@@ -166,6 +181,7 @@
       onContact: () => {
         pool.share.recordContact(clock());
         quotaTask?.recordContact();
+        pool.versions.recordContact();
       },
       onRosterChange: ({ entries }) => {
         pool.setEntries(entries);
@@ -187,6 +203,13 @@
     directory: () => tenants.directory,
     isProven: () => currency?.isProven ?? true,
   });
+  const reporter = new RolloutReporter({
+    clock,
+    name: identity.name,
+    startId: identity.startId,
+    list: () => pool.rolloutCounts,
+    send: (message, sinceVersion) => subscription.report(message, sinceVersion),
+  });
   const requestLog = new RequestLog(log, clock);
   const relay = new RelayClient({
     hub,
@@ -254,6 +277,8 @@
       quotaAsked: quotas?.asked ?? 0,
       quotaRefused: quotas?.refused ?? 0,
       quotaLimitedTenants: quotaTask?.limitedCount ?? 0,
+      runningRollouts: pool.versions.underWayCount,
+      rolloutSends: pool.versions.sentCount,
       version: subscription.declaration?.version ?? 0,
       isCurrent: subscription.isFollowing,
       leaderSilenceMs: 0,
--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -39,7 +39,7 @@
   const {
     settings, identity, hub, log, seeds, listeners,
   } = context;
-  const { bounds, vm } = settings;
+  const { bounds, vm, rollout } = settings;
   const opened = await awaitReplica({
     path: folderPath,
     vmName: identity.name,
@@ -66,6 +66,7 @@
     dataCentres: new Set(Object.keys(settings.regions)),
     timeOfDay: Date.now,
     createEntrySource,
+    rollout,
     onFailure: (err) => {
       log.fatal({ err }, 'the replica has failed; exiting to replay its log');
       task.close();
@@ -102,6 +103,8 @@
       quotaRefused: 0,
       quotaLimitedTenants: quotas?.limitedCount ?? 0,
       version: task.version,
+      runningRollouts: task.rolloutCount,
+      rolloutSends: 0,
       isCurrent: task.isCurrent,
       leaderSilenceMs: task.leaderSilenceMs,
       silentMembers: task.silentMemberCount,
--- a/packages/cli/src/gateway/warmUpRequestPath.ts
+++ b/packages/cli/src/gateway/warmUpRequestPath.ts
@@ -100,6 +100,7 @@
     regionOf: () => NAME,
     coldBurstFactor: 1,
     coldSlack: 0,
+    contactTimeoutMs: TIMEOUT_MS,
     shareWindowMs: TIMEOUT_MS,
     onTargetRemoved: () => undefined,
     shareLimit: () => undefined,
--- a/packages/gateway/src/GatewayExchange.ts
+++ b/packages/gateway/src/GatewayExchange.ts
@@ -169,7 +169,10 @@
     const verdict = classifyAttempt(attempt, failure);
     this.outcomes.record(attempt, verdict, failure);
     if (verdict === 'not-run') this.request.quota?.recordNotRun();
-    else this.response.mayHaveRun = true;
+    else {
+      this.response.mayHaveRun = true;
+      this.recordVersion(attempt, verdict === 'answered');
+    }
     const durationMs = this.dependencies.clock() - attempt.startedAtMs;
     if (verdict === 'answered' || attempt.isForwarding) {
       this.attempts.supersedeOthers(attempt);
@@ -185,6 +188,15 @@
     else this.retryOrRespond(attempt, verdict);
   }
 
+  private recordVersion({ target, startedAtMs, coldLeftMs }: Attempt, isAnswered: boolean): void {
+    const { clock, pool } = this.dependencies;
+    const { routeName } = this.request;
+    const durationMs = isAnswered ? clock() - startedAtMs : undefined;
+    pool.versions.recordOutcome({
+      target, routeName, wasCold: coldLeftMs > 0, durationMs,
+    });
+  }
+
   /** Finds a target again for a request of which nothing was sent. */
   private placeAgain({ target, release }: Attempt): void {
     this.unsentCount += 1;
@@ -238,7 +250,10 @@
     const kind = this.isSent || this.response.mayHaveRun ? 'deadlineExceeded' : 'deadlineBeforeDispatch';
     // A hedge may have had little time.
     const { first } = this.attempts;
-    if (first !== undefined) recordOutcome(first.target, true, this.dependencies.clock());
+    if (first !== undefined) {
+      recordOutcome(first.target, true, this.dependencies.clock());
+      this.recordVersion(first, false);
+    }
     this.giveUp({ kind, detail: '' }, RETRY_AFTER_MS);
   }
 
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -202,6 +202,7 @@
     if (this.stop !== undefined && !mayFinishBeforeStop(this.stop, deadlineMs, arrivedAtMs)) {
       return fail('shuttingDown', 'the request may outlast the stop');
     }
+    const service = this.chooseService(routeName, route, relayed);
     return Ok({
       req,
       requestId,
@@ -211,7 +212,9 @@
       routeName,
       route,
       tenant: tenant.val,
-      service: this.chooseService(routeName, route, relayed),
+      service,
+      // The entry that relays a request has counted it.
+      isCanary: relayed === undefined && this.dependencies.pool.versions.choose(service),
       maxBodyBytes: declaration.limits.maxBodyBytes,
       version: declaration.version,
       arrivedAtMs,
--- a/packages/gateway/src/GatewayRequest.ts
+++ b/packages/gateway/src/GatewayRequest.ts
@@ -16,6 +16,8 @@
   /** The route, with priority and home regions as they apply to the tenant. */
   readonly route: DeclaredRoute;
   readonly service: string;
+  /** Whether it was chosen for the target version of a roll-out. */
+  readonly isCanary: boolean;
   /** Tenant that holds the key of the request; undefined on public routes and without tenants. */
   readonly tenant?: DeclaredTenant | undefined;
   /** What it takes from the quota of its tenant; undefined if it has none. */
--- a/packages/gateway/src/HedgeController.ts
+++ b/packages/gateway/src/HedgeController.ts
@@ -214,6 +214,7 @@
       ...describePlacement(request, triedIds),
       // What another entry has given up of a request limit is for the first attempt.
       permittedIds: [],
+      isCanary: false,
       hasLargeBody: true,
       mayRelay: false,
       onPlaced: (target, release) => {
--- a/packages/gateway/src/PlacementQueue.ts
+++ b/packages/gateway/src/PlacementQueue.ts
@@ -217,9 +217,10 @@
   }
 
   private findEligible({
-    service, homeRegions, triedIds, permittedIds,
+    service, homeRegions, triedIds, permittedIds, isCanary,
   }: PlacementRequest): PlacedTarget[] {
-    return this.options.pool.findEligible(service, homeRegions, triedIds, permittedIds);
+    return this.options.pool
+      .findEligible(service, homeRegions, triedIds, permittedIds, isCanary);
   }
 
   private search(queued: QueuedRequest): void {
@@ -444,7 +445,7 @@
     const used = (estimateLoad(target, attempt.sentAtMs) + 1) / target.record.slots;
     const slowness = target.reading?.slowness ?? placementLimits.unknownSlowness;
     target.inFlight.add(attempt);
-    this.options.pool.recordSend(target, request.permittedIds);
+    this.options.pool.recordSend(target, request.permittedIds, request.isCanary);
     request.onPlaced(target, (durationMs) => {
       if (!target.inFlight.delete(attempt)) return;
       if (durationMs !== undefined) this.speed.record(durationMs, slowness, used);
--- a/packages/gateway/src/TargetSearch.ts
+++ b/packages/gateway/src/TargetSearch.ts
@@ -103,6 +103,8 @@
     return {
       ...describePlacement(request, triedIds),
       permittedIds: request.permittedIds,
+      // What the target version has failed to serve, the others do.
+      isCanary: request.isCanary && triedIds.length === request.triedIds.length,
       hasLargeBody: this.hasLargeBody,
       mayRelay: handover.isAllowed,
       onPlaced: (target, release) => {
--- a/packages/metrics/src/GatewayMetrics.ts
+++ b/packages/metrics/src/GatewayMetrics.ts
@@ -53,6 +53,8 @@
   readonly quotaAsked: number;
   readonly quotaRefused: number;
   readonly quotaLimitedTenants: number;
+  readonly runningRollouts: number;
+  readonly rolloutSends: number;
   readonly version: number;
   readonly isCurrent: boolean;
   readonly leaderSilenceMs: number;
@@ -117,6 +119,8 @@
       ['quota_admitted_total', ({ quotaAsked, quotaRefused }) => quotaAsked - quotaRefused],
       ['quota_refused_total', ({ quotaRefused }) => quotaRefused],
       ['quota_limited_tenants', ({ quotaLimitedTenants }) => quotaLimitedTenants],
+      ['running_rollouts', ({ runningRollouts }) => runningRollouts],
+      ['rollout_sends_total', ({ rolloutSends }) => rolloutSends],
       ['declaration_version', ({ version }) => version],
       ['is_current', ({ isCurrent }) => Number(isCurrent)],
       ['leader_silence_seconds', ({ leaderSilenceMs }) => leaderSilenceMs / MS_PER_SECOND],
--- a/packages/metrics/test/gatewayMetrics.test.ts
+++ b/packages/metrics/test/gatewayMetrics.test.ts
@@ -20,6 +20,8 @@
     quotaAsked: 12,
     quotaRefused: 5,
     quotaLimitedTenants: 1,
+    runningRollouts: 1,
+    rolloutSends: 12,
     version: 26,
     isCurrent: true,
     leaderSilenceMs: 2500,
--- a/packages/vm/src/messages/VmMessage.ts
+++ b/packages/vm/src/messages/VmMessage.ts
@@ -9,6 +9,7 @@
 import registryMessages from './registryMessages';
 import relayMessages from './relayMessages';
 import reportMessages from './reportMessages';
+import rolloutMessages from './rolloutMessages';
 import sessionMessages from './sessionMessages';
 
 /** Any message between VMs of the system, distinguished by its `kind`. */
@@ -23,6 +24,7 @@
   ...registryMessages,
   ...relayMessages,
   ...reportMessages,
+  ...rolloutMessages,
 ]);
 type VmMessage = z.infer<typeof VmMessage>;
 
--- a/packages/vm/src/registry/RegistryTaskOptions.ts
+++ b/packages/vm/src/registry/RegistryTaskOptions.ts
@@ -6,6 +6,7 @@
 import type Clock from '@guavayard/core/types/Clock';
 import type Random from '@guavayard/core/types/Random';
 
+import type RolloutLimits from '../rollouts/RolloutLimits';
 import type VmHub from '../session/VmHub';
 import type VmIdentity from '../session/VmIdentity';
 
@@ -36,6 +37,8 @@
    * of it.
    */
   readonly createEntrySource?: (source: string) => string;
+  /** Limits of roll-outs; undefined if the system has none. */
+  readonly rollout: RolloutLimits | undefined;
   /** Called when the replica has stopped, as its state may differ from its log. */
   readonly onFailure: (err: Error) => void;
 }
