Count what callers hold in one account of the process

Connections, heads, bodies and buffered responses of callers share a budget that is derived from [vm] memoryMb and maxFds. What does not fit is refused before its body is read, the largest idle connection is closed first, and no more than 16 requests of a connection are in progress. Small chunks of bodies are joined.

--- a/packages/caller/src/CallerHandler.ts
+++ b/packages/caller/src/CallerHandler.ts
@@ -9,6 +9,15 @@
    * @param res - the caller's response
    */
   handle: (req: IncomingMessage, res: ServerResponse) => void;
+
+  /**
+   * Refuses a request for which the process has no room, with a response that closes the
+   * connection; without this method, the response is empty.
+   *
+   * @param req - the request, whose body is not read
+   * @param res - the caller's response
+   */
+  refuse?: (req: IncomingMessage, res: ServerResponse) => void;
 }
 
 export default CallerHandler;
--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -4,9 +4,12 @@
 import type { Socket } from 'node:net';
 import { setImmediate as nextTurn, setTimeout as sleep } from 'node:timers/promises';
 
+import type ResourceAccount from '@guavayard/core/limits/ResourceAccount';
+
 import avoidResets from './avoidResets';
 import closeGracefully from './closeGracefully';
 import closeIdle from './closeIdle';
+import ConnectionGuard from './ConnectionGuard';
 import cutResponse from './cutResponse';
 import respondToBadRequest from './respondToBadRequest';
 import type CallerLimits from './CallerLimits';
@@ -50,8 +53,15 @@
  */
 const STOP_CLOSE_TIMEOUT_MS = 500;
 
+/** Requests in progress on one connection above which no more are read from it. */
+const REQUESTS_PER_CONNECTION = 16;
+/** Status of a request that was refused before it was read. */
+const REFUSED_STATUS = 503;
+
 interface ListenerOptions {
   readonly limits?: CallerLimits;
+  /** Account of the process; without one, only the limits hold. */
+  readonly account?: ResourceAccount;
   readonly onError?: (err: Error) => void;
 }
 
@@ -75,6 +85,8 @@
 
   private readonly unreadMs: number;
 
+  private readonly guard: ConnectionGuard | undefined;
+
   /**
    * @param handler - handles the requests
    * @param options - limits on the resources that callers may use, and what receives exceptions of
@@ -82,7 +94,7 @@
    */
   constructor(
     handler: CallerHandler,
-    { limits = defaultLimits, onError = () => undefined }: ListenerOptions = {},
+    { limits = defaultLimits, account, onError = () => undefined }: ListenerOptions = {},
   ) {
     this.unreadMs = limits.unreadMs;
     // A single handler serves every path, so no router is needed.
@@ -94,6 +106,13 @@
       noDelay: true,
     }, (req, res) => {
       if (!this.track(req, res)) return;
+      const admission = this.guard?.admit(req, res) ?? 'admitted';
+      if (admission === 'dropped') return;
+      if (admission === 'refused') {
+        if (handler.refuse === undefined) res.writeHead(REFUSED_STATUS, { connection: 'close' }).end();
+        else handler.refuse(req, res);
+        return;
+      }
       const handle = (): void => {
         try {
           handler.handle(req, res);
@@ -114,6 +133,16 @@
       });
     });
     this.server.maxConnections = limits.connections;
+    if (account !== undefined) {
+      // The guard makes room for new connections; the server's own limit would close them.
+      this.server.maxConnections = limits.connections + 1;
+      this.guard = new ConnectionGuard(this.server, {
+        account,
+        clock: () => performance.now(),
+        connections: limits.connections,
+        requestsPerConnection: REQUESTS_PER_CONNECTION,
+      });
+    }
     this.server.on('connection', (socket: Socket) => {
       this.accepted += 1;
       this.connections.set(socket, 0);
@@ -130,6 +159,11 @@
     });
   }
 
+  /** Number of open connections. */
+  get connectionCount(): number {
+    return this.connections.size;
+  }
+
   /** Continues to serve requests, but asks callers to close connections after the response. */
   startDraining(): void {
     this.isDraining = true;
--- /dev/null
+++ b/packages/caller/src/GuardedConnection.ts
@@ -0,0 +1,162 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+import type ResourceAccount from '@guavayard/core/limits/ResourceAccount';
+import type ResourceHolder from '@guavayard/core/limits/ResourceHolder';
+import type Clock from '@guavayard/core/types/Clock';
+
+import closeIdle from './closeIdle';
+import cutResponse from './cutResponse';
+import estimateHeldBytes from './estimateHeldBytes';
+import pauseParser from './pauseParser';
+import resumeParser from './resumeParser';
+
+/** Socket, parser and stream objects of a connection, with the buffers of the system. */
+const CONNECTION_BYTES = 16 * 1024;
+
+interface ConnectionContext {
+  readonly account: ResourceAccount;
+  readonly clock: Clock;
+}
+
+interface HeldRequest {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly requests: number;
+  readonly bodies: number;
+}
+
+/** What one connection of a client holds. */
+export default class GuardedConnection implements ResourceHolder {
+  /** Called once the connection has ended. */
+  onEnd: () => void = () => undefined;
+
+  private readonly requests = new Set<HeldRequest>();
+
+  private isClosing = false;
+
+  private hasEnded = false;
+
+  private progress = 0;
+
+  private progressAtMs: number;
+
+  private constructor(
+    private readonly socket: Socket,
+    private readonly context: ConnectionContext,
+    private readonly maxRequests: number,
+  ) {
+    this.progressAtMs = context.clock();
+    context.account.addHolder(this);
+    socket.once('close', () => this.end());
+  }
+
+  /**
+   * @param socket - a connection that was accepted
+   * @param context - account of the process, and its clock
+   * @param maxRequests - requests in progress above which no more are read
+   * @returns what holds its resources, undefined if the account has no room for it
+   */
+  static create(
+    socket: Socket,
+    context: ConnectionContext,
+    maxRequests: number,
+  ): GuardedConnection | undefined {
+    if (!context.account.tryReserve('connections', CONNECTION_BYTES)) return undefined;
+    return new GuardedConnection(socket, context, maxRequests);
+  }
+
+  get heldBytes(): number {
+    return [...this.requests]
+      .reduce((sum, { requests, bodies }) => sum + requests + bodies, CONNECTION_BYTES);
+  }
+
+  idleMs(nowMs: number): number | undefined {
+    const { bytesRead, bytesWritten, writableLength } = this.socket;
+    const progress = bytesRead + bytesWritten - writableLength;
+    if (progress !== this.progress) {
+      this.progress = progress;
+      this.progressAtMs = nowMs;
+    }
+    return this.awaitsClient ? nowMs - this.progressAtMs : undefined;
+  }
+
+  evict(): void {
+    this.requests.forEach(({ res }) => cutResponse(res));
+    this.socket.destroy();
+    this.end();
+  }
+
+  /** Admits a request, see `ConnectionGuard.admit`. */
+  admit(req: IncomingMessage, res: ServerResponse): 'admitted' | 'refused' | 'dropped' {
+    if (this.isClosing || this.hasEnded) return 'dropped';
+    const { account } = this.context;
+    const { requests, bodies } = estimateHeldBytes(req);
+    if (!account.tryReserve('requests', requests + bodies)) {
+      this.refuse();
+      return 'refused';
+    }
+    account.release('requests', bodies);
+    if (!account.tryReserve('bodies', bodies) || this.hasEnded) {
+      account.release('requests', requests);
+      this.refuse();
+      return 'refused';
+    }
+    this.hold({
+      req, res, requests, bodies,
+    });
+    return 'admitted';
+  }
+
+  /** Whether the next byte is due from the client, or the client has to read a response. */
+  private get awaitsClient(): boolean {
+    const [first] = this.requests;
+    if (first === undefined) return true;
+    return !first.req.complete || first.res.writableEnded || this.socket.writableNeedDrain;
+  }
+
+  /** Reads nothing more: the response that follows closes the connection. */
+  private refuse(): void {
+    const { socket } = this;
+    this.isClosing = true;
+    // The rest of the body stays unread, and the client has a moment to read the refusal.
+    Object.assign(socket, { destroySoon: () => closeIdle(socket) });
+    pauseParser(socket);
+  }
+
+  private hold(request: HeldRequest): void {
+    const { req, res } = request;
+    this.requests.add(request);
+    if (this.requests.size >= this.maxRequests) pauseParser(this.socket);
+    const release = (): void => {
+      if (this.requests.delete(request)) this.release(request);
+    };
+    res.once('close', () => {
+      if (req.complete || req.destroyed) release();
+      else {
+        req.once('end', release);
+        req.once('close', release);
+      }
+    });
+  }
+
+  private release({ requests, bodies }: HeldRequest): void {
+    const { account } = this.context;
+    account.release('requests', requests);
+    account.release('bodies', bodies);
+    if (!this.isClosing && !this.hasEnded && this.requests.size < this.maxRequests) {
+      resumeParser(this.socket);
+    }
+  }
+
+  private end(): void {
+    if (this.hasEnded) return;
+    this.hasEnded = true;
+    const { account } = this.context;
+    account.removeHolder(this);
+    account.release('connections', CONNECTION_BYTES);
+    this.requests.forEach((request) => this.release(request));
+    this.requests.clear();
+    this.onEnd();
+  }
+}
--- a/packages/caller/src/ReplayableBody.ts
+++ b/packages/caller/src/ReplayableBody.ts
@@ -2,11 +2,14 @@
 
 import type InboundRequest from '@guavayard/core/dispatch/InboundRequest';
 import type ByteBudget from '@guavayard/core/limits/ByteBudget';
+import ChunkList from '@guavayard/core/utils/ChunkList';
 
 import MAX_KEPT_BYTES from './maxKeptBytes';
 
 /** Maximum size of a body that is buffered for retries, in bytes. */
 const MAX_RECORDED_BYTES = 64 * 1024;
+/** Chunks below this size are joined, as each of its own costs a hundred bytes and more. */
+const SMALL_BYTES = 1024;
 /** Maximum size of what is read of a body while it waits for a target, in bytes. */
 const MAX_AHEAD_BYTES = 1024 * 1024;
 /** Maximum remainder of a body that is read and discarded after the response, in bytes. */
@@ -27,10 +30,19 @@
  * the caller's connection would be closed before it is answered.
  */
 export default class ReplayableBody {
-  private recorded: Buffer[] = [];
+  private recorded = new ChunkList();
 
   private receivedBytes = 0;
 
+  /** Received bytes without the small chunks that are still to be joined. */
+  private handledBytes = 0;
+
+  /** Small chunks that have arrived in the present turn. */
+  private small: ChunkList | undefined;
+
+  /** Whether reading stops once all has been handled that arrived together. */
+  private isPausing = false;
+
   private isRecording: boolean;
 
   /** Whether the request has a body. */
@@ -43,6 +55,9 @@
   /** Bytes of the budget that are reserved for what was read ahead. */
   private heldBytes = 0;
 
+  /** Budget from which they are reserved. */
+  private holdBudget: ByteBudget | undefined;
+
   private maxBytes = Infinity;
 
   private onExceeded: (() => void) | undefined;
@@ -115,6 +130,7 @@
   readAhead(budget: ByteBudget, onStalled: () => void): void {
     if (!this.hasBody || !this.isRecording || this.req.readableEnded) return;
     this.ahead = { budget, onStalled };
+    this.isPausing = false;
     this.req.resume();
   }
 
@@ -129,12 +145,13 @@
     const stream = new Readable({
       read: () => {
         this.releaseHeld();
+        this.isPausing = false;
         this.req.resume();
       },
     });
     stream.once('end', () => this.releaseHeld());
     this.current = stream;
-    this.recorded.forEach((chunk) => stream.push(chunk));
+    this.recorded.list().forEach((chunk) => stream.push(chunk));
     if (!this.isRecorded) this.stopRecording();
     if (this.req.readableEnded) stream.push(null);
     return stream;
@@ -183,16 +200,38 @@
       onExceeded();
       return;
     }
+    if (chunk.length >= SMALL_BYTES) {
+      this.flushSmall();
+      this.handleChunk(chunk);
+      return;
+    }
+    if (this.small === undefined) {
+      this.small = new ChunkList();
+      process.nextTick(() => this.flushSmall());
+    }
+    this.small.push(chunk);
+  };
+
+  /** Handles the small chunks that have arrived together. */
+  private flushSmall(): void {
+    const chunks = this.small?.take() ?? [];
+    this.small = undefined;
+    chunks.forEach((chunk) => this.handleChunk(chunk));
+  }
+
+  private handleChunk(chunk: Buffer): void {
+    this.handledBytes += chunk.length;
     if (this.isRecording) {
       this.recorded.push(chunk);
       if (this.current === undefined) this.hold();
     }
     if (this.current !== undefined && !this.isRecorded) this.stopRecording();
-    if (this.current?.push(chunk) === false) this.req.pause();
-    if (this.receivedBytes > MAX_RECORDED_BYTES) this.endPrefix();
-  };
+    if (this.current?.push(chunk) === false) this.pauseSoon();
+    if (this.handledBytes > MAX_RECORDED_BYTES) this.endPrefix();
+  }
 
   private readonly onEnd = (): void => {
+    this.flushSmall();
     this.current?.push(null);
     this.endPrefix();
   };
@@ -202,7 +241,7 @@
     if (onPrefix === undefined) return;
     this.onPrefix = undefined;
     this.req.pause();
-    onPrefix(this.recorded);
+    onPrefix(this.recorded.list());
   }
 
   /** Reserves what was read ahead, and reads no further if that is not possible. */
@@ -212,19 +251,34 @@
     if (ahead === undefined || bytes <= 0) return;
     if (receivedBytes <= MAX_AHEAD_BYTES && ahead.budget.tryReserve(bytes)) {
       this.heldBytes += bytes;
+      this.holdBudget = ahead.budget;
       return;
     }
-    this.req.pause();
+    this.pauseSoon();
+    this.ahead = undefined;
     ahead.onStalled();
   }
 
+  /**
+   * Stops reading once the parser has handed over all that arrived together: chunks that follow a
+   * pause at once would be kept one by one by the request.
+   */
+  private pauseSoon(): void {
+    if (this.isPausing) return;
+    this.isPausing = true;
+    process.nextTick(() => {
+      if (this.isPausing) this.req.pause();
+      this.isPausing = false;
+    });
+  }
+
   private releaseHeld(): void {
-    this.ahead?.budget.release(this.heldBytes);
+    this.holdBudget?.release(this.heldBytes);
     this.heldBytes = 0;
   }
 
   private stopRecording(): void {
-    this.recorded = [];
+    this.recorded = new ChunkList();
     this.isRecording = false;
   }
 }
--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -4,7 +4,10 @@
 import { Ok, type Result } from 'ts-results';
 
 import CallerListener from '@guavayard/caller/CallerListener';
-import ByteBudget from '@guavayard/core/limits/ByteBudget';
+import defaultLimits from '@guavayard/caller/defaultLimits';
+import deriveResourceLimits from '@guavayard/core/limits/deriveResourceLimits';
+import ResourceAccount from '@guavayard/core/limits/ResourceAccount';
+import SharedByteBudget from '@guavayard/core/limits/SharedByteBudget';
 import CrashWatch from '@guavayard/gateway/CrashWatch';
 import GatewayHandler from '@guavayard/gateway/GatewayHandler';
 import Placement from '@guavayard/gateway/Placement';
@@ -80,6 +83,8 @@
     settings, identity, hub, log, errors, seeds, listeners,
   } = context;
   const { bounds, regions } = settings;
+  const resources = deriveResourceLimits(settings.vm);
+  const account = new ResourceAccount(resources.bytes, clock);
   const sender = new UndiciTargetSender({
     keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
     localAddress: settings.vm.bindsToIp ? settings.vm.ip : undefined,
@@ -174,12 +179,16 @@
     prober,
     crashes,
     log: requestLog,
-    responseBytes: new ByteBudget(RESPONSE_BUFFER_BYTES),
-    requestBytes: new ByteBudget(REQUEST_BUFFER_BYTES),
+    responseBytes: new SharedByteBudget(RESPONSE_BUFFER_BYTES, account, 'responses'),
+    requestBytes: new SharedByteBudget(REQUEST_BUFFER_BYTES, account, 'waitingBodies'),
     relay,
     version: () => subscription.declaration?.version ?? 0,
   }, () => subscription.declaration);
-  const caller = new CallerListener(handler, { onError: (err) => errors.report(err, 'request') });
+  const caller = new CallerListener(handler, {
+    limits: { ...defaultLimits, connections: resources.connections },
+    account,
+    onError: (err) => errors.report(err, 'request'),
+  });
   const admission = new RelayAdmission({
     pool, prober, placement, version: () => subscription.declaration?.version,
   });
--- a/packages/cli/src/settings/GatewaySettings.ts
+++ b/packages/cli/src/settings/GatewaySettings.ts
@@ -12,6 +12,10 @@
   /** Distinguishes these settings from those of a system that is configured by patches. */
   mode: z.literal('declared'),
   vm: z.object({
+    /** Memory of the VM, in megabytes, from which the account of held bytes is derived. */
+    memoryMb: z.number().positive().optional(),
+    /** Descriptors that the process may have open, from which the connections are derived. */
+    maxFds: z.int().positive().optional(),
     /** Human-readable name; VMs identify each other by IP address. */
     label: ExternalName,
     ip: z.ipv4(),
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -82,6 +82,26 @@
     this.serve(req, new DirectReply(res, dialect, requestId));
   }
 
+  /**
+   * Refuses a request for which the process has no room; its body is not read.
+   *
+   * @param req - the caller's request
+   * @param res - the caller's response, after which the connection is closed
+   */
+  refuse(req: IncomingMessage, res: ServerResponse): void {
+    const { dialect, log } = this.dependencies;
+    const { requestId } = dialect.readRequest(req);
+    const failure: Failure = { kind: 'overloaded', detail: 'the process has no room for it' };
+    const retryAfterMs = RETRY_AFTER_MS * (1 + Math.random());
+    const { status, headers, body } = dialect
+      .createFailureResponse(failure, requestId, retryAfterMs);
+    res.writeHead(status, { ...headers, connection: 'close' });
+    res.end(body);
+    log.write({
+      requestId, attempts: [], decision: failure.kind, detail: failure.detail, status, ms: 0,
+    });
+  }
+
   /**
    * Serves a request that another entry relays to this one.
    *
