Stop reading pipelined requests between two of them

The parser of the HTTP server creates the objects of all requests in a chunk at once. Connections with pipelined requests are therefore read in slices. Garbage is collected early when the memory of the VM is nearly used up.

--- a/packages/caller/src/GuardedConnection.ts
+++ b/packages/caller/src/GuardedConnection.ts
@@ -10,10 +10,17 @@
 import estimateHeldBytes from './estimateHeldBytes';
 import pauseParser from './pauseParser';
 import resumeParser from './resumeParser';
+import SlicedReader from './SlicedReader';
 
 /** Socket, parser and stream objects of a connection, with the buffers of the system. */
 const CONNECTION_BYTES = 16 * 1024;
 
+/**
+ * Requests in progress above which a connection is closed: as many arrive only in one chunk of the
+ * shortest requests, before the connection is read in slices.
+ */
+const MAX_BURST = 128;
+
 interface ConnectionContext {
   readonly account: ResourceAccount;
   readonly clock: Clock;
@@ -35,12 +42,17 @@
 
   private isClosing = false;
 
+  private isSwitching = false;
+
   private hasEnded = false;
 
   private progress = 0;
 
   private progressAtMs: number;
 
+  /** Reads a connection with pipelined requests; created once there are any. */
+  private reader: SlicedReader | undefined;
+
   private constructor(
     private readonly socket: Socket,
     private readonly context: ConnectionContext,
@@ -90,6 +102,12 @@
   /** Admits a request, see `ConnectionGuard.admit`. */
   admit(req: IncomingMessage, res: ServerResponse): 'admitted' | 'refused' | 'dropped' {
     if (this.isClosing || this.hasEnded) return 'dropped';
+    if (this.requests.size >= MAX_BURST) {
+      this.evict();
+      return 'dropped';
+    }
+    this.reader?.startRequest(req);
+    if (this.requests.size > 0) this.readInSlices();
     const { account } = this.context;
     const { requests, bodies } = estimateHeldBytes(req);
     if (!account.tryReserve('requests', requests + bodies)) {
@@ -122,12 +140,31 @@
     // The rest of the body stays unread, and the client has a moment to read the refusal.
     Object.assign(socket, { destroySoon: () => closeIdle(socket) });
     pauseParser(socket);
+    process.nextTick(() => {
+      this.reader ??= new SlicedReader(socket);
+      this.reader.stop();
+    });
+  }
+
+  /** Has the parser stop between two requests, from the end of the present chunk on. */
+  private readInSlices(): void {
+    if (this.reader !== undefined || this.isSwitching) return;
+    this.isSwitching = true;
+    process.nextTick(() => {
+      if (this.isClosing || this.hasEnded) return;
+      this.reader = new SlicedReader(this.socket);
+      this.reader.pause();
+      if (this.requests.size < this.maxRequests) this.reader.resume();
+    });
   }
 
   private hold(request: HeldRequest): void {
     const { req, res } = request;
     this.requests.add(request);
-    if (this.requests.size >= this.maxRequests) pauseParser(this.socket);
+    if (this.requests.size >= this.maxRequests) {
+      if (this.reader === undefined) pauseParser(this.socket);
+      else this.reader.pause();
+    }
     const release = (): void => {
       if (this.requests.delete(request)) this.release(request);
     };
@@ -145,7 +182,8 @@
     account.release('requests', requests);
     account.release('bodies', bodies);
     if (!this.isClosing && !this.hasEnded && this.requests.size < this.maxRequests) {
-      resumeParser(this.socket);
+      if (this.reader === undefined) resumeParser(this.socket);
+      else this.reader.resume();
     }
   }
 
--- a/packages/caller/src/estimateHeldBytes.ts
+++ b/packages/caller/src/estimateHeldBytes.ts
@@ -6,9 +6,9 @@
 const HEAD_COPIES = 2;
 /**
  * Bytes of a body that a request holds at most without a budget of its own: 64 KiB for a repeat,
- * and as much in the buffers of the connection.
+ * the chunk that was read last, and as much in the buffers of the system.
  */
-const BODY_BYTES = 128 * 1024;
+const BODY_BYTES = 192 * 1024;
 
 interface HeldBytes {
   readonly requests: number;
--- a/packages/caller/src/pauseParser.ts
+++ b/packages/caller/src/pauseParser.ts
@@ -3,8 +3,8 @@
 import type ParsedSocket from './ParsedSocket';
 
 /**
- * Stops reading requests from a connection, also those that have arrived together with the present
- * one: their bytes are kept, and no objects are created for them.
+ * Stops reading from a connection behind the bytes that have arrived together with the present
+ * request, as the HTTP server does for a client that does not read its responses.
  *
  * @param socket - a connection of an HTTP server
  */
--- a/packages/cli/src/gateway/runGateway.ts
+++ b/packages/cli/src/gateway/runGateway.ts
@@ -17,6 +17,7 @@
 import readGatewaySettings from '../settings/readGatewaySettings';
 import readWhenWhole from '../settings/readWhenWhole';
 import BoundedLogStream from './BoundedLogStream';
+import GarbageWatch from './GarbageWatch';
 import type GatewayContext from './GatewayContext';
 import type GatewayRole from './GatewayRole';
 import ListenerGroup from './ListenerGroup';
@@ -155,8 +156,10 @@
     transport: transport.val, log, onError: (err) => errors.report(err, 'session'),
   });
   const listeners = new ListenerGroup(log, () => stop.startServing());
+  const { memoryMb } = settings.vm;
+  const garbage = memoryMb === undefined ? undefined : new GarbageWatch(memoryMb);
   const context: GatewayContext = {
-    settings, identity, hub, log, errors, listeners, seeds: listSeedAddresses(settings),
+    settings, garbage, identity, hub, log, errors, listeners, seeds: listSeedAddresses(settings),
   };
   if (settings.control !== undefined) {
     // A second process of this VM must not open the data folder while the first one writes to it.
--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -84,7 +84,7 @@
   } = context;
   const { bounds, regions } = settings;
   const resources = deriveResourceLimits(settings.vm);
-  const account = new ResourceAccount(resources.bytes, clock);
+  const account = new ResourceAccount(resources.bytes, clock, () => context.garbage?.check());
   const sender = new UndiciTargetSender({
     keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
     localAddress: settings.vm.bindsToIp ? settings.vm.ip : undefined,
--- a/packages/core/src/limits/ResourceAccount.ts
+++ b/packages/core/src/limits/ResourceAccount.ts
@@ -5,6 +5,9 @@
 /** Time without activity of its client after which a holder may be evicted, in milliseconds. */
 const MIN_IDLE_MS = 500;
 
+/** Number of reservations in a series. */
+const SERIES = 128;
+
 /**
  * Counts the bytes that a process holds for its clients, by kind. When the limit is reached, the
  * largest and most idle holder is evicted first.
@@ -16,6 +19,8 @@
 
   private sumBytes = 0;
 
+  private reservations = 0;
+
   private evictions = 0;
 
   private refusals = 0;
@@ -23,8 +28,13 @@
   /**
    * @param limitBytes - maximum sum of the bytes held
    * @param clock - monotonic clock, in milliseconds
+   * @param onReservations - called once after each series of reservations
    */
-  constructor(readonly limitBytes: number, private readonly clock: Clock) {}
+  constructor(
+    readonly limitBytes: number,
+    private readonly clock: Clock,
+    private readonly onReservations: () => void = () => undefined,
+  ) {}
 
   /** Sum of the bytes held. */
   get usedBytes(): number {
@@ -54,6 +64,8 @@
    * @returns whether they are reserved
    */
   tryReserve(kind: HeldKind, bytes: number): boolean {
+    this.reservations += 1;
+    if (this.reservations % SERIES === 0) this.onReservations();
     while (this.sumBytes + bytes > this.limitBytes) {
       if (!this.evictOne()) {
         this.refusals += 1;
