--- a/packages/cli/src/gateway/runGateway.ts
+++ b/packages/cli/src/gateway/runGateway.ts
@@ -3,6 +3,8 @@
 import { createLogger } from 'bunyan';
 import { Err, Ok, type Result } from 'ts-results';
 
+import deriveResourceLimits from '@guavayard/core/limits/deriveResourceLimits';
+import ResourceAccount from '@guavayard/core/limits/ResourceAccount';
 import splitHostPort from '@guavayard/core/utils/splitHostPort';
 import createStartId from '@guavayard/vm/session/createStartId';
 import protocolVersion from '@guavayard/vm/session/protocolVersion';
@@ -158,8 +160,18 @@
   const listeners = new ListenerGroup(log, () => stop.startServing());
   const { memoryMb } = settings.vm;
   const garbage = memoryMb === undefined ? undefined : new GarbageWatch(memoryMb);
+  const { bytes, connections } = deriveResourceLimits(settings.vm);
+  const account = new ResourceAccount(bytes, () => performance.now(), () => garbage?.check());
   const context: GatewayContext = {
-    settings, garbage, identity, hub, log, errors, listeners, seeds: listSeedAddresses(settings),
+    settings,
+    account,
+    connections,
+    identity,
+    hub,
+    log,
+    errors,
+    listeners,
+    seeds: listSeedAddresses(settings),
   };
   if (settings.control !== undefined) {
     // A second process of this VM must not open the data folder while the first one writes to it.
--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -5,8 +5,6 @@
 
 import CallerListener from '@guavayard/caller/CallerListener';
 import defaultLimits from '@guavayard/caller/defaultLimits';
-import deriveResourceLimits from '@guavayard/core/limits/deriveResourceLimits';
-import ResourceAccount from '@guavayard/core/limits/ResourceAccount';
 import SharedByteBudget from '@guavayard/core/limits/SharedByteBudget';
 import CrashWatch from '@guavayard/gateway/CrashWatch';
 import GatewayHandler from '@guavayard/gateway/GatewayHandler';
@@ -83,8 +81,7 @@
     settings, identity, hub, log, errors, seeds, listeners,
   } = context;
   const { bounds, regions } = settings;
-  const resources = deriveResourceLimits(settings.vm);
-  const account = new ResourceAccount(resources.bytes, clock, () => context.garbage?.check());
+  const { account, connections } = context;
   const sender = new UndiciTargetSender({
     keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
     localAddress: settings.vm.bindsToIp ? settings.vm.ip : undefined,
@@ -185,7 +182,7 @@
     version: () => subscription.declaration?.version ?? 0,
   }, () => subscription.declaration);
   const caller = new CallerListener(handler, {
-    limits: { ...defaultLimits, connections: resources.connections },
+    limits: { ...defaultLimits, connections },
     account,
     onError: (err) => errors.report(err, 'request'),
   });
--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -67,7 +67,9 @@
     },
   });
   task.start();
-  const api = new ControlApi(task, settings.regions, splitHostPort(address).port);
+  const api = new ControlApi(task, settings.regions, splitHostPort(address).port, {
+    account: context.account, connections: context.connections,
+  });
   const bound = await listeners.bind(api.server, address, 'control');
   if (bound.err) return bound;
   return Ok({
