Show what is held by kind, and read on after a pipeline

A connection stayed unread after its pipelined requests had been answered: a stream whose read was stopped does not start it again.

--- a/packages/caller/src/ParsedSocket.ts
+++ b/packages/caller/src/ParsedSocket.ts
@@ -8,7 +8,7 @@
   parser?: { pause: () => void; resume: () => void } | null;
   /** Whether the server does not read; it reads on once its responses have been sent. */
   _paused?: boolean;
-  _handle?: { reading: boolean; readStop: () => void } | null;
+  _handle?: { reading: boolean; readStart: () => void; readStop: () => void } | null;
 }
 
 export default ParsedSocket;
--- a/packages/caller/src/SlicedReader.ts
+++ b/packages/caller/src/SlicedReader.ts
@@ -47,7 +47,10 @@
       resume: () => {
         if (this.isPaused || this.isStopped) return socket;
         this.feed();
-        return this.isHeld ? socket : resume();
+        if (this.isHeld) return socket;
+        resume();
+        this.startReading();
+        return socket;
       },
     });
     // With a listener for data, the parser does not read from the system by itself.
@@ -135,6 +138,14 @@
     parsed._handle.readStop();
   }
 
+  /** Undoes `readStop`: the stream has a read outstanding, so it does not start one by itself. */
+  private startReading(): void {
+    const { _handle: handle } = this.socket as ParsedSocket;
+    if (handle === undefined || handle === null || handle.reading) return;
+    handle.reading = true;
+    handle.readStart();
+  }
+
   private readOn(): void {
     const parsed = this.socket as ParsedSocket;
     if (parsed.destroyed) return;
--- a/packages/cli/src/gateway/runGateway.ts
+++ b/packages/cli/src/gateway/runGateway.ts
@@ -68,7 +68,7 @@
 
 async function serveMetrics(
   {
-    settings, errors, hub, listeners,
+    settings, errors, hub, listeners, account,
   }: GatewayContext,
   roles: readonly GatewayRole[],
 ): Promise<void> {
@@ -81,6 +81,10 @@
     errors: errors.count,
     unboundListeners: listeners.waitingCount,
     sharedProtocolVersion: hub.sharedProtocolVersion,
+    held: account.listHeld(),
+    heldLimitBytes: account.limitBytes,
+    evictions: account.evictedCount,
+    refusedReservations: account.refusedCount,
   }), buildId);
   roles.forEach(({ attachMetrics }) => attachMetrics?.(metrics));
   listeners.bindOptional(metrics.server, settings.metrics.listen, 'metrics');
--- a/packages/metrics/src/GatewayMetrics.ts
+++ b/packages/metrics/src/GatewayMetrics.ts
@@ -53,6 +53,11 @@
   readonly errors: number;
   readonly unboundListeners: number;
   readonly sharedProtocolVersion: number;
+  /** Bytes held for clients, by kind. */
+  readonly held: readonly (readonly [kind: string, bytes: number])[];
+  readonly heldLimitBytes: number;
+  readonly evictions: number;
+  readonly refusedReservations: number;
 }
 
 /**
@@ -106,11 +111,15 @@
       ['pending_write_seconds', ({ pendingWriteMs }) => pendingWriteMs / MS_PER_SECOND],
       ['unexpected_errors_total', ({ errors }) => errors],
       ['unbound_listeners', ({ unboundListeners }) => unboundListeners],
+      ['held_limit_bytes', ({ heldLimitBytes }) => heldLimitBytes],
+      ['evictions_total', ({ evictions }) => evictions],
+      ['refused_reservations_total', ({ refusedReservations }) => refusedReservations],
       ['shared_messages_version', ({ sharedProtocolVersion }) => sharedProtocolVersion],
     ];
     const gauges = gaugeReaders.map(([name, value]) => (
       { gauge: new Gauge(options(name)), value }
     ));
+    const held = new Gauge(options('held_bytes'));
     this.server = createServer((req, res) => {
       if (req.url !== PATH) {
         res.writeHead(NOT_FOUND_STATUS).end();
@@ -118,6 +127,7 @@
       }
       const values = this.read();
       gauges.forEach(({ gauge, value }) => gauge.set(value(values)));
+      values.held.forEach(([kind, bytes]) => held.set({ kind }, bytes));
       this.registry.metrics().then((text) => {
         res.writeHead(200, { 'content-type': this.registry.contentType });
         res.end(text);
--- a/packages/metrics/src/gatewayMetricTable.ts
+++ b/packages/metrics/src/gatewayMetricTable.ts
@@ -60,6 +60,18 @@
   unbound_listeners: {
     type: 'gauge', tags: [], meaning: 'listeners of the VM whose address is in use by other software',
   },
+  held_bytes: {
+    type: 'gauge', tags: ['kind'], meaning: 'bytes held for clients, as the account of the process counts them: connections, requests, bodies, waitingBodies, responses, calls',
+  },
+  held_limit_bytes: {
+    type: 'gauge', tags: [], meaning: 'bytes that the process may hold for its clients',
+  },
+  evictions_total: {
+    type: 'counter', tags: [], meaning: 'idle connections closed to make room for others',
+  },
+  refused_reservations_total: {
+    type: 'counter', tags: [], meaning: 'connections, requests and buffers refused because the account was full',
+  },
   unexpected_errors_total: {
     type: 'counter', tags: [], meaning: 'exceptions that ended a session or a request; always 0 in correct operation',
   },
--- a/packages/metrics/test/gatewayMetrics.test.ts
+++ b/packages/metrics/test/gatewayMetrics.test.ts
@@ -22,6 +22,10 @@
     errors: 0,
     unboundListeners: 1,
     sharedProtocolVersion: 2,
+    held: [['bodies', 1024]],
+    heldLimitBytes: 4096,
+    evictions: 3,
+    refusedReservations: 5,
   }), 'abc');
   metrics.server.listen(0, '127.0.0.1');
   await once(metrics.server, 'listening');
