--- a/packages/caller/src/GuardedConnection.ts
+++ b/packages/caller/src/GuardedConnection.ts
@@ -8,6 +8,7 @@
 import closeIdle from './closeIdle';
 import cutResponse from './cutResponse';
 import estimateHeldBytes from './estimateHeldBytes';
+import ignoreRequests from './ignoreRequests';
 import pauseParser from './pauseParser';
 import resumeParser from './resumeParser';
 import SlicedReader from './SlicedReader';
@@ -15,6 +16,8 @@
 /** Socket, parser and stream objects of a connection, with the buffers of the system. */
 const CONNECTION_BYTES = 16 * 1024;
 
+/** The chunk of which a connection that is read in slices keeps the rest. */
+const SLICED_BYTES = 64 * 1024;
 /**
  * Requests in progress above which a connection is closed: as many arrive only in one chunk of the
  * shortest requests, before the connection is read in slices.
@@ -44,6 +47,9 @@
 
   private isSwitching = false;
 
+  /** Bytes of the connection itself. */
+  private ownBytes = CONNECTION_BYTES;
+
   private hasEnded = false;
 
   private progress = 0;
@@ -80,7 +86,7 @@
 
   get heldBytes(): number {
     return [...this.requests]
-      .reduce((sum, { requests, bodies }) => sum + requests + bodies, CONNECTION_BYTES);
+      .reduce((sum, { requests, bodies }) => sum + requests + bodies, this.ownBytes);
   }
 
   idleMs(nowMs: number): number | undefined {
@@ -94,6 +100,7 @@
   }
 
   evict(): void {
+    ignoreRequests(this.socket);
     this.requests.forEach(({ res }) => cutResponse(res));
     this.socket.destroy();
     this.end();
@@ -139,6 +146,7 @@
     this.isClosing = true;
     // The rest of the body stays unread, and the client has a moment to read the refusal.
     Object.assign(socket, { destroySoon: () => closeIdle(socket) });
+    ignoreRequests(socket);
     pauseParser(socket);
     process.nextTick(() => {
       this.reader ??= new SlicedReader(socket);
@@ -152,6 +160,11 @@
     this.isSwitching = true;
     process.nextTick(() => {
       if (this.isClosing || this.hasEnded) return;
+      if (!this.context.account.tryReserve('connections', SLICED_BYTES)) {
+        this.evict();
+        return;
+      }
+      this.ownBytes += SLICED_BYTES;
       this.reader = new SlicedReader(this.socket);
       this.reader.pause();
       if (this.requests.size < this.maxRequests) this.reader.resume();
@@ -192,7 +205,7 @@
     this.hasEnded = true;
     const { account } = this.context;
     account.removeHolder(this);
-    account.release('connections', CONNECTION_BYTES);
+    account.release('connections', this.ownBytes);
     this.requests.forEach((request) => this.release(request));
     this.requests.clear();
     this.onEnd();
--- a/packages/caller/src/ParsedSocket.ts
+++ b/packages/caller/src/ParsedSocket.ts
@@ -5,7 +5,7 @@
  * client that does not read its responses. Node has no public interface for this.
  */
 interface ParsedSocket extends Socket {
-  parser?: { pause: () => void; resume: () => void } | null;
+  parser?: { pause: () => void; resume: () => void; onIncoming: () => number } | null;
   /** Whether the server does not read; it reads on once its responses have been sent. */
   _paused?: boolean;
   _handle?: { reading: boolean; readStart: () => void; readStop: () => void } | null;
--- a/packages/caller/src/estimateHeldBytes.ts
+++ b/packages/caller/src/estimateHeldBytes.ts
@@ -2,8 +2,8 @@
 
 /** Objects of a request and of its response, as measured with pipelined requests. */
 const REQUEST_BYTES = 4096;
-/** A head is kept as it arrived and as a table. */
-const HEAD_COPIES = 2;
+/** A head is kept as it arrived and as a table, and the response may repeat parts of it. */
+const HEAD_COPIES = 4;
 /**
  * Bytes of a body that a request holds at most without a budget of its own: 64 KiB for a repeat,
  * the chunk that was read last, and as much in the buffers of the system.
--- a/packages/core/src/limits/ResourceAccount.ts
+++ b/packages/core/src/limits/ResourceAccount.ts
@@ -6,7 +6,7 @@
 const MIN_IDLE_MS = 500;
 
 /** Number of reservations in a series. */
-const SERIES = 128;
+const SERIES = 64;
 
 /**
  * Counts the bytes that a process holds for its clients, by kind. When the limit is reached, the
--- a/packages/core/src/limits/deriveResourceLimits.ts
+++ b/packages/core/src/limits/deriveResourceLimits.ts
@@ -2,7 +2,7 @@
 /** Resident memory of an idle process, as measured on x86-64, with a margin of 10 MB. */
 const PROCESS_MB = 120;
 /** The rest is for bytes that are freed only at the next garbage collection. */
-const HELD_SHARE = 0.6;
+const HELD_SHARE = 0.5;
 /** Least budget, with which a process with less memory than it needs serves at all. */
 const MIN_BYTES = 8 * BYTES_PER_MB;
 /** Budget without a setting: above what bodies and 10,000 connections held before it existed. */
