--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -4,7 +4,8 @@
 import { Ok, type Result } from 'ts-results';
 
 import CallerListener from '@guavayard/caller/CallerListener';
-import ByteBudget from '@guavayard/core/limits/ByteBudget';
+import defaultLimits from '@guavayard/caller/defaultLimits';
+import SharedByteBudget from '@guavayard/core/limits/SharedByteBudget';
 import CrashWatch from '@guavayard/gateway/CrashWatch';
 import GatewayHandler from '@guavayard/gateway/GatewayHandler';
 import KeyGate from '@guavayard/gateway/KeyGate';
@@ -95,6 +96,7 @@
   const {
     bounds, hedging, regions, rollout,
   } = settings;
+  const { account, connections } = context;
   const sender = new UndiciTargetSender({
     keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
     localAddress: settings.vm.bindsToIp ? settings.vm.ip : undefined,
@@ -228,13 +230,17 @@
     crashes,
     keys,
     log: requestLog,
-    responseBytes: new ByteBudget(RESPONSE_BUFFER_BYTES),
-    requestBytes: new ByteBudget(REQUEST_BUFFER_BYTES),
+    responseBytes: new SharedByteBudget(RESPONSE_BUFFER_BYTES, account, 'responses'),
+    requestBytes: new SharedByteBudget(REQUEST_BUFFER_BYTES, account, 'waitingBodies'),
     relay,
     quotas,
     version: () => subscription.declaration?.version ?? 0,
   }, () => subscription.declaration);
-  const caller = new CallerListener(handler, { onError: (err) => errors.report(err, 'request') });
+  const caller = new CallerListener(handler, {
+    limits: { ...defaultLimits, connections },
+    account,
+    onError: (err) => errors.report(err, 'request'),
+  });
   const admission = new RelayAdmission({
     pool, prober, placement, version: () => subscription.declaration?.version,
   });
--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -84,7 +84,9 @@
   });
   // After the registry, so that an entry gets its view before the shares.
   if (quotas !== undefined) hub.addHandler(quotas);
-  const api = new ControlApi(task, settings.regions, splitHostPort(address).port);
+  const api = new ControlApi(task, settings.regions, splitHostPort(address).port, {
+    account: context.account, connections: context.connections,
+  });
   const bound = await listeners.bind(api.server, address, 'control');
   if (bound.err) return bound;
   return Ok({
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -89,6 +89,26 @@
     this.serve(req, new DirectReply(res, dialect, requestId));
   }
 
+  /**
+   * Refuses a request for which the process has no room; its body is not read.
+   *
+   * @param req - the caller's request
+   * @param res - the caller's response, after which the connection is closed
+   */
+  refuse(req: IncomingMessage, res: ServerResponse): void {
+    const { dialect, log } = this.dependencies;
+    const { requestId } = dialect.readRequest(req);
+    const failure: Failure = { kind: 'overloaded', detail: 'the process has no room for it' };
+    const retryAfterMs = RETRY_AFTER_MS * (1 + Math.random());
+    const { status, headers, body } = dialect
+      .createFailureResponse(failure, requestId, retryAfterMs);
+    res.writeHead(status, { ...headers, connection: 'close' });
+    res.end(body);
+    log.write({
+      requestId, attempts: [], decision: failure.kind, detail: failure.detail, status, ms: 0,
+    });
+  }
+
   /**
    * Serves a request that another entry relays to this one.
    *
@@ -104,7 +124,7 @@
     if (request.ok) {
       const quota = this.dependencies.quotas?.admit(request.val);
       if (quota?.err === true) {
-        this.refuse(req, reply, quota.val.failure, quota.val.retryAfterMs, request.val);
+        this.refuseBeforeStart(req, reply, quota.val.failure, quota.val.retryAfterMs, request.val);
         return;
       }
       const admitted = { ...request.val, quota: quota?.val };
@@ -116,11 +136,11 @@
     }
     const delayMs = RETRY_DELAYS[request.val.kind];
     const retryAfterMs = delayMs === undefined ? undefined : delayMs * (1 + Math.random());
-    this.refuse(req, reply, request.val, retryAfterMs);
+    this.refuseBeforeStart(req, reply, request.val, retryAfterMs);
   }
 
   /** Refuses a request before an exchange has started, and logs why. */
-  private refuse(
+  private refuseBeforeStart(
     req: InboundRequest,
     reply: CallerReply,
     failure: Failure,
