--- a/packages/cli/src/gateway/GatewayContext.ts
+++ b/packages/cli/src/gateway/GatewayContext.ts
@@ -1,5 +1,6 @@
 import type Logger from 'bunyan';
 
+import type ResourceAccount from '@guavayard/core/limits/ResourceAccount';
 import type VmHub from '@guavayard/vm/session/VmHub';
 import type VmIdentity from '@guavayard/vm/session/VmIdentity';
 
@@ -10,6 +11,10 @@
 /** Dependencies that are passed to each role of a VM when it starts. */
 interface GatewayContext {
   readonly settings: GatewaySettings;
+  /** What the process holds for its clients. */
+  readonly account: ResourceAccount;
+  /** Maximum number of connections of clients. */
+  readonly connections: number;
   readonly identity: VmIdentity;
   readonly hub: VmHub;
   readonly log: Logger;
--- a/packages/cli/src/gateway/runGateway.ts
+++ b/packages/cli/src/gateway/runGateway.ts
@@ -3,6 +3,8 @@
 import { createLogger } from 'bunyan';
 import { Err, Ok, type Result } from 'ts-results';
 
+import deriveResourceLimits from '@guavayard/core/limits/deriveResourceLimits';
+import ResourceAccount from '@guavayard/core/limits/ResourceAccount';
 import splitHostPort from '@guavayard/core/utils/splitHostPort';
 import createStartId from '@guavayard/vm/session/createStartId';
 import protocolVersion from '@guavayard/vm/session/protocolVersion';
@@ -17,6 +19,7 @@
 import readGatewaySettings from '../settings/readGatewaySettings';
 import readWhenWhole from '../settings/readWhenWhole';
 import BoundedLogStream from './BoundedLogStream';
+import GarbageWatch from './GarbageWatch';
 import type GatewayContext from './GatewayContext';
 import type GatewayRole from './GatewayRole';
 import ListenerGroup from './ListenerGroup';
@@ -65,7 +68,7 @@
 
 async function serveMetrics(
   {
-    settings, errors, hub, listeners,
+    settings, errors, hub, listeners, account,
   }: GatewayContext,
   roles: readonly GatewayRole[],
 ): Promise<void> {
@@ -78,6 +81,10 @@
     errors: errors.count,
     unboundListeners: listeners.waitingCount,
     sharedProtocolVersion: hub.sharedProtocolVersion,
+    held: account.listHeld(),
+    heldLimitBytes: account.limitBytes,
+    evictions: account.evictedCount,
+    refusedReservations: account.refusedCount,
   }), buildId);
   roles.forEach(({ attachMetrics }) => attachMetrics?.(metrics));
   listeners.bindOptional(metrics.server, settings.metrics.listen, 'metrics');
@@ -155,8 +162,20 @@
     transport: transport.val, log, onError: (err) => errors.report(err, 'session'),
   });
   const listeners = new ListenerGroup(log, () => stop.startServing());
+  const { memoryMb } = settings.vm;
+  const garbage = memoryMb === undefined ? undefined : new GarbageWatch(memoryMb);
+  const { bytes, connections } = deriveResourceLimits(settings.vm);
+  const account = new ResourceAccount(bytes, () => performance.now(), () => garbage?.check());
   const context: GatewayContext = {
-    settings, identity, hub, log, errors, listeners, seeds: listSeedAddresses(settings),
+    settings,
+    account,
+    connections,
+    identity,
+    hub,
+    log,
+    errors,
+    listeners,
+    seeds: listSeedAddresses(settings),
   };
   if (settings.control !== undefined) {
     // A second process of this VM must not open the data folder while the first one writes to it.
--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -4,22 +4,30 @@
 import { Ok, type Result } from 'ts-results';
 
 import CallerListener from '@guavayard/caller/CallerListener';
-import ByteBudget from '@guavayard/core/limits/ByteBudget';
+import defaultLimits from '@guavayard/caller/defaultLimits';
+import SharedByteBudget from '@guavayard/core/limits/SharedByteBudget';
 import CrashWatch from '@guavayard/gateway/CrashWatch';
 import GatewayHandler from '@guavayard/gateway/GatewayHandler';
+import KeyGate from '@guavayard/gateway/KeyGate';
 import Placement from '@guavayard/gateway/Placement';
+import QuotaGate from '@guavayard/gateway/QuotaGate';
 import RelayAdmission from '@guavayard/gateway/RelayAdmission';
 import RequestLog from '@guavayard/gateway/RequestLog';
 import TargetPool from '@guavayard/gateway/TargetPool';
 import TargetProber from '@guavayard/gateway/TargetProber';
+import TenantSource from '@guavayard/gateway/TenantSource';
 import PlatformDialect from '@guavayard/platform/PlatformDialect';
 import ReadinessApi from '@guavayard/platform/ReadinessApi';
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
+import CurrencyClient from '@guavayard/vm/registry/CurrencyClient';
+import QuotaEntryTask from '@guavayard/vm/quota/QuotaEntryTask';
 import RegistrySubscription from '@guavayard/vm/registry/RegistrySubscription';
 import RelayClient from '@guavayard/vm/relay/RelayClient';
 import RelayServer from '@guavayard/vm/relay/RelayServer';
+import RolloutReporter from '@guavayard/vm/rollouts/RolloutReporter';
 
 import createVmClock from '../run/createVmClock';
+import createQuotaRule from '../settings/createQuotaRule';
 import type GatewayContext from './GatewayContext';
 import type GatewayRole from './GatewayRole';
 import warmUpRequestPath from './warmUpRequestPath';
@@ -60,6 +68,11 @@
 /** Upper bound of that time as a share of the grace period. */
 const ACCEPTS_ALL_SHARE = 0.4;
 
+/** Share of the time to take a version back after which an entry without control does so. */
+const CONTACT_SHARE = 0.5;
+/** Time to take a version back where the settings have none, as after they were removed. */
+const DEFAULT_ROLLBACK_SECONDS = 5;
+
 function clock(): number {
   return performance.now();
 }
@@ -80,7 +93,10 @@
   const {
     settings, identity, hub, log, errors, seeds, listeners,
   } = context;
-  const { bounds, regions } = settings;
+  const {
+    bounds, hedging, regions, rollout,
+  } = settings;
+  const { account, connections } = context;
   const sender = new UndiciTargetSender({
     keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
     localAddress: settings.vm.bindsToIp ? settings.vm.ip : undefined,
@@ -97,6 +113,8 @@
     regionOf: (dataCentre) => regions[dataCentre] ?? '',
     coldBurstFactor: bounds.coldBurstFactor,
     coldSlack: bounds.coldSlack,
+    contactTimeoutMs: CONTACT_SHARE * MS_PER_SECOND
+      * (rollout?.rollbackSeconds ?? DEFAULT_ROLLBACK_SECONDS),
     shareWindowMs: bounds.retryWindowSeconds * MS_PER_SECOND,
     onTargetRemoved: (address) => sender.closeConnections(address),
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a response
@@ -122,6 +140,7 @@
     retryWindowMs: bounds.retryWindowSeconds * MS_PER_SECOND,
     // At the first start of the system, no earlier process has retried anything.
     startedAtMs: settings.vm.isFirstStart ? -Infinity : clock(),
+    hedgeShare: hedging.share,
   });
   const crashes = new CrashWatch({
     clock,
@@ -133,31 +152,66 @@
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- called only on a response
     reportAnswered: (fingerprint) => subscription.reportAnswered(fingerprint),
   });
+  const tenants = new TenantSource();
+  const currency = settings.revocation === undefined ? undefined
+    : new CurrencyClient(settings.revocation.seconds * MS_PER_SECOND, createVmClock());
+  const rule = createQuotaRule(settings);
+  const quotaTask = rule === undefined ? undefined : new QuotaEntryTask({
+    hub, entryName: identity.name, rule, clock: createVmClock(), random: Math.random,
+  });
+  const quotas = quotaTask === undefined ? undefined : new QuotaGate(quotaTask);
   const subscription: RegistrySubscription = new RegistrySubscription({
     hub,
     identity,
     seeds,
     clock,
+    currency,
     listener: {
       onChange: () => {
-        const { declaration, evacuated, targets } = subscription;
+        const {
+          declaration, evacuated, targets, rollouts,
+        } = subscription;
+        tenants.update(declaration);
+        pool.versions.update(rollouts);
         pool.update(declaration, evacuated, targets);
+        // eslint-disable-next-line @typescript-eslint/no-use-before-define -- set by then
+        reporter.update();
         if (declaration === undefined) return;
         // eslint-disable-next-line @typescript-eslint/no-use-before-define -- set by then
         caller.server.keepAliveTimeout = declaration.limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS;
       },
-      onContact: () => pool.share.recordContact(clock()),
-      onRosterChange: ({ entries }) => pool.setEntries(entries),
+      onContact: () => {
+        pool.share.recordContact(clock());
+        quotaTask?.recordContact();
+        pool.versions.recordContact();
+      },
+      onRosterChange: ({ entries }) => {
+        pool.setEntries(entries);
+        quotaTask?.setEntries(entries.map(({ name }) => name));
+      },
       onRequestLimits: (notices) => pool.recordLimitNotices(notices),
       onCrash: (fingerprint, targetId) => crashes.recordReportedCrash(fingerprint, targetId),
       onKnownCrashes: (fingerprint, count) => crashes.recordKnownCrashes(fingerprint, count),
       onRequestAnswered: (fingerprint) => crashes.recordReportedAnswer(fingerprint),
       onSourceChange: (control, reason) => {
         pool.setFollowing(control !== undefined);
+        quotaTask?.setSource(control);
         log.info({ control, reason, version: subscription.declaration?.version }, 'control VM changed');
       },
     },
   });
+  const keys = new KeyGate({
+    dialect,
+    directory: () => tenants.directory,
+    isProven: () => currency?.isProven ?? true,
+  });
+  const reporter = new RolloutReporter({
+    clock,
+    name: identity.name,
+    startId: identity.startId,
+    list: () => pool.rolloutCounts,
+    send: (message, sinceVersion) => subscription.report(message, sinceVersion),
+  });
   const requestLog = new RequestLog(log, clock);
   const relay = new RelayClient({
     hub,
@@ -174,13 +228,19 @@
     placement,
     prober,
     crashes,
+    keys,
     log: requestLog,
-    responseBytes: new ByteBudget(RESPONSE_BUFFER_BYTES),
-    requestBytes: new ByteBudget(REQUEST_BUFFER_BYTES),
+    responseBytes: new SharedByteBudget(RESPONSE_BUFFER_BYTES, account, 'responses'),
+    requestBytes: new SharedByteBudget(REQUEST_BUFFER_BYTES, account, 'waitingBodies'),
     relay,
+    quotas,
     version: () => subscription.declaration?.version ?? 0,
   }, () => subscription.declaration);
-  const caller = new CallerListener(handler, { onError: (err) => errors.report(err, 'request') });
+  const caller = new CallerListener(handler, {
+    limits: { ...defaultLimits, connections },
+    account,
+    onError: (err) => errors.report(err, 'request'),
+  });
   const admission = new RelayAdmission({
     pool, prober, placement, version: () => subscription.declaration?.version,
   });
@@ -199,6 +259,7 @@
   subscription.start();
   // While control is being reached, the processor is idle.
   warmUpRequestPath(settings.vm.ip).catch((err: unknown) => log.warn({ err }, 'request path is not warmed up'));
+  if (quotaTask !== undefined) hub.addHandler(quotaTask);
   const keepAliveTimer = setInterval(
     () => {
       pool.observeTime();
@@ -216,6 +277,14 @@
       unreachableServices: pool.paths.reachability.unreachableCount,
       sharingEntries: pool.share.findShare(clock())?.entryCount ?? 0,
       refusedRetries: placement.refusedRetries,
+      keys: keys.keyCount,
+      refusedKeys: keys.refusedCount,
+      unprovenKeys: keys.unprovenCount,
+      quotaAsked: quotas?.asked ?? 0,
+      quotaRefused: quotas?.refused ?? 0,
+      quotaLimitedTenants: quotaTask?.limitedCount ?? 0,
+      runningRollouts: pool.versions.underWayCount,
+      rolloutSends: pool.versions.sentCount,
       version: subscription.declaration?.version ?? 0,
       isCurrent: subscription.isFollowing,
       leaderSilenceMs: 0,
@@ -244,6 +313,7 @@
       await Promise.race([stopped, sleep(Math.max(0, endsAtMs + END_MARGIN_MS - clock()))]);
       caller.cutAllPartial();
       relay.close();
+      quotaTask?.close();
     },
   });
 }
--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -3,12 +3,17 @@
 import { Ok, type Result } from 'ts-results';
 
 import ControlApi from '@guavayard/platform/ControlApi';
+import createEntrySource from '@guavayard/platform/createEntrySource';
+import readTenantTable from '@guavayard/core/tenants/readTenantTable';
 import RegistryTask from '@guavayard/vm/registry/RegistryTask';
+import QuotaControlTask from '@guavayard/vm/quota/QuotaControlTask';
 import splitHostPort from '@guavayard/core/utils/splitHostPort';
 
 import closeServer from '../run/closeServer';
 import createVmClock from '../run/createVmClock';
+import createQuotaRule from '../settings/createQuotaRule';
 import awaitReplica from './awaitReplica';
+import createTenantReader from './createTenantReader';
 import type GatewayContext from './GatewayContext';
 import type GatewayRole from './GatewayRole';
 
@@ -34,7 +39,7 @@
   const {
     settings, identity, hub, log, seeds, listeners,
   } = context;
-  const { bounds, vm } = settings;
+  const { bounds, vm, rollout } = settings;
   const opened = await awaitReplica({
     path: folderPath,
     vmName: identity.name,
@@ -60,6 +65,8 @@
     targetTimeoutMs: MAX_MISSED_HEARTBEATS * bounds.targetHeartbeatSeconds * MS_PER_SECOND,
     dataCentres: new Set(Object.keys(settings.regions)),
     timeOfDay: Date.now,
+    createEntrySource,
+    rollout,
     onFailure: (err) => {
       log.fatal({ err }, 'the replica has failed; exiting to replay its log');
       task.close();
@@ -67,7 +74,19 @@
     },
   });
   task.start();
-  const api = new ControlApi(task, settings.regions, splitHostPort(address).port);
+  const rule = createQuotaRule(settings);
+  const quotas = rule === undefined ? undefined : new QuotaControlTask({
+    hub,
+    rule,
+    tenants: createTenantReader(() => task.declaration, (source) => (
+      readTenantTable(createEntrySource(source))?.tenants ?? [])),
+    clock: createVmClock(),
+  });
+  // After the registry, so that an entry gets its view before the shares.
+  if (quotas !== undefined) hub.addHandler(quotas);
+  const api = new ControlApi(task, settings.regions, splitHostPort(address).port, {
+    account: context.account, connections: context.connections,
+  });
   const bound = await listeners.bind(api.server, address, 'control');
   if (bound.err) return bound;
   return Ok({
@@ -79,7 +98,15 @@
       unreachableServices: 0,
       sharingEntries: 0,
       refusedRetries: 0,
+      keys: 0,
+      refusedKeys: 0,
+      unprovenKeys: 0,
+      quotaAsked: 0,
+      quotaRefused: 0,
+      quotaLimitedTenants: quotas?.limitedCount ?? 0,
       version: task.version,
+      runningRollouts: task.rolloutCount,
+      rolloutSends: 0,
       isCurrent: task.isCurrent,
       leaderSilenceMs: task.leaderSilenceMs,
       silentMembers: task.silentMemberCount,
@@ -89,6 +116,7 @@
       // At once, so that a caller that holds up the one cannot keep the other from happening.
       await Promise.all([closeServer(api.server), task.leave()]);
       task.close();
+      quotas?.close();
     },
   });
 }
--- a/packages/cli/src/gateway/warmUpRequestPath.ts
+++ b/packages/cli/src/gateway/warmUpRequestPath.ts
@@ -10,6 +10,7 @@
 import type Declaration from '@guavayard/core/registry/Declaration';
 import CrashWatch from '@guavayard/gateway/CrashWatch';
 import GatewayHandler from '@guavayard/gateway/GatewayHandler';
+import KeyGate from '@guavayard/gateway/KeyGate';
 import Placement from '@guavayard/gateway/Placement';
 import RequestLog from '@guavayard/gateway/RequestLog';
 import TargetPool from '@guavayard/gateway/TargetPool';
@@ -99,6 +100,7 @@
     regionOf: () => NAME,
     coldBurstFactor: 1,
     coldSlack: 0,
+    contactTimeoutMs: TIMEOUT_MS,
     shareWindowMs: TIMEOUT_MS,
     onTargetRemoved: () => undefined,
     shareLimit: () => undefined,
@@ -144,6 +146,7 @@
     crashes: new CrashWatch({
       clock, log, pool, prober, report: () => undefined, reportAnswered: () => undefined,
     }),
+    keys: new KeyGate({ dialect, directory: () => undefined, isProven: () => true }),
     log: new RequestLog(log, clock),
     responseBytes: new ByteBudget(BUFFER_BYTES),
     requestBytes: new ByteBudget(BUFFER_BYTES),
--- a/packages/cli/src/settings/GatewaySettings.ts
+++ b/packages/cli/src/settings/GatewaySettings.ts
@@ -12,6 +12,10 @@
   /** Distinguishes these settings from those of a system that is configured by patches. */
   mode: z.literal('declared'),
   vm: z.object({
+    /** Memory of the VM, in megabytes, from which the account of held bytes is derived. */
+    memoryMb: z.number().positive().optional(),
+    /** Descriptors that the process may have open, from which the connections are derived. */
+    maxFds: z.int().positive().optional(),
     /** Human-readable name; VMs identify each other by IP address. */
     label: ExternalName,
     ip: z.ipv4(),
@@ -52,6 +56,43 @@
     coldSlack: z.number().min(0),
     probesPerSecond: z.number().min(0),
   }),
+  /** Second attempts of requests that are late; without a share, no request is hedged. */
+  hedging: z.object({
+    /** Hedges for each first request of a service, at most; they also need the retry budget. */
+    share: z.number().min(0).max(1).optional(),
+  }).default({}),
+  /** Revocation of keys within a bound, at every entry; without it, entries use what they know. */
+  revocation: z.object({
+    /** Time after which a key that a configuration has taken away works at no entry, in seconds. */
+    seconds: z.number().positive(),
+  }).optional(),
+  /** Limits of tenants over all entries; without them, rates of tenants are not limits. */
+  quota: z.object({
+    /** Window in which the requests of a tenant are bounded, in seconds. */
+    windowSeconds: z.number().positive(),
+    /** Tolerated requests beyond rate and burst in a window, as a share of them. */
+    overage: z.number().min(0),
+    /** Tolerated requests beyond that. */
+    slack: z.number().min(0),
+  }).optional(),
+  /**
+   * How versions of services are brought in by degrees. Without it they are not, and versions of
+   * targets are not recorded, so that an older build can read the log.
+   */
+  rollout: z.object({
+    /**
+     * Largest share of the requests to a service that a bad version may get between an order and
+     * its deadline.
+     */
+    share: z.number().gt(0).lt(1).default(0.1),
+    /** Requests beyond the share that a bad version may get, for messages that come late. */
+    slack: z.number().min(0).default(50),
+    /**
+     * Longest time for which a version that turns out to be bad gets requests, in seconds. An entry
+     * without control sends it none after half of that.
+     */
+    rollbackSeconds: z.number().gt(0).default(5),
+  }).optional(),
   /** Listener that serves metrics; without it none are served. */
   metrics: z.object({ listen: HostPort }).optional(),
   log: z.object({ level: z.enum(['debug', 'info', 'warn', 'error']) }).default({ level: 'info' }),
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -12,6 +12,7 @@
 import matchDeclaredRoute from '@guavayard/core/placement/matchDeclaredRoute';
 import mayFinishBeforeStop from '@guavayard/core/shutdown/mayFinishBeforeStop';
 import type StopWindow from '@guavayard/core/shutdown/StopWindow';
+import applyTenant from '@guavayard/core/tenants/applyTenant';
 import WeightedRoundRobin from '@guavayard/core/placement/WeightedRoundRobin';
 import type RelayedHead from '@guavayard/core/relay/RelayedHead';
 import createFingerprint from '@guavayard/core/quarantine/createFingerprint';
@@ -34,10 +35,16 @@
  * jitter as above. It is short, because the caller reaches another entry.
  */
 const STOPPING_RETRY_AFTER_MS = 30;
+/**
+ * Retry delay for a caller whose key this entry cannot confirm, in milliseconds, with jitter as
+ * above. It is short, because most often other entries can.
+ */
+const UNPROVEN_RETRY_AFTER_MS = 30;
 /** Retry delays by the reason of the refusal; the others say none. */
 const RETRY_DELAYS: Partial<Record<ErrorKind, number>> = {
   noConfiguration: RETRY_AFTER_MS,
   shuttingDown: STOPPING_RETRY_AFTER_MS,
+  keysUnproven: UNPROVEN_RETRY_AFTER_MS,
 };
 
 /** Where a relayed request comes from, and what the other entry tells of it. */
@@ -82,6 +89,26 @@
     this.serve(req, new DirectReply(res, dialect, requestId));
   }
 
+  /**
+   * Refuses a request for which the process has no room; its body is not read.
+   *
+   * @param req - the caller's request
+   * @param res - the caller's response, after which the connection is closed
+   */
+  refuse(req: IncomingMessage, res: ServerResponse): void {
+    const { dialect, log } = this.dependencies;
+    const { requestId } = dialect.readRequest(req);
+    const failure: Failure = { kind: 'overloaded', detail: 'the process has no room for it' };
+    const retryAfterMs = RETRY_AFTER_MS * (1 + Math.random());
+    const { status, headers, body } = dialect
+      .createFailureResponse(failure, requestId, retryAfterMs);
+    res.writeHead(status, { ...headers, connection: 'close' });
+    res.end(body);
+    log.write({
+      requestId, attempts: [], decision: failure.kind, detail: failure.detail, status, ms: 0,
+    });
+  }
+
   /**
    * Serves a request that another entry relays to this one.
    *
@@ -95,21 +122,44 @@
   private serve(req: InboundRequest, reply: CallerReply, relayed?: RelayOrigin): void {
     const request = this.accept(req, relayed);
     if (request.ok) {
-      const exchange = new GatewayExchange(this.dependencies, request.val, reply);
+      const quota = this.dependencies.quotas?.admit(request.val);
+      if (quota?.err === true) {
+        this.refuseBeforeStart(req, reply, quota.val.failure, quota.val.retryAfterMs, request.val);
+        return;
+      }
+      const admitted = { ...request.val, quota: quota?.val };
+      const exchange = new GatewayExchange(this.dependencies, admitted, reply);
       this.exchanges.add(exchange);
       reply.onClose(() => this.exchanges.delete(exchange));
       exchange.start();
       return;
     }
-    const { requestId } = this.dependencies.dialect.readRequest(req);
     const delayMs = RETRY_DELAYS[request.val.kind];
     const retryAfterMs = delayMs === undefined ? undefined : delayMs * (1 + Math.random());
-    const status = reply.refuse(request.val, retryAfterMs);
+    this.refuseBeforeStart(req, reply, request.val, retryAfterMs);
+  }
+
+  /** Refuses a request before an exchange has started, and logs why. */
+  private refuseBeforeStart(
+    req: InboundRequest,
+    reply: CallerReply,
+    failure: Failure,
+    retryAfterMs: number | undefined,
+    request?: GatewayRequest,
+  ): void {
+    const { requestId } = this.dependencies.dialect.readRequest(req);
+    const status = reply.refuse(failure, retryAfterMs);
     this.dependencies.log.write({
       requestId,
+      ...(request === undefined ? {} : {
+        route: request.routeName,
+        service: request.service,
+        version: request.version,
+        retryAfterMs: Math.round(retryAfterMs ?? 0),
+      }),
       attempts: [],
-      decision: request.val.kind,
-      detail: request.val.detail,
+      decision: failure.kind,
+      detail: failure.detail,
       status,
       ms: 0,
     });
@@ -147,7 +197,14 @@
     const path = req.url ?? '/';
     const match = matchDeclaredRoute(declaration, host, path);
     if (match === undefined) return fail('noRoute', `version ${declaration.version}`);
-    const [routeName, route] = match;
+    const [routeName, declaredRoute] = match;
+    const { keys } = this.dependencies;
+    const tenant = keys.findTenant(req.rawHeaders, routeName);
+    if (tenant.err) return tenant;
+    const route = applyTenant(declaredRoute, tenant.val);
+    if (route.homeRegions?.length === 0) {
+      return fail('noTarget', 'no region is allowed for both the route and the tenant');
+    }
     const method = req.method ?? 'GET';
     const fingerprint = createFingerprint({
       caller: req.socket.remoteAddress ?? '',
@@ -165,6 +222,7 @@
     if (this.stop !== undefined && !mayFinishBeforeStop(this.stop, deadlineMs, arrivedAtMs)) {
       return fail('shuttingDown', 'the request may outlast the stop');
     }
+    const service = this.chooseService(routeName, route, relayed);
     return Ok({
       req,
       requestId,
@@ -173,7 +231,10 @@
       path,
       routeName,
       route,
-      service: this.chooseService(routeName, route, relayed),
+      tenant: tenant.val,
+      service,
+      // The entry that relays a request has counted it.
+      isCanary: relayed === undefined && this.dependencies.pool.versions.choose(service),
       maxBodyBytes: declaration.limits.maxBodyBytes,
       version: declaration.version,
       arrivedAtMs,
--- a/packages/gateway/src/GatewayRequest.ts
+++ b/packages/gateway/src/GatewayRequest.ts
@@ -2,6 +2,8 @@
 import type DeclaredRoute from '@guavayard/core/registry/DeclaredRoute';
 import type DeclaredTenant from '@guavayard/core/tenants/DeclaredTenant';
 
+import type QuotaCredit from './QuotaCredit';
+
 /** A caller's request that matched a route. */
 interface GatewayRequest {
   readonly req: InboundRequest;
@@ -11,10 +13,15 @@
   readonly method: string;
   readonly path: string;
   readonly routeName: string;
+  /** The route, with priority and home regions as they apply to the tenant. */
   readonly route: DeclaredRoute;
   readonly service: string;
+  /** Whether it was chosen for the target version of a roll-out. */
+  readonly isCanary: boolean;
   /** Tenant that holds the key of the request; undefined on public routes and without tenants. */
   readonly tenant?: DeclaredTenant | undefined;
+  /** What it takes from the quota of its tenant; undefined if it has none. */
+  readonly quota?: QuotaCredit | undefined;
   /** Maximum size of the body, in bytes. */
   readonly maxBodyBytes: number;
   /** Version of the declaration that contains the route. */
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -9,12 +9,16 @@
 import type DeclaredRoute from '@guavayard/core/registry/DeclaredRoute';
 import type RequestLimitNotice from '@guavayard/core/requestLimit/RequestLimitNotice';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
+import TenantDirectory from '@guavayard/core/tenants/TenantDirectory';
+import type TenantTable from '@guavayard/core/tenants/TenantTable';
 import type Random from '@guavayard/core/types/Random';
 
 import CrashWatch from '../../src/CrashWatch';
 import DirectReply from '../../src/DirectReply';
 import GatewayHandler from '../../src/GatewayHandler';
+import KeyGate from '../../src/KeyGate';
 import Placement from '../../src/Placement';
+import QuotaGate from '../../src/QuotaGate';
 import RelayAdmission from '../../src/RelayAdmission';
 import RequestLog from '../../src/RequestLog';
 import TargetPool from '../../src/TargetPool';
@@ -62,6 +66,12 @@
   /** Version of the declaration in force. */
   version = 1;
 
+  /** Tenants of the declaration in force, undefined if it has none. */
+  tenants: TenantTable | undefined;
+
+  /** Whether the declaration is recent enough to decide about keys. */
+  isProven = true;
+
   evacuated = new Set<string>();
 
   /** Random numbers that the entry uses, from 0 to 1. */
@@ -89,9 +99,17 @@
   /** Ids of the targets of which control was told that they are about to leave. */
   readonly leavingIds: string[] = [];
 
+  /** Log lines of the requests that have ended. */
+  readonly lines: Parameters<RequestLog['write']>[0][] = [];
+
   /** Request limits that were shared with the other entries. */
   readonly notices: RequestLimitNotice[] = [];
 
+  /** Admits every request, unless a test replaces its decisions. */
+  readonly quotas = new QuotaGate({
+    decide: () => ({ isAdmitted: true }), adjust: () => undefined,
+  });
+
   private readonly handler: GatewayHandler;
 
   private readonly dialect = new PlainDialect();
@@ -113,11 +131,14 @@
     private readonly t: TestContext,
     route: Partial<DeclaredRoute> = {},
     probesPerSecond = 1000,
+    hedgeShare?: number,
   ) {
     t.mock.timers.enable({ apis: ['setTimeout'] });
     Object.assign(this.route, route);
     const clock = (): number => this.nowMs;
     const log = createLogger({ name: 'test', streams: [] });
+    const requestLog = new RequestLog(log, clock);
+    requestLog.observer = (line) => this.lines.push(line);
     const { dialect } = this;
     this.pool = new TargetPool({
       clock,
@@ -128,6 +149,7 @@
       regionOf: (dataCentre) => dataCentre,
       coldBurstFactor: 1.5,
       coldSlack: 5,
+      contactTimeoutMs: 2500,
       shareWindowMs: 10_000,
       onTargetRemoved: () => undefined,
       shareLimit: (notice) => this.notices.push(notice),
@@ -158,6 +180,7 @@
       retrySlack: 60,
       retryWindowMs: 10_000,
       startedAtMs: this.nowMs,
+      hedgeShare,
     });
     this.crashes = new CrashWatch({
       clock,
@@ -180,10 +203,16 @@
       placement,
       prober,
       crashes,
-      log: new RequestLog(log, clock),
+      log: requestLog,
+      keys: new KeyGate({
+        dialect,
+        directory: () => this.tenants && new TenantDirectory(this.tenants),
+        isProven: () => this.isProven,
+      }),
       responseBytes: this.responseBytes,
       requestBytes: this.requestBytes,
       relay: this.relay,
+      quotas: this.quotas,
       version: () => this.version,
     }, () => this.declaration);
   }
--- a/packages/metrics/src/GatewayMetrics.ts
+++ b/packages/metrics/src/GatewayMetrics.ts
@@ -22,6 +22,8 @@
   readonly decision: string;
   readonly ms: number;
   readonly attempts: readonly { readonly outcome: string }[];
+  /** What came of a wish to hedge it; undefined without one. */
+  readonly hedge?: string;
   /** The attempt of another entry, if one was given the request. */
   readonly relay?: { readonly outcome: string };
   /** The entry that relayed the request to this one. */
@@ -45,6 +47,14 @@
   readonly unreachableServices: number;
   readonly sharingEntries: number;
   readonly refusedRetries: number;
+  readonly keys: number;
+  readonly refusedKeys: number;
+  readonly unprovenKeys: number;
+  readonly quotaAsked: number;
+  readonly quotaRefused: number;
+  readonly quotaLimitedTenants: number;
+  readonly runningRollouts: number;
+  readonly rolloutSends: number;
   readonly version: number;
   readonly isCurrent: boolean;
   readonly leaderSilenceMs: number;
@@ -53,6 +63,11 @@
   readonly errors: number;
   readonly unboundListeners: number;
   readonly sharedProtocolVersion: number;
+  /** Bytes held for clients, by kind. */
+  readonly held: readonly (readonly [kind: string, bytes: number])[];
+  readonly heldLimitBytes: number;
+  readonly evictions: number;
+  readonly refusedReservations: number;
 }
 
 /**
@@ -68,6 +83,8 @@
 
   private readonly attempts: Counter;
 
+  private readonly hedges: Counter;
+
   private readonly relayed: Counter;
 
   private readonly servedForEntries: Counter;
@@ -87,6 +104,7 @@
     });
     this.requests = new Counter(options('requests_total'));
     this.attempts = new Counter(options('attempts_total'));
+    this.hedges = new Counter(options('hedges_total'));
     this.relayed = new Counter(options('relayed_requests_total'));
     this.servedForEntries = new Counter(options('served_for_entries_total'));
     this.latency = new Histogram({ ...options('request_seconds'), buckets: BUCKETS });
@@ -99,6 +117,15 @@
       ['unreachable_services', ({ unreachableServices }) => unreachableServices],
       ['sharing_entries', ({ sharingEntries }) => sharingEntries],
       ['refused_retries_total', ({ refusedRetries }) => refusedRetries],
+      ['keys', ({ keys }) => keys],
+      ['refused_keys_total', ({ refusedKeys }) => refusedKeys],
+      ['unproven_keys_total', ({ unprovenKeys }) => unprovenKeys],
+      ['quota_asked_total', ({ quotaAsked }) => quotaAsked],
+      ['quota_admitted_total', ({ quotaAsked, quotaRefused }) => quotaAsked - quotaRefused],
+      ['quota_refused_total', ({ quotaRefused }) => quotaRefused],
+      ['quota_limited_tenants', ({ quotaLimitedTenants }) => quotaLimitedTenants],
+      ['running_rollouts', ({ runningRollouts }) => runningRollouts],
+      ['rollout_sends_total', ({ rolloutSends }) => rolloutSends],
       ['declaration_version', ({ version }) => version],
       ['is_current', ({ isCurrent }) => Number(isCurrent)],
       ['leader_silence_seconds', ({ leaderSilenceMs }) => leaderSilenceMs / MS_PER_SECOND],
@@ -106,11 +133,15 @@
       ['pending_write_seconds', ({ pendingWriteMs }) => pendingWriteMs / MS_PER_SECOND],
       ['unexpected_errors_total', ({ errors }) => errors],
       ['unbound_listeners', ({ unboundListeners }) => unboundListeners],
+      ['held_limit_bytes', ({ heldLimitBytes }) => heldLimitBytes],
+      ['evictions_total', ({ evictions }) => evictions],
+      ['refused_reservations_total', ({ refusedReservations }) => refusedReservations],
       ['shared_messages_version', ({ sharedProtocolVersion }) => sharedProtocolVersion],
     ];
     const gauges = gaugeReaders.map(([name, value]) => (
       { gauge: new Gauge(options(name)), value }
     ));
+    const held = new Gauge(options('held_bytes'));
     this.server = createServer((req, res) => {
       if (req.url !== PATH) {
         res.writeHead(NOT_FOUND_STATUS).end();
@@ -118,6 +149,7 @@
       }
       const values = this.read();
       gauges.forEach(({ gauge, value }) => gauge.set(value(values)));
+      values.held.forEach(([kind, bytes]) => held.set({ kind }, bytes));
       this.registry.metrics().then((text) => {
         res.writeHead(200, { 'content-type': this.registry.contentType });
         res.end(text);
@@ -138,6 +170,7 @@
     request.attempts.forEach(({ outcome }) => {
       this.attempts.inc({ service, outcome: firstWord(outcome) });
     });
+    if (request.hedge !== undefined) this.hedges.inc({ service, outcome: request.hedge });
     if (request.relay !== undefined) {
       this.relayed.inc({ service, outcome: firstWord(request.relay.outcome) });
     }
--- a/packages/vm/src/messages/registryMessages.ts
+++ b/packages/vm/src/messages/registryMessages.ts
@@ -3,6 +3,7 @@
 import RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import RequestLimitNotice from '@guavayard/core/requestLimit/RequestLimitNotice';
 import Declaration from '@guavayard/core/registry/Declaration';
+import RolloutNotice from '@guavayard/core/rollouts/RolloutNotice';
 import ExternalName from '@guavayard/core/types/ExternalName';
 
 import VmLocation from '../registry/VmLocation';
@@ -20,6 +21,8 @@
     declaration: Declaration.optional(),
     evacuated: z.array(ExternalName),
     targets: z.array(RegisteredTarget),
+    /** The last roll-out of each service. From version 5 on. */
+    rollouts: z.array(RolloutNotice).optional(),
   }),
   /** Changes since the previous view or update; omitted fields are unchanged. */
   z.strictObject({
@@ -29,9 +32,26 @@
     evacuated: z.array(ExternalName).optional(),
     targets: z.array(RegisteredTarget),
     removedIds: z.array(z.string()),
+    rollouts: z.array(RolloutNotice).optional(),
   }),
   /** Reports whether the control VM leads or still receives messages from the leader. */
   z.strictObject({ kind: z.literal('registryPulse'), isCurrent: z.boolean() }),
+  /**
+   * An entry asks the control VM that it follows whether it holds all that was acknowledged before
+   * this question. From version 5 on.
+   */
+  z.strictObject({ kind: z.literal('currencyAsk'), number: z.int().min(0) }),
+  /** The entry does, once it has processed what was sent before this answer. From version 5 on. */
+  z.strictObject({ kind: z.literal('currencyAnswer'), number: z.int().min(0) }),
+  /** A control VM asks the leader for a read point. From version 5 on. */
+  z.strictObject({ kind: z.literal('readPointAsk'), number: z.int().min(0) }),
+  /**
+   * Index of the log that includes all that was acknowledged before the question, after a quorum
+   * has confirmed the leader. From version 5 on.
+   */
+  z.strictObject({
+    kind: z.literal('readPoint'), number: z.int().min(0), index: z.int().min(0),
+  }),
   /** A control VM reports to the leader which targets and entries have contacted it. */
   z.strictObject({
     kind: z.literal('presence'), targetIds: z.array(z.string()), entries: z.array(VmLocation),
