--- a/packages/core/src/rollouts/planRollout.ts
+++ b/packages/core/src/rollouts/planRollout.ts
@@ -29,9 +29,13 @@
 /** Time before the switch at which it is decided, so that all entries know of it in time, in ms. */
 const DECISION_LEAD_MS = 500;
 /** Shortest last phase, in milliseconds. */
-const MIN_SWITCH_MS = 300;
-/** Time before the deadline at which the outcome is written, in milliseconds. */
-const COMPLETION_LEAD_MS = 200;
+const MIN_SWITCH_MS = 500;
+/**
+ * Time before the deadline at which the outcome is written, in milliseconds. An operator counts from
+ * the moment at which the order was sent, and an order that reached a second control VM was accepted
+ * 0.3 s later.
+ */
+const COMPLETION_LEAD_MS = 400;
 
 /**
  * Plans a roll-out so that the target version gets at most a share of all requests between the
