--- a/packages/gateway/src/PlacementQueue.ts
+++ b/packages/gateway/src/PlacementQueue.ts
@@ -1,10 +1,6 @@
 import AdmissionControl from '@guavayard/core/placement/AdmissionControl';
-import estimateCost from '@guavayard/core/placement/estimateCost';
 import estimateLoad from '@guavayard/core/placement/estimateLoad';
-import hasFreeSlot from '@guavayard/core/placement/hasFreeSlot';
-import hasOpenConnection from '@guavayard/core/placement/hasOpenConnection';
 import isAtUsualSpeed from '@guavayard/core/placement/isAtUsualSpeed';
-import isConfirmed from '@guavayard/core/placement/isConfirmed';
 import placementLimits from '@guavayard/core/placement/placementLimits';
 import selectCandidates from '@guavayard/core/placement/selectCandidates';
 import ServiceSpeed from '@guavayard/core/placement/ServiceSpeed';
@@ -13,9 +9,11 @@
 import type Random from '@guavayard/core/types/Random';
 import type Failure from '@guavayard/core/errors/Failure';
 
+import FarSearchPause from './FarSearchPause';
 import type PlacementRequest from './PlacementRequest';
 import type TargetPool from './TargetPool';
 import type TargetProber from './TargetProber';
+import TargetRanking from './TargetRanking';
 
 /** Maximum number of queued requests that search for a target at the same time. */
 const MAX_SEARCHES = 4;
@@ -24,9 +22,6 @@
 const MAX_SEARCH_PAUSE_MS = 80;
 /** Search rounds among near targets before others are probed, while near ones are left. */
 const NEAR_ROUNDS = 3;
-/** Pause before targets of other regions without a free slot are probed again, in milliseconds. */
-const FAR_PAUSE_MS = 100;
-const MAX_FAR_PAUSE_MS = 1600;
 /** Wait limit for a target at its usual speed, as a share of the target latency. */
 const WAIT_LIMIT_SHARE = 0.3;
 /** Longest wait for probes of targets in the same region, in milliseconds. */
@@ -66,15 +61,18 @@
 
   private readonly speed = new ServiceSpeed();
 
-  private pause: NodeJS.Timeout | undefined;
+  private readonly ranking: TargetRanking;
 
-  private pauseMs = SEARCH_PAUSE_MS;
+  private readonly farPause: FarSearchPause;
 
-  private farPauseMs = FAR_PAUSE_MS;
+  private pause: NodeJS.Timeout | undefined;
 
-  private nextFarSearchMs = 0;
+  private pauseMs = SEARCH_PAUSE_MS;
 
-  constructor(private readonly options: PlacementQueueOptions) {}
+  constructor(private readonly options: PlacementQueueOptions) {
+    this.ranking = new TargetRanking({ ...options, speed: this.speed });
+    this.farPause = new FarSearchPause(options.clock);
+  }
 
   /** Number of queued requests. */
   get length(): number {
@@ -91,25 +89,9 @@
     return this.speed.usualMs;
   }
 
-  /**
-   * Selects targets for a second attempt of a request, in this entry's region.
-   *
-   * @param request - the request
-   * @param count - most targets
-   * @returns targets that are not known to be full or slow, the best first
-   */
+  /** @returns up to a number of targets for a second attempt of a request, the best first */
   findHedgeTargets(request: PlacementRequest, count: number): PlacedTarget[] {
-    const nowMs = this.options.clock();
-    const near = this.findEligible(request).filter((target) => {
-      if (!this.options.pool.isNear(target) || !isConfirmed(target) || target.isUnhealthy) {
-        return false;
-      }
-      // An older reading tells neither that it is still full nor that it is still slow.
-      const isUsual = isAtUsualSpeed(target, nowMs);
-      const limit = this.speed.bestConcurrency(target.record.slots, request.targetLatencyMs);
-      return isUsual === undefined || (isUsual && hasFreeSlot(target, limit, nowMs));
-    });
-    return this.rankTargets(near, count);
+    return this.ranking.findHedgeTargets(request, count);
   }
 
   /**
@@ -124,7 +106,7 @@
     const nowMs = this.options.clock();
     const usable = targets
       .filter((target) => !target.isUnhealthy && isAtUsualSpeed(target, nowMs) === true);
-    const best = this.findBest(request, usable, Infinity);
+    const best = this.ranking.findBest(request, usable, Infinity);
     if (best === undefined) return false;
     this.hold(request, best);
     return true;
@@ -169,7 +151,7 @@
     }, Math.min(targetLatencyMs * WAIT_LIMIT_SHARE, longestWaitMs));
     this.enqueue(queued);
     // Decided on arrival, as the requests ahead may keep this one from searching until it is late.
-    if (this.findEligible(request).length === 0) this.awaitLimit(queued);
+    if (this.ranking.findEligible(request).length === 0) this.awaitLimit(queued);
     else this.startSearches();
     return () => this.remove(queued);
   }
@@ -216,17 +198,10 @@
       .forEach((queued) => this.search(queued));
   }
 
-  private findEligible({
-    service, homeRegions, triedIds, permittedIds, isCanary,
-  }: PlacementRequest): PlacedTarget[] {
-    return this.options.pool
-      .findEligible(service, homeRegions, triedIds, permittedIds, isCanary);
-  }
-
   private search(queued: QueuedRequest): void {
     const state = queued;
     const { request } = queued;
-    const eligible = this.findEligible(request);
+    const eligible = this.ranking.findEligible(request);
     if (eligible.length === 0) {
       this.awaitLimit(queued);
       return;
@@ -286,8 +261,7 @@
     if (nearCount > 0) this.endSearch(queued);
     this.probeWave(queued, far, FAR_PROBE_WAIT_MS, () => this.costLimit(queued), () => {
       state.isSearchingFar = false;
-      this.nextFarSearchMs = this.options.clock() + this.farPauseMs;
-      this.farPauseMs = Math.min(MAX_FAR_PAUSE_MS, this.farPauseMs * 2);
+      this.farPause.recordNone();
       if (nearCount === 0) this.endSearch(queued);
     });
   }
@@ -301,12 +275,12 @@
     const probed = (queued.searchRounds + 1) * placementLimits.maxProbes;
     const isNearFull = probed >= nearCount || queued.searchRounds >= NEAR_ROUNDS - 1;
     const isDue = !queued.request.hasLargeBody && !queued.isSearchingFar
-      && this.options.clock() >= this.nextFarSearchMs;
+      && this.farPause.isOver;
     if (nearCount > 0 && !(isNearFull && isDue)) return [];
     const { maxRemoteProbes } = placementLimits;
     const far = eligible.filter((target) => !this.options.pool.isNear(target));
     const candidates = selectCandidates(far, maxRemoteProbes, queued.searchRounds);
-    return this.rankTargets(candidates, maxRemoteProbes);
+    return this.ranking.rank(candidates, maxRemoteProbes);
   }
 
   private endSearch(queued: QueuedRequest): void {
@@ -327,7 +301,8 @@
       onNone();
       return;
     }
-    const probed = this.rankTargets(selectCandidates(targets, probes, queued.searchRounds), probes);
+    const candidates = selectCandidates(targets, probes, queued.searchRounds);
+    const probed = this.ranking.rank(candidates, probes);
     const { firstProbes, secondProbes } = placementLimits;
     const first = probed.slice(0, firstProbes);
     const second = probed.slice(0, secondProbes);
@@ -377,61 +352,20 @@
     return isWithinWaitLimit ? placementLimits.maxCostWhileWaiting : Infinity;
   }
 
-  /**
-   * Ranks targets by cost. Affinity and open connections also count, to keep connections few, and
-   * an unused share of a request limit, which would be lost.
-   */
-  private rankTargets(targets: readonly PlacedTarget[], count: number): PlacedTarget[] {
-    const nowMs = this.options.clock();
-    return targets
-      .map((target, index) => ({
-        target,
-        rank: estimateCost(target, this.speed.kneeSlowdown, nowMs) + index / targets.length
-          + (hasOpenConnection(target, nowMs) ? 0 : placementLimits.connectPenalty)
-          - (target.requestLimit === undefined ? 0 : placementLimits.limitPreference),
-      }))
-      .sort((a, b) => a.rank - b.rank)
-      .slice(0, count)
-      .map(({ target }) => target);
-  }
-
   private tryAssign(
     queued: QueuedRequest,
     targets: readonly PlacedTarget[],
     maxCost: number,
   ): boolean {
-    const best = this.findBest(queued.request, targets, maxCost);
+    const best = this.ranking.findBest(queued.request, targets, maxCost);
     if (best === undefined) return false;
     this.assign(queued, best);
     return true;
   }
 
-  /** Finds the target of the lowest cost, below a limit, that can take a request now. */
-  private findBest(
-    request: PlacementRequest,
-    targets: readonly PlacedTarget[],
-    maxCost: number,
-  ): PlacedTarget | undefined {
-    const { clock, pool: { paths: { connections } } } = this.options;
-    const nowMs = clock();
-    const eligible = new Set(this.findEligible(request));
-    let best: PlacedTarget | undefined;
-    let bestCost = maxCost;
-    targets.forEach((target) => {
-      const limit = this.speed.bestConcurrency(target.record.slots, request.targetLatencyMs);
-      if (!eligible.has(target) || !isConfirmed(target) || !connections.maySend(target)
-        || !hasFreeSlot(target, limit, nowMs)) return;
-      const cost = estimateCost(target, this.speed.kneeSlowdown, nowMs);
-      if (cost >= bestCost) return;
-      best = target;
-      bestCost = cost;
-    });
-    return best;
-  }
-
   private assign(queued: QueuedRequest, target: PlacedTarget): void {
     const { pool, clock } = this.options;
-    if (!pool.isNear(target)) this.farPauseMs = FAR_PAUSE_MS;
+    if (!pool.isNear(target)) this.farPause.recordFound();
     this.pauseMs = SEARCH_PAUSE_MS;
     this.remove(queued);
     this.admission.recordDispatch(clock());
