Fix what the reviews of roll-outs, quotas and pipelines found

- An entry that knew of an announced switch went on to it after a roll-back, for good.
- A new leader could decide on a switch before it had the counts of all entries.
- Requests that waited behind another one on their connection did not learn that their caller had gone.
- A connection with more than 16 pipelined requests could stop being read.

--- a/packages/caller/src/CallerListener.ts
+++ b/packages/caller/src/CallerListener.ts
@@ -23,6 +23,8 @@
   readonly res: ServerResponse;
   /** Whether the caller lets its connection stay open after the response. */
   readonly mayKeepAlive: boolean;
+  /** Whether it has been told of its end. */
+  isClosed: boolean;
 }
 
 /**
@@ -146,7 +148,10 @@
     this.server.on('connection', (socket: Socket) => {
       this.accepted += 1;
       this.connections.set(socket, 0);
-      socket.once('close', () => this.connections.delete(socket));
+      socket.once('close', () => {
+        this.connections.delete(socket);
+        this.closeQueued(socket);
+      });
       // The server ends its side, too, in a listener of its own.
       socket.prependListener('end', () => this.cutPartial(socket, false));
     });
@@ -194,6 +199,17 @@
     [...this.active.keys()].forEach((socket) => this.cutPartial(socket, true));
   }
 
+  /**
+   * Tells the responses that waited behind another one of the end of their connection. The server
+   * tells only the one that was being sent; the requests of a caller that has gone would be run.
+   */
+  private closeQueued(socket: Socket): void {
+    [...this.active.get(socket) ?? []].filter(({ isClosed }) => !isClosed).forEach(({ res }) => {
+      res.destroy();
+      res.emit('close');
+    });
+  }
+
   /** Breaks off a response that the end of its connection would complete. */
   private cutPartial(socket: Socket, areQueuedBytesLost: boolean): void {
     this.active.get(socket)?.forEach(({ res }) => {
@@ -251,7 +267,9 @@
       destroyAfter(socket, this.unreadMs);
       return false;
     }
-    const response = { res, mayKeepAlive: res.shouldKeepAlive };
+    const response: ActiveResponse = {
+      res, mayKeepAlive: res.shouldKeepAlive, isClosed: false,
+    };
     responses.push(response);
     this.active.set(socket, responses);
     if (this.isDraining) closeAfterLast(responses);
@@ -261,6 +279,7 @@
       unreadTimer = setTimeout(() => cutResponse(res), this.unreadMs);
     });
     res.once('close', () => {
+      response.isClosed = true;
       clearTimeout(unreadTimer);
       const release = (): void => this.release(socket, response);
       if (req.complete || req.destroyed) {
--- a/packages/caller/src/SlicedReader.ts
+++ b/packages/caller/src/SlicedReader.ts
@@ -88,6 +88,8 @@
     if (!this.isPaused || this.isStopped) return;
     this.isPaused = false;
     if (!this.socket.writableNeedDrain) this.readOn();
+    // The server itself reads on only if it had stopped reading.
+    else this.socket.once('drain', () => !this.isPaused && !this.isStopped && this.readOn());
   }
 
   /** Drops what was read, and reads nothing more. */
--- a/packages/caller/test/pipelines.test.ts
+++ b/packages/caller/test/pipelines.test.ts
@@ -128,3 +128,32 @@
   assert.deepEqual(ran, ['/first']);
   assert.deepEqual([...received.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status), ['200', '503']);
 });
+
+// The server tells only the response that is being sent, so that requests of a caller that has gone
+// would be sent to targets, and what they hold would not be given back.
+test('all requests of a pipeline learn that their caller has gone', async (t) => {
+  const closed: string[] = [];
+  let arrived = 0;
+  const rig = await start(t, (req, res) => {
+    arrived += 1;
+    res.once('close', () => closed.push(req.url ?? ''));
+    if (req.url === '/3') res.end('<3>');
+  });
+  const socket = await rig.connect();
+  socket.write(['/1', '/2', '/3'].map((path) => createRequest(path)).join(''));
+  while (arrived < 3) {
+    // eslint-disable-next-line no-await-in-loop -- the requests arrive in later turns
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+  socket.destroy();
+  while (rig.listener.connectionCount > 0) {
+    // eslint-disable-next-line no-await-in-loop -- the close arrives in a later turn
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+  assert.deepEqual(closed.sort(), ['/1', '/2', '/3']);
+  await rig.listener.stop();
+});
--- a/packages/core/src/quota/EarlierUsage.ts
+++ b/packages/core/src/quota/EarlierUsage.ts
@@ -49,7 +49,8 @@
       if (ageMs > windowMs) return;
       const part = sums.get(ageMs) ?? {};
       sums.set(ageMs, part);
-      part[name] = (part[name] ?? 0) + admitted;
+      // A tenant may be called like a property that every object has.
+      part[name] = (Object.hasOwn(part, name) ? part[name] ?? 0 : 0) + admitted;
     });
     if (!isComplete) this.passedOn = this.parts.length;
     return [...sums].map(([ageMs, admitted]) => ({ ageMs, admitted }));
--- a/packages/core/src/quota/QuotaBoard.ts
+++ b/packages/core/src/quota/QuotaBoard.ts
@@ -279,7 +279,10 @@
     this.limits = tenants;
     const limited = new Map(tenants.filter(hasQuota).map((tenant) => [tenant.name, tenant]));
     [...this.levels.keys()].filter((name) => !limited.has(name))
-      .forEach((name) => this.levels.delete(name));
+      .forEach((name) => {
+        this.levels.delete(name);
+        this.published.delete(name);
+      });
     // A VM that has just started has missed what entries admitted before.
     const isCounted = nowMs - this.options.startedAtMs >= this.options.rule.windowMs;
     limited.forEach((tenant, name) => {
--- a/packages/core/src/quota/UsageLedger.ts
+++ b/packages/core/src/quota/UsageLedger.ts
@@ -21,7 +21,8 @@
 function add(into: Record<string, QuotaCount>, usage: Usage): void {
   const sums = into;
   Object.entries(usage).forEach(([name, [asked, admitted]]) => {
-    const [askedBefore, admittedBefore] = sums[name] ?? [0, 0];
+    // A tenant may be called like a property that every object has.
+    const [askedBefore, admittedBefore] = Object.hasOwn(sums, name) ? sums[name] ?? [0, 0] : [0, 0];
     sums[name] = [askedBefore + asked, admittedBefore + admitted];
   });
 }
--- a/packages/core/src/rollouts/VersionGate.ts
+++ b/packages/core/src/rollouts/VersionGate.ts
@@ -53,11 +53,13 @@
     notices.forEach((notice) => {
       const last = known.get(notice.service);
       const isSame = last?.notice.number === notice.number;
-      const dueAtMs = notice.phase === 'switching' ? nowMs + notice.switchInMs : Infinity;
+      const isSwitching = notice.phase === 'switching';
+      const dueAtMs = isSwitching ? nowMs + notice.switchInMs : Infinity;
       this.rollouts.set(notice.service, {
         notice,
-        // The time that is left is told again on each change, and may have waited on its way.
-        switchAtMs: isSame ? Math.min(last.switchAtMs, dueAtMs) : dueAtMs,
+        // The time that is left is told again on each change, and may have waited on its way. A
+        // switch that was announced does not outlast a roll-back.
+        switchAtMs: isSame && isSwitching ? Math.min(last.switchAtMs, dueAtMs) : dueAtMs,
         credit: isSame ? last.credit : this.phase,
       });
     });
@@ -92,7 +94,7 @@
     if (rollout !== undefined) rollout.credit = Math.min(1, rollout.credit + 1);
   }
 
-  /** @returns whether a version is the target of a roll-out that is under way */
+  /** @returns whether a version is the target of the last roll-out of its service */
   isTargetVersion(target: GatedTarget): boolean {
     const rollout = this.rollouts.get(target.service);
     return rollout?.notice.targetVersion === findVersionOf(target);
--- a/packages/core/src/rollouts/planRollout.ts
+++ b/packages/core/src/rollouts/planRollout.ts
@@ -31,9 +31,8 @@
 /** Shortest last phase, in milliseconds. */
 const MIN_SWITCH_MS = 500;
 /**
- * Time before the deadline at which the outcome is written, in milliseconds. An operator counts from
- * the moment at which the order was sent, and an order that reached a second control VM was accepted
- * 0.3 s later.
+ * Time before the deadline at which the outcome is written, in milliseconds. An operator counts
+ * from the moment at which the order was sent; one was accepted 0.3 s later.
  */
 const COMPLETION_LEAD_MS = 400;
 
--- a/packages/core/test/rolloutState.test.ts
+++ b/packages/core/test/rolloutState.test.ts
@@ -169,6 +169,20 @@
   });
 });
 
+// A version that is taken back after its switch was announced must not get all requests for good.
+[{ name: 'before', nowMs: 100 }, { name: 'after', nowMs: 400 }].forEach(({ name, nowMs }) => {
+  test(`a roll-back ${name} the moment of an announced switch goes back to base versions`, () => {
+    const gate = new VersionGate(2500);
+    gate.recordContact(0);
+    gate.update([{ ...NOTICE, phase: 'running', switchInMs: 0 }], 0);
+    gate.update([{ ...NOTICE, phase: 'switching', switchInMs: 300 }], 0);
+    gate.update([{ ...NOTICE, phase: 'rolledBack', switchInMs: 0 }], nowMs);
+    const allowed = gate.filter('lots', TARGETS, false, 1000, (target) => target);
+    assert.deepEqual(allowed.map(({ version }) => version), ['v1']);
+    assert.equal(gate.isWanted({ service: 'lots', version: 'v1' }, 1000), true);
+  });
+});
+
 test('a chosen request without a target of the target version goes to the others, and another one is chosen', () => {
   const gate = new VersionGate(2500);
   gate.setPhase(0.5);
--- a/packages/gateway/src/KeyGate.ts
+++ b/packages/gateway/src/KeyGate.ts
@@ -93,7 +93,7 @@
     if (tenant.err) return tenant.val;
     if (tenant.val?.name === request.tenant?.name) return undefined;
     // Limits and regions of the former tenant were applied; the caller's retry is of the new one.
-    return { kind: 'keysUnproven', detail: 'the key has changed hands' };
+    return { kind: 'keysUnproven', detail: 'the key is of another tenant now' };
   }
 
   /**
--- a/packages/vm/src/rollouts/RolloutTask.ts
+++ b/packages/vm/src/rollouts/RolloutTask.ts
@@ -28,6 +28,11 @@
  * evidence of one interval is limited.
  */
 const JUDGE_INTERVAL_MS = 250;
+/**
+ * Time after which the leader has the counts of all entries, which report each 250 ms and notice a
+ * new control VM after up to 0.8 s. Before, a doubt of the former leader may not be known.
+ */
+const SETTLE_MS = 1200;
 /** Part of the slack that bad responses may use up before a version is taken back regardless. */
 const EXCESS_SHARE = 0.5;
 
@@ -48,6 +53,8 @@
   readonly collector: CountCollector;
   readonly judge: VersionJudge;
   judgedAtMs: number;
+  /** When this VM began to collect the counts, by the monotonic clock. */
+  readonly sinceMs: number;
   isProposing: boolean;
 }
 
@@ -116,6 +123,7 @@
       collector: new CountCollector(),
       judge: new VersionJudge(),
       judgedAtMs: -Infinity,
+      sinceMs: this.options.clock(),
       isProposing: false,
     };
     this.watched.set(service, watched);
@@ -139,7 +147,7 @@
       maxShare: limits.share,
       elapsedMs: store.times.elapsedMs(store.state, service),
       isBad: judge.isBad || judge.excessCount >= limits.slack * EXCESS_SHARE,
-      isGood: judge.isGood,
+      isGood: judge.isGood && nowMs - watched.sinceMs >= SETTLE_MS,
       traffic: collector.traffic,
       isDrained: collector.isDrained((entries() ?? []).map(({ name }) => name), nowMs),
     });
