--- a/packages/core/src/hedging/estimateUsualMs.ts
+++ b/packages/core/src/hedging/estimateUsualMs.ts
@@ -3,7 +3,7 @@
 
 /**
  * Estimates the usual duration of an attempt. An entry with 2 requests per second needs seconds for
- * a mean and minutes for a percentile; until then the target latency of the route stands in.
+ * a mean and minutes for a percentile; until then a share of the target latency is used.
  *
  * @param candidate - the attempt
  * @returns the duration, in milliseconds
--- a/packages/core/src/limits/deriveResourceLimits.ts
+++ b/packages/core/src/limits/deriveResourceLimits.ts
@@ -5,7 +5,7 @@
 const HELD_SHARE = 0.5;
 /** Least budget, with which a process with less memory than it needs serves at all. */
 const MIN_BYTES = 8 * BYTES_PER_MB;
-/** Budget without a setting: above what bodies and 10,000 connections held before it existed. */
+/** Budget without a setting: more than 10,000 connections and their bodies hold. */
 const DEFAULT_BYTES = 2048 * BYTES_PER_MB;
 /** Share of the descriptors for clients; targets, sessions and files get the rest. */
 const CONNECTION_SHARE = 0.6;
@@ -29,7 +29,7 @@
  * Derives what a process may hold for its clients from the limits of its VM.
  *
  * @param limits - the limits that the settings state
- * @returns the budget; without limits, one no smaller than before there were settings
+ * @returns the budget; without limits, the default
  */
 export default function deriveResourceLimits({ memoryMb, maxFds }: VmLimits): ResourceLimits {
   return {
--- a/packages/core/src/quota/EarlierUsage.ts
+++ b/packages/core/src/quota/EarlierUsage.ts
@@ -38,7 +38,7 @@
    * Returns what was added, or what was added since it was last passed on.
    *
    * @param isComplete - whether to return all
-   * @param windowMs - age above which requests matter no more, in milliseconds
+   * @param windowMs - age above which requests are not counted, in milliseconds
    * @param nowMs - monotonic clock, in milliseconds
    * @returns the requests by age and tenant
    */
@@ -56,7 +56,7 @@
     return [...sums].map(([ageMs, admitted]) => ({ ageMs, admitted }));
   }
 
-  /** Drops what matters no more. */
+  /** Drops requests that are not counted any more. */
   expire(beforeMs: number): void {
     if (this.isDue || !this.parts.some(({ atMs }) => atMs < beforeMs)) return;
     this.parts = this.parts.filter(({ atMs }) => atMs >= beforeMs);
--- a/packages/core/src/quota/PeerTotals.ts
+++ b/packages/core/src/quota/PeerTotals.ts
@@ -17,7 +17,7 @@
 export default class PeerTotals {
   private readonly runs = new Map<string, KnownRun>();
 
-  /** @param windowMs - time after which requests matter no more, in milliseconds */
+  /** @param windowMs - time after which requests are not counted any more, in milliseconds */
   constructor(private readonly windowMs: number) {}
 
   /**
--- a/packages/core/src/quota/QuotaBoard.ts
+++ b/packages/core/src/quota/QuotaBoard.ts
@@ -108,7 +108,7 @@
     this.updateLimits(nowMs);
     const isEarlier = nowMs - ageMs < this.options.startedAtMs;
     Object.entries(usage).forEach(([name, [asked, admitted]]) => {
-      // An entry may know a tenant, or one that has been removed, earlier or later than this VM.
+      // The entry may have another declaration in force than this VM.
       if (!this.levels.has(name)) return;
       if (isEarlier) {
         this.levels.get(name)?.recordEarlier(admitted, nowMs - ageMs, nowMs);
--- a/packages/core/src/quota/QuotaDecision.ts
+++ b/packages/core/src/quota/QuotaDecision.ts
@@ -4,7 +4,7 @@
     readonly isAdmitted: false;
     /** Delay after which the tenant has credit again, in milliseconds. */
     readonly retryAfterMs: number;
-    /** What the decision rests on, for people. */
+    /** Reason of the decision, for logs. */
     readonly basis: string;
   };
 
--- a/packages/core/src/quota/TenantLevel.ts
+++ b/packages/core/src/quota/TenantLevel.ts
@@ -152,7 +152,7 @@
   }
 
   private setLevel(tokens: number): void {
-    // What was admitted longer ago than a window matters no more, so the debt is bounded.
+    // Requests admitted longer ago than a window do not count, so the debt is bounded.
     this.level = Math.max(-this.bounds.quota, Math.min(this.bounds.maxLevel, tokens));
   }
 }
--- a/packages/core/src/quota/UsageLedger.ts
+++ b/packages/core/src/quota/UsageLedger.ts
@@ -39,7 +39,7 @@
 /**
  * What an entry has to report to control: increments that were not sent yet, and those that no
  * control VM has confirmed. The latter are sent again when the entry follows another control VM, so
- * that they may be counted twice, but not lost. What is older than a window matters no more and is
+ * that they may be counted twice, but not lost. Increments older than a window are
  * dropped.
  */
 export default class UsageLedger {
@@ -52,7 +52,7 @@
 
   private sequence = 0;
 
-  /** @param windowMs - time after which increments matter no more, in milliseconds */
+  /** @param windowMs - time after which increments are not counted any more, in milliseconds */
   constructor(private readonly windowMs: number) {}
 
   /** Whether there is something to send. */
--- a/packages/core/src/rollouts/VersionJudge.ts
+++ b/packages/core/src/rollouts/VersionJudge.ts
@@ -44,7 +44,7 @@
  * Judges the target version of a roll-out by its responses. It compares them with those of the
  * versions in force to the same route, from targets of the same data centre, at the same time, so
  * that a slow data centre or a burst of failures on both sides is no evidence. Failures and slow
- * responses are added up apart, over all routes and for each.
+ * responses are counted separately, over all routes and for each route.
  */
 export default class VersionJudge {
   /** Evidence by kind, excess and route. */
@@ -147,7 +147,7 @@
     };
     const slowFromMs = (usual.medianMs ?? Infinity) * judgeLimits.slowFactor;
     const first = latencyBoundsMs.findIndex((boundMs) => boundMs >= slowFromMs) + 1;
-    // The usual latency is not known, or twice of it is longer than any bucket tells.
+    // The usual latency is unknown, or slow responses would lie beyond the last bucket.
     if (first === 0) return [failures];
     const slow = cell.latencies.slice(first).reduce((sum, count) => sum + count, 0);
     const share = Math.max(judgeLimits.minSlowShare, usual.countFrom(first) / usual.good);
--- a/packages/core/src/rollouts/decideRolloutStep.ts
+++ b/packages/core/src/rollouts/decideRolloutStep.ts
@@ -35,7 +35,7 @@
   if (isBad) return { kind: 'rollBack', reason: 'bad' };
   const plan = planRollout(durationMs, maxShare);
   if (phase === 'switching') {
-    // Judged to be good before the switch.
+    // The version was judged to be good before the switch, so no further verdict is needed.
     return isDrained || elapsedMs >= plan.completeAtMs ? { kind: 'complete' } : undefined;
   }
   if (elapsedMs >= durationMs) return { kind: 'rollBack', reason: 'no verdict' };
--- a/packages/core/src/rollouts/judgeLimits.ts
+++ b/packages/core/src/rollouts/judgeLimits.ts
@@ -1,4 +1,4 @@
-/** What the judgement of a version rests on. The error rates are measured in `judge.test.ts`. */
+/** Thresholds for judging a version. `rolloutJudge.test.ts` measures the error rates. */
 const judgeLimits = {
   /**
    * Evidence against a version at which it is taken back: the logarithm of how much likelier its
--- a/packages/gateway/src/AttemptRunner.ts
+++ b/packages/gateway/src/AttemptRunner.ts
@@ -71,7 +71,7 @@
     return this.running.size > 0;
   }
 
-  /** The running attempt for which no other one stands in. */
+  /** The running attempt that is not a hedge. */
   get first(): Attempt | undefined {
     return [...this.running].find(({ isHedge }) => !isHedge);
   }
--- a/packages/gateway/src/GatewayHandler.ts
+++ b/packages/gateway/src/GatewayHandler.ts
@@ -40,7 +40,7 @@
  * above. It is short, because most often other entries can.
  */
 const UNPROVEN_RETRY_AFTER_MS = 30;
-/** Retry delays by the reason of the refusal; the others say none. */
+/** Retry delays by the reason of the refusal; other refusals send none. */
 const RETRY_DELAYS: Partial<Record<ErrorKind, number>> = {
   noConfiguration: RETRY_AFTER_MS,
   shuttingDown: STOPPING_RETRY_AFTER_MS,
--- a/packages/gateway/src/Placement.ts
+++ b/packages/gateway/src/Placement.ts
@@ -159,7 +159,7 @@
     if (hedgeShare === undefined || hedgeShare === 0) return undefined;
     const known = this.hedgeShares.get(service);
     if (known !== undefined) return known;
-    // Nothing in advance: the hedges of all entries since their start are at most the share.
+    // No hedge is granted in advance, so all entries stay within the share at every moment.
     const share = new AttemptBudget(hedgeShare, 0, hedgeLimits.maxSaved);
     this.hedgeShares.set(service, share);
     return share;
--- a/packages/vm/src/rollouts/RolloutTask.ts
+++ b/packages/vm/src/rollouts/RolloutTask.ts
@@ -33,7 +33,7 @@
  * new control VM after up to 0.8 s. Before, a doubt of the former leader may not be known.
  */
 const SETTLE_MS = 1200;
-/** Part of the slack that bad responses may use up before a version is taken back regardless. */
+/** Part of the slack that bad responses may use up before a version is rolled back anyway. */
 const EXCESS_SHARE = 0.5;
 
 interface RolloutTaskOptions {
--- a/packages/vm/src/session/ReconnectPolicy.ts
+++ b/packages/vm/src/session/ReconnectPolicy.ts
@@ -34,8 +34,8 @@
   /**
    * Records an attempt that failed or a session that was lost.
    *
-   * @param hasTimedOut - whether no connection was established within the timeout, which has
-   *   taken its time already
+   * @param hasTimedOut - whether no connection was established within the timeout; the next
+   *   attempt is then made at once
    * @returns the delay until the next attempt, in milliseconds
    */
   recordLoss(hasTimedOut: boolean): number {
