--- a/packages/core/src/rollouts/VersionGate.ts
+++ b/packages/core/src/rollouts/VersionGate.ts
@@ -65,6 +65,11 @@
     });
   }
 
+  /** @returns whether a service has ever had a roll-out */
+  hasRollout(service: string): boolean {
+    return this.rollouts.has(service);
+  }
+
   /** The roll-outs that are under way. */
   get underWay(): RolloutNotice[] {
     return [...this.rollouts.values()].map(({ notice }) => notice)
--- a/packages/gateway/src/ServiceVersions.ts
+++ b/packages/gateway/src/ServiceVersions.ts
@@ -86,12 +86,15 @@
    * @returns those that may get it
    */
   filter(service: string, targets: readonly PlacedTarget[], isChosen: boolean): PlacedTarget[] {
+    if (!this.gate.hasRollout(service)) return [...targets];
     const nowMs = this.options.elapsedClock();
     return this.gate.filter(service, targets, isChosen, nowMs, ({ record }) => record);
   }
 
   /** @returns whether a target may get requests now or soon */
   isWanted({ record }: PlacedTarget): boolean {
+    // Asked for every target in each search, so that the clock is not read without need.
+    if (!this.gate.hasRollout(record.service)) return true;
     return this.gate.isWanted(record, this.options.elapsedClock());
   }
 
