--- a/packages/cli/src/gateway/warmUpRequestPath.ts
+++ b/packages/cli/src/gateway/warmUpRequestPath.ts
@@ -19,6 +19,8 @@
 import WarmUpTarget from '@guavayard/platform/WarmUpTarget';
 import UndiciTargetSender from '@guavayard/target/UndiciTargetSender';
 
+import closeServer from '../run/closeServer';
+
 /** Requests after which the code of the request path is compiled; the first takes longest. */
 const REQUESTS = 3;
 const HOST = 'warm-up.invalid';
@@ -37,13 +39,6 @@
   return `${host}:${(server.address() as AddressInfo).port}`;
 }
 
-async function closeServer(server: Server): Promise<void> {
-  const closed = once(server, 'close');
-  server.close();
-  server.closeAllConnections();
-  await closed;
-}
-
 function createDeclaration(): Declaration {
   return {
     version: 0,
@@ -193,7 +188,7 @@
     }
   } finally {
     await sender.close();
-    await Promise.all([closeServer(caller.server), closeServer(target.server)]);
+    await Promise.all([closeServer(caller.server, 0), closeServer(target.server, 0)]);
   }
   return statuses;
 }
