--- a/review/support-2/System.mjs
+++ b/review/support-2/System.mjs
@@ -45,10 +45,11 @@
   stopped = new Set();
 
   constructor({
-    entries = ['127.0.0.5'], bounds = '', regions = { cork: 'munster' }, dataCentreOf = () => 'cork',
+    entries = ['127.0.0.5'], bounds = '', memoryMb = 350, regions = { cork: 'munster' }, dataCentreOf = () => 'cork',
   } = {}) {
     this.entries = entries;
     this.bounds = bounds;
+    this.memoryMb = memoryMb;
     this.regions = regions;
     this.dataCentreOf = dataCentreOf;
   }
@@ -199,7 +200,7 @@
 sessionPort = ${session}
 seeds = ${JSON.stringify(this.seeds.map((seed) => `${seed}:${control}`))}
 isFirstStart = ${isFirstStart}
-memoryMb = 350
+memoryMb = ${this.memoryMb}
 maxFds = 4100
 [regions]
 ${Object.entries(this.regions).map(([zone, region]) => `"${zone}" = "${region}"`).join('\n')}
