--- a/review/support-2/runCase.mjs
+++ b/review/support-2/runCase.mjs
@@ -12,10 +12,10 @@
  *
  * @param url - `import.meta.url` of the case
  * @param system - the system, not started yet
+ * @param hasTrouble - whether the case is played with its disruption
  * @param play - plays the case; resolves with the lines that describe how the rule was broken
  */
-export default async function runCase(url, system, play) {
-  const hasTrouble = process.env.TROUBLE !== '0';
+export default async function runCase(url, system, hasTrouble, play) {
   const recorder = new Recorder(dirname(fileURLToPath(url)));
   let code = 2;
   const end = () => {
@@ -30,7 +30,7 @@
   try {
     recorder.add(hasTrouble ? 'with the disruption' : 'without the disruption');
     await system.start();
-    const breaches = await play({ hasTrouble, recorder });
+    const breaches = await play(recorder);
     breaches.forEach((line) => recorder.add(`BROKEN ${line}`));
     system.unexpectedEnds.forEach((line) => recorder.add(`process ended: ${JSON.stringify(line)}`));
     recorder.add(breaches.length === 0 ? 'the rule held' : `the rule was broken: ${breaches.length} times`);
