Tell probes that no connection took from those that nobody answered

An entry could not tell why probes of a target failed: one that waits for a connection and one that was written and not answered both ran into the same timeout. The exchange of one probe is a class of its own now, which knows whether a connection has taken it. New: the counters unwritten_probes_total and unanswered_probes_total, a log line when a target leaves its probes unanswered, and the time until a connection took an attempt in the log line of a request and in `explain`.

--- a/packages/cli/src/gateway/startGateway.ts
+++ b/packages/cli/src/gateway/startGateway.ts
@@ -128,7 +128,7 @@
     mayOpen: (address) => sender.mayOpen(address),
   });
   const prober = new TargetProber({
-    clock, sender, dialect, pool, probesPerSecond: bounds.probesPerSecond,
+    clock, log, sender, dialect, pool, probesPerSecond: bounds.probesPerSecond,
   });
   const placement = new Placement({
     clock,
@@ -272,6 +272,8 @@
     readGauges: () => ({
       waiting: placement.waiting,
       probes: prober.count,
+      unwrittenProbes: prober.outcomes.unwritten,
+      unansweredProbes: prober.outcomes.unanswered,
       targets: pool.targetCount,
       limitedTargets: pool.limitedCount,
       unreachableServices: pool.paths.reachability.unreachableCount,
--- a/packages/cli/src/gateway/startRegistry.ts
+++ b/packages/cli/src/gateway/startRegistry.ts
@@ -93,6 +93,8 @@
     readGauges: () => ({
       waiting: 0,
       probes: 0,
+      unwrittenProbes: 0,
+      unansweredProbes: 0,
       targets: task.targetCount,
       limitedTargets: 0,
       unreachableServices: 0,
--- a/packages/cli/src/gateway/warmUpRequestPath.ts
+++ b/packages/cli/src/gateway/warmUpRequestPath.ts
@@ -106,7 +106,7 @@
     mayOpen: (address) => sender.mayOpen(address),
   });
   const prober = new TargetProber({
-    clock, sender, dialect, pool, probesPerSecond: TIMEOUT_MS,
+    clock, log, sender, dialect, pool, probesPerSecond: TIMEOUT_MS,
   });
   const placement = new Placement({
     clock,
--- a/packages/gateway/src/Attempt.ts
+++ b/packages/gateway/src/Attempt.ts
@@ -24,6 +24,8 @@
   readonly release: (durationMs?: number) => void;
   /** The exchange with the target; undefined before it starts and after it has ended. */
   dispatch: Dispatch | undefined;
+  /** When a connection took it, so that its target may have received it; undefined before. */
+  writtenAtMs: number | undefined;
   status: number | undefined;
   headers: AnswerHeaders;
   verdict: ReturnType<typeof classifyResponse> | undefined;
--- a/packages/gateway/src/AttemptSender.ts
+++ b/packages/gateway/src/AttemptSender.ts
@@ -63,7 +63,9 @@
     const state = attempt;
     const { target } = attempt;
     return {
-      onConnected: () => undefined,
+      onConnected: () => {
+        state.writtenAtMs = this.dependencies.clock();
+      },
       onHeaders: (status, headers) => {
         state.status = status;
         state.headers = headers;
--- a/packages/gateway/src/RequestLog.ts
+++ b/packages/gateway/src/RequestLog.ts
@@ -19,6 +19,8 @@
   readonly loadAgeMs: number | undefined;
   /** Whether it had left a probe unanswered when it was selected. */
   readonly wasSilent?: boolean;
+  /** Time until a connection took it, in milliseconds; undefined if none did. */
+  readonly connectionMs?: number | undefined;
   /** Whether it was sent on a connection that had not carried a response. */
   readonly isNewConnection?: boolean;
   /** How long the entry took it to stay cold when it was selected, in milliseconds. */
--- a/packages/gateway/src/TargetProber.ts
+++ b/packages/gateway/src/TargetProber.ts
@@ -1,7 +1,6 @@
-import type AnswerHandler from '@guavayard/core/dispatch/AnswerHandler';
-import type AnswerHeaders from '@guavayard/core/dispatch/AnswerHeaders';
+import type Logger from 'bunyan';
+
 import type TargetSender from '@guavayard/core/dispatch/TargetSender';
-import parseKeepAliveTimeout from '@guavayard/core/http/parseKeepAliveTimeout';
 import TokenBucket from '@guavayard/core/limits/TokenBucket';
 import placementLimits from '@guavayard/core/placement/placementLimits';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
@@ -10,16 +9,10 @@
 import type Clock from '@guavayard/core/types/Clock';
 
 import type Dialect from './Dialect';
-import isRefusalStatus from './isRefusalStatus';
+import ProbeExchange from './ProbeExchange';
+import type ProbeOutcomes from './ProbeOutcomes';
 import type TargetPool from './TargetPool';
 
-/** Steps of the timeout of a probe. Those in which this process stood still do not count. */
-const TIMEOUT_STEPS = 8;
-/** Maximum number of steps, so that probes end in a process whose timers are all late. */
-const MAX_TIMEOUT_STEPS = 2 * TIMEOUT_STEPS;
-const TIMEOUT_STEP_MS = 50;
-/** Time for which a target that could not be reached is not considered, in milliseconds. */
-const UNREACHABLE_MS = 300;
 /** Share of the limit on probes that the entries use. */
 const BUDGET_SHARE = 0.5;
 /** Share of the limit on probes that they use for requests that need a new connection. */
@@ -28,13 +21,10 @@
 const VERIFY_INTERVAL_MS = 200;
 /** Such targets that are probed at a time. */
 const VERIFIED_TARGETS = 6;
-const CONNECTION_LIMIT = 16;
-const OK = 200;
-/** Maximum length of the response to a probe, in bytes; only its headers are used. */
-const MAX_PROBE_RESPONSE_BYTES = 16 * 1024;
 
 interface TargetProberOptions {
   readonly clock: Clock;
+  readonly log: Logger;
   readonly sender: TargetSender;
   readonly dialect: Dialect;
   readonly pool: TargetPool;
@@ -52,6 +42,9 @@
   /** Number of probes sent since the start. */
   count = 0;
 
+  /** What came of the probes that were not answered. */
+  readonly outcomes: ProbeOutcomes = { unwritten: 0, unanswered: 0 };
+
   private verifyTimer: NodeJS.Timeout | undefined;
 
   /** Position among those targets from which the next ones are probed. */
@@ -178,107 +171,7 @@
   }
 
   private sendProbe(target: PlacedTarget, path: string): void {
-    const { clock, sender } = this.options;
-    const state = target;
-    const sentAtMs = clock();
     this.count += 1;
-    state.probeWaiters = [];
-    state.probeSentAtMs = sentAtMs;
-    state.lastSentAtMs = sentAtMs;
-    const { paths } = this.options.pool;
-    const mayWaitForSlot = paths.answersProbesAtOnce(target.record.service) === false;
-    if (!mayWaitForSlot) paths.reachability.recordProbe(target);
-    let isDone = false;
-    let isTimedOut = false;
-    let receivedBytes = 0;
-    let timer: NodeJS.Timeout | undefined;
-    const finish = (): void => {
-      if (isDone) return;
-      isDone = true;
-      clearTimeout(timer);
-      const waiters = state.probeWaiters ?? [];
-      state.probeWaiters = undefined;
-      state.probeSentAtMs = undefined;
-      waiters.forEach((wake) => wake());
-    };
-    const handler: AnswerHandler = {
-      onConnected: () => undefined,
-      onHeaders: (status, headers) => this.applyResponse(target, status, headers, sentAtMs),
-      onData: (chunk) => {
-        receivedBytes += chunk.length;
-        // Pauses the response; the timeout ends the probe.
-        return receivedBytes <= MAX_PROBE_RESPONSE_BYTES;
-      },
-      onEnd: finish,
-      onFailure: (failure) => {
-        state.reading = undefined;
-        // The target may be busy, and reads the probe once it has a free slot.
-        if (isTimedOut && mayWaitForSlot) {
-          finish();
-          return;
-        }
-        state.unansweredProbes += 1;
-        state.silentProbes = isTimedOut ? state.silentProbes + 1 : 0;
-        // What is no longer registered tells nothing of the others.
-        if (this.options.pool.includes(target)) paths.reachability.recordFailure(target);
-        if (failure.kind === 'targetUnreachable') state.unreachableUntilMs = clock() + UNREACHABLE_MS;
-        finish();
-      },
-    };
-    const dispatch = sender.send(
-      { address: target.record.address, connectionLimit: CONNECTION_LIMIT },
-      {
-        method: 'GET', path, headers: [], body: null, purpose: 'probe',
-      },
-      handler,
-    );
-    const awaitStep = (stepsLeft: number, maxLeft: number): void => {
-      if (isDone) return;
-      const dueAtMs = clock() + TIMEOUT_STEP_MS;
-      timer = setTimeout(() => {
-        const stalledMs = Math.max(0, clock() - dueAtMs);
-        paths.reachability.recordStall(target, stalledMs);
-        const left = stalledMs < TIMEOUT_STEP_MS ? stepsLeft - 1 : stepsLeft;
-        if (left > 0 && maxLeft > 1) {
-          awaitStep(left, maxLeft - 1);
-          return;
-        }
-        isTimedOut = true;
-        dispatch.abort({ kind: 'targetUnreachable', detail: 'probe' });
-      }, TIMEOUT_STEP_MS);
-    };
-    awaitStep(TIMEOUT_STEPS, MAX_TIMEOUT_STEPS);
-  }
-
-  private applyResponse(
-    target: PlacedTarget,
-    status: number,
-    headers: AnswerHeaders,
-    sentAtMs: number,
-  ): void {
-    const { pool, clock, dialect } = this.options;
-    const state = target;
-    pool.paths.recordAnswer(target);
-    state.probedAtMs = sentAtMs;
-    state.idleTimeoutMs = parseKeepAliveTimeout(headers['keep-alive']);
-    const {
-      targetId, load, coldLeftMs, requestLimit, restMs, isLeaving,
-    } = dialect.readProbe(headers);
-    if (targetId !== undefined && targetId !== target.record.id) {
-      // Another target has the address; the update from control will follow.
-      state.isUnhealthy = true;
-      state.reading = undefined;
-      return;
-    }
-    pool.paths.recordLoadReport(target, load !== undefined);
-    state.isUnhealthy = status !== OK;
-    if (isRefusalStatus(status) && restMs !== undefined) pool.notices.recordRest(target, restMs, 'probe');
-    pool.limits.recordResponse(target, requestLimit, 'probe');
-    pool.notices.recordLeaving(target, isLeaving, 'probe');
-    if (coldLeftMs !== undefined) pool.notices.recordColdLeft(target, coldLeftMs);
-    const figures = load ?? {
-      running: target.inFlight.size, waiting: 0, slots: target.record.slots, slowness: 1,
-    };
-    state.reading = { ...figures, sentAtMs, atMs: clock() };
+    new ProbeExchange(this.options, this.outcomes, target).start(path);
   }
 }
--- a/packages/gateway/src/createAttempt.ts
+++ b/packages/gateway/src/createAttempt.ts
@@ -33,6 +33,7 @@
     coldLeftMs: Math.max(0, target.coldUntilMs - nowMs),
     release,
     dispatch: undefined,
+    writtenAtMs: undefined,
     status: undefined,
     headers: {},
     verdict: undefined,
--- a/packages/gateway/src/describeAttempt.ts
+++ b/packages/gateway/src/describeAttempt.ts
@@ -20,7 +20,9 @@
   failure: Failure | undefined,
   nowMs: number,
 ): AttemptLine {
-  const { loadAgeMs, coldLeftMs, status } = attempt;
+  const {
+    startedAtMs, writtenAtMs, loadAgeMs, coldLeftMs, status,
+  } = attempt;
   const result = failure === undefined ? status : failure.detail || failure.kind;
   return {
     target: attempt.target.record.id,
@@ -30,8 +32,9 @@
     ...(attempt.wasSilent ? { wasSilent: true } : {}),
     ...(attempt.isNewConnection ? { isNewConnection: true } : {}),
     ...(attempt.isHedge ? { isHedge: true } : {}),
+    connectionMs: writtenAtMs === undefined ? undefined : Math.round(writtenAtMs - startedAtMs),
     ...(coldLeftMs > 0 ? { coldLeftMs: Math.round(coldLeftMs) } : {}),
     outcome: attempt.isSuperseded ? 'superseded' : `${verdict} ${result}`,
-    ms: Math.round(nowMs - attempt.startedAtMs),
+    ms: Math.round(nowMs - startedAtMs),
   };
 }
--- a/packages/gateway/test/probeBudget.test.ts
+++ b/packages/gateway/test/probeBudget.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 
+import { createLogger } from 'bunyan';
+
 import EntryShareTracker from '@guavayard/core/placement/EntryShareTracker';
 
 import type TargetPool from '../src/TargetPool';
@@ -16,6 +18,7 @@
   const pool = { share, targetCount: TARGETS } as unknown as TargetPool;
   const prober = new TargetProber({
     clock: () => 0,
+    log: createLogger({ name: 'test', streams: [] }),
     sender: new FakeSender([]),
     dialect: new PlainDialect(),
     pool,
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -168,7 +168,7 @@
     const { pool, sender } = this;
     sender.onOpened = (address, isWorking) => pool.paths.connections.record(address, isWorking);
     const prober: TargetProber = new TargetProber({
-      clock, sender, dialect, pool, probesPerSecond,
+      clock, log, sender, dialect, pool, probesPerSecond,
     });
     this.prober = prober;
     this.placement = new Placement({
--- a/packages/gateway/test/support/fleet/FleetEntry.ts
+++ b/packages/gateway/test/support/fleet/FleetEntry.ts
@@ -106,7 +106,7 @@
     });
     this.sender = sender;
     const prober = new TargetProber({
-      clock, sender, dialect, pool, probesPerSecond,
+      clock, log, sender, dialect, pool, probesPerSecond,
     });
     const placement = new Placement({
       clock,
--- a/packages/metrics/src/GatewayMetrics.ts
+++ b/packages/metrics/src/GatewayMetrics.ts
@@ -42,6 +42,8 @@
 interface GaugeValues {
   readonly waiting: number;
   readonly probes: number;
+  readonly unwrittenProbes: number;
+  readonly unansweredProbes: number;
   readonly targets: number;
   readonly limitedTargets: number;
   readonly unreachableServices: number;
@@ -112,6 +114,8 @@
     const gaugeReaders: [keyof typeof gatewayMetricTable, (values: GaugeValues) => number][] = [
       ['waiting_requests', ({ waiting }) => waiting],
       ['probes_total', ({ probes }) => probes],
+      ['unwritten_probes_total', ({ unwrittenProbes }) => unwrittenProbes],
+      ['unanswered_probes_total', ({ unansweredProbes }) => unansweredProbes],
       ['targets', ({ targets }) => targets],
       ['limited_targets', ({ limitedTargets }) => limitedTargets],
       ['unreachable_services', ({ unreachableServices }) => unreachableServices],
--- a/packages/metrics/src/gatewayMetricTable.ts
+++ b/packages/metrics/src/gatewayMetricTable.ts
@@ -27,6 +27,12 @@
   probes_total: {
     type: 'counter', tags: [], meaning: 'probes sent to targets',
   },
+  unwritten_probes_total: {
+    type: 'counter', tags: [], meaning: 'probes that no connection had taken when their time was over, so that their target has not seen them',
+  },
+  unanswered_probes_total: {
+    type: 'counter', tags: [], meaning: 'probes that were written and had no response when their time was over',
+  },
   targets: {
     type: 'gauge', tags: [], meaning: 'targets known',
   },
--- a/packages/metrics/test/gatewayMetrics.test.ts
+++ b/packages/metrics/test/gatewayMetrics.test.ts
@@ -9,6 +9,8 @@
   const metrics = new GatewayMetrics(() => ({
     waiting: 3,
     probes: 7,
+    unwrittenProbes: 2,
+    unansweredProbes: 3,
     targets: 2,
     limitedTargets: 1,
     unreachableServices: 2,
@@ -64,6 +66,8 @@
     'guavayard_attempts_total{service="lots",outcome="not-run"} 1',
     'guavayard_request_seconds_bucket{le="0.3",service="lots"} 2',
     'guavayard_waiting_requests 3',
+    'guavayard_unwritten_probes_total 2',
+    'guavayard_unanswered_probes_total 3',
     'guavayard_limited_targets 1',
     'guavayard_quota_asked_total 12',
     'guavayard_quota_admitted_total 7',
--- a/packages/report/src/explainRequest.ts
+++ b/packages/report/src/explainRequest.ts
@@ -1,5 +1,8 @@
 import * as z from 'zod';
 
+/** Time for a connection above which it is told, in milliseconds. */
+const LONG_CONNECTION_MS = 50;
+
 const Attempt = z.object({
   target: z.string(),
   load: z.number().optional(),
@@ -7,6 +10,7 @@
   loadAgeMs: z.number().optional(),
   wasSilent: z.boolean().optional(),
   isNewConnection: z.boolean().optional(),
+  connectionMs: z.number().optional(),
   coldLeftMs: z.number().optional(),
   isHedge: z.boolean().optional(),
   outcome: z.string(),
@@ -46,8 +50,8 @@
 
 function describeAttempt(attempt: z.infer<typeof Attempt>, index: number): string {
   const {
-    target, load, slowness, loadAgeMs, wasSilent = false, isNewConnection = false, coldLeftMs,
-    isHedge = false, outcome, ms,
+    target, load, slowness, loadAgeMs, wasSilent = false, isNewConnection = false, connectionMs = 0,
+    coldLeftMs, isHedge = false, outcome, ms,
   } = attempt;
   const loadReport = load === undefined
     ? 'load unknown'
@@ -57,6 +61,7 @@
     loadReport,
     ...(wasSilent ? ['a probe unanswered'] : []),
     ...(isNewConnection ? ['a new connection'] : []),
+    ...(connectionMs >= LONG_CONNECTION_MS ? [`${connectionMs} ms until a connection took it`] : []),
     ...(coldLeftMs === undefined ? [] : [`cold for ${coldLeftMs} ms more`]),
   ].join(', ');
   return `  attempt ${index + 1}: ${target} (${notes}): ${outcome} after ${ms} ms`;
--- a/packages/report/test/explain.test.ts
+++ b/packages/report/test/explain.test.ts
@@ -65,3 +65,11 @@
 test('an unknown request id gives no lines', () => {
   assert.deepEqual(explainRequest(LINES, 'r-9'), []);
 });
+
+test('an attempt that waited for a connection is explained with the time', () => {
+  const line = '{"vm":"entry-1","requestId":"r-6","attempts":[{"target":"t-1","load":0,"slowness":1,"loadAgeMs":2,"connectionMs":310,"outcome":"answered 200","ms":330}],"decision":"answered","status":200,"ms":332,"time":"2026-10-09T07:00:01.300Z"}';
+  assert.deepEqual(explainRequest([line], 'r-6').slice(1), [
+    '  attempt 1: t-1 (told 0 requests and slowness 1 2 ms before, 310 ms until a connection took it): answered 200 after 330 ms',
+    '  answered: answered 200 after 332 ms',
+  ]);
+});
