--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -1,15 +1,11 @@
 import type Logger from 'bunyan';
 
-import createPlacedTarget from '@guavayard/core/placement/createPlacedTarget';
 import EntryShareTracker from '@guavayard/core/placement/EntryShareTracker';
-import FormerTargets from '@guavayard/core/placement/FormerTargets';
 import maySendToColdTarget from '@guavayard/core/placement/maySendToColdTarget';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
-import placementLimits from '@guavayard/core/placement/placementLimits';
 import recordSendTime from '@guavayard/core/placement/recordSendTime';
 import RosterHistory from '@guavayard/core/placement/RosterHistory';
 import type Declaration from '@guavayard/core/registry/Declaration';
-import findAnnouncementMistake from '@guavayard/core/registry/findAnnouncementMistake';
 import findService from '@guavayard/core/registry/findService';
 import type RegisteredTarget from '@guavayard/core/registry/RegisteredTarget';
 import type Clock from '@guavayard/core/types/Clock';
@@ -25,6 +21,7 @@
 import ServiceVersions from './ServiceVersions';
 import TargetNotices from './TargetNotices';
 import TargetPaths from './TargetPaths';
+import TargetTable from './TargetTable';
 
 /** Targets for which a part of the share is given up with one request. */
 const MAX_PERMITS = 1;
@@ -63,9 +60,7 @@
 
 /** Table of the targets that this entry knows; selects those that may receive a request. */
 export default class TargetPool {
-  private readonly targets = new Map<string, PlacedTarget>();
-
-  private readonly formerTargets = new FormerTargets();
+  private readonly targets: TargetTable;
 
   private declaration: Declaration | undefined;
 
@@ -95,6 +90,19 @@
   private limitContext = '';
 
   constructor(private readonly options: TargetPoolOptions) {
+    this.targets = new TargetTable({
+      ...options,
+      entryName: options.location.name,
+      onAdded: (target) => {
+        this.paths.admit(target);
+        this.notices.extendCold(target, target.record.coldLeftMs);
+      },
+      onUpdated: (target) => this.notices.extendCold(target, target.record.coldLeftMs),
+      onRemoved: (target) => {
+        this.paths.forget(target);
+        options.onTargetRemoved(target.record.address);
+      },
+    });
     this.nearRosters = new RosterHistory(options.elapsedClock());
     this.limits = new RequestLimitTracker({
       clock: options.clock,
@@ -107,7 +115,7 @@
     this.share = new EntryShareTracker(options.shareWindowMs);
     this.paths = new TargetPaths({
       ...options,
-      findServing: () => [...this.targets.values()].filter((target) => this.isServing(target)),
+      findServing: () => this.targets.list().filter((target) => this.isServing(target)),
       isNear: (target) => this.isNear(target),
     });
   }
@@ -132,7 +140,7 @@
 
   /** Counts of the roll-outs that are under way. */
   get rolloutCounts(): ReturnType<ServiceVersions['list']> {
-    return this.versions.list(this.targets.values());
+    return this.versions.list(this.targets.list());
   }
 
   /** Records whether this entry follows control. */
@@ -161,8 +169,7 @@
     this.declaration = declaration;
     this.evacuated = evacuated;
     if (restored.length > 0) this.requireProbes(restored);
-    [...this.targets.keys()].filter((id) => !records.has(id)).forEach((id) => this.remove(id));
-    records.forEach((record) => this.upsert(record));
+    this.targets.update(records);
     this.updateLimitContext();
   }
 
@@ -223,7 +230,7 @@
     triedIds: readonly string[],
   ): PlacedTarget[] {
     const nowMs = this.options.clock();
-    return [...this.targets.values()].filter((target) => {
+    return this.targets.list().filter((target) => {
       const { record, region } = target;
       if (record.service !== service || !this.isServing(target)) return false;
       if (triedIds.includes(record.id)) return false;
@@ -236,7 +243,7 @@
   /** @returns the targets in the region of this entry that receive requests */
   findNearTargets(): PlacedTarget[] {
     const nowMs = this.options.clock();
-    return [...this.targets.values()].filter((target) => this.isNear(target)
+    return this.targets.list().filter((target) => this.isNear(target)
       && this.isServing(target) && target.ejectedUntilMs <= nowMs
       && target.unreachableUntilMs <= nowMs);
   }
@@ -261,7 +268,7 @@
 
   /** @returns the number of targets that name a request limit */
   get limitedCount(): number {
-    return [...this.targets.values()].filter(({ requestLimit }) => requestLimit !== undefined)
+    return this.targets.list().filter(({ requestLimit }) => requestLimit !== undefined)
       .length;
   }
 
@@ -297,7 +304,7 @@
     triedIds: readonly string[],
   ): string[] {
     const nowMs = this.options.clock();
-    const limited = [...this.targets.values()].filter((target) => target.requestLimit !== undefined
+    const limited = this.targets.list().filter((target) => target.requestLimit !== undefined
       && target.record.service === service && this.isServing(target)
       && !triedIds.includes(target.record.id)
       && (homeRegions === undefined || homeRegions.includes(target.region))
@@ -341,7 +348,7 @@
   /** Updates what determines the shares of request limits, if it has changed. */
   private updateLimitContext(): void {
     const regionsOf = new Map<string, Set<string>>();
-    this.targets.forEach(({ record, region }) => {
+    this.targets.list().forEach(({ record, region }) => {
       const regions = regionsOf.get(record.service) ?? new Set();
       regionsOf.set(record.service, regions.add(region));
     });
@@ -359,57 +366,9 @@
   /** Requires a probe of targets that may have become cold while they were evacuated. */
   private requireProbes(dataCentres: readonly string[]): void {
     const nowMs = this.options.clock();
-    this.targets.forEach((target) => {
+    this.targets.list().forEach((target) => {
       const state = target;
       if (dataCentres.includes(target.record.dataCentre)) state.probeDueSinceMs = nowMs;
     });
   }
-
-  private upsert(record: RegisteredTarget): void {
-    const known = this.targets.get(record.id);
-    if (known?.record === record) return;
-    // An older control VM may have registered what nothing can be sent to.
-    const mistake = findAnnouncementMistake(record, { dataCentres: undefined, nowMs: Infinity });
-    if (mistake !== undefined) {
-      this.options.log.warn({ target: record.id, mistake }, 'target ignored');
-      this.remove(record.id);
-      return;
-    }
-    const isSameIncarnation = known?.record.bornAtMs === record.bornAtMs
-      && known.record.address === record.address;
-    if (known !== undefined && isSameIncarnation) {
-      known.record = record;
-      this.notices.extendCold(known, record.coldLeftMs);
-      return;
-    }
-    if (known !== undefined) {
-      const sinceMs = this.options.clock() - placementLimits.coldWindowMs;
-      this.options.log.info({
-        target: record.id,
-        bornAtMs: record.bornAtMs,
-        formerBornAtMs: known.record.bornAtMs,
-        recentSends: known.recentSends.filter((atMs) => atMs > sinceMs).length,
-        coldLeftMs: Math.round(Math.max(0, known.coldUntilMs - this.options.clock())),
-      }, 'target started again');
-      this.remove(record.id);
-    }
-    const target = createPlacedTarget(
-      record,
-      this.options.regionOf(record.dataCentre),
-      this.options.location.name,
-    );
-    this.formerTargets.restore(target, this.options.clock());
-    this.targets.set(record.id, target);
-    this.paths.admit(target);
-    this.notices.extendCold(target, record.coldLeftMs);
-  }
-
-  private remove(id: string): void {
-    const known = this.targets.get(id);
-    this.targets.delete(id);
-    if (known === undefined) return;
-    this.formerTargets.add(known, this.options.clock());
-    this.paths.forget(known);
-    this.options.onTargetRemoved(known.record.address);
-  }
 }
