Give probes a connection beside those of requests

Cause: probes took one of the same 16 connections. With a request on each, a probe went into the queue of one of them, was never written, and counted as unanswered after 400 ms. Two of them let the watchdog give up all attempts.

Fix: requests keep their limit of connections, which probes do not count towards. Only connections that carry a request count, so requests leave the one that a probe has used to the next probe. A probe that has its connection and no response tells silence as before, so a lost target is noticed as soon as it was.

--- a/packages/target/src/TargetConnection.ts
+++ b/packages/target/src/TargetConnection.ts
@@ -32,6 +32,9 @@
   /** Whether the open connection has been sent a request whose response has not started. */
   private isAwaiting = false;
 
+  /** Whether the request that was sent last is a probe. */
+  private isLastProbe = false;
+
   /** Whether this VM has aborted a request, which ends the open connection. */
   private isAborted = false;
 
@@ -69,6 +72,11 @@
     return this.client.stats.size;
   }
 
+  /** Whether the connection carries a request that is not a probe, or one waits for it. */
+  get hasRequest(): boolean {
+    return this.load > 0 && !this.isLastProbe;
+  }
+
   /** Whether the connection is open and has carried a response. */
   get isProven(): boolean {
     return this.hasAnswered && this.client.stats.connected;
@@ -106,6 +114,7 @@
         this.isAborted = true;
       },
     });
+    this.isLastProbe = req.purpose === 'probe';
     this.client.dispatch({
       method: req.method,
       path: req.path,
--- a/packages/target/src/TargetConnections.ts
+++ b/packages/target/src/TargetConnections.ts
@@ -35,15 +35,17 @@
 
   /**
    * Sends a request on the open connection that was used last, so that the others expire, and on a
-   * new one only if none is free.
+   * new one only if none is free. A probe never waits for the end of a request, as its delay
+   * would pass for silence of the target: it gets a new connection beyond the limit if it needs
+   * one, which requests do not use up.
    *
    * @param req - the request
    * @param handler - receives the response
-   * @param limit - number of connections above which requests wait for one
+   * @param limit - number of connections above which requests other than probes wait for one
    * @returns a handle to resume or abort the exchange
    */
   send(req: TargetRequest, handler: AnswerHandler, limit: number): Dispatch {
-    const connection = this.select(limit);
+    const connection = this.select(req, limit);
     this.connections = [connection, ...this.connections.filter((other) => other !== connection)];
     if (req.purpose === 'probe') {
       return connection.send(req, this.watchProbe(connection, handler), () => true);
@@ -83,12 +85,13 @@
     return this.proof.takePass(this.clock()) ? () => true : () => false;
   }
 
-  private select(limit: number): TargetConnection {
-    const free = this.connections.find(({ isReady }) => isReady)
-      ?? this.connections.find(({ load }) => load === 0);
-    if (free !== undefined) return free;
-    const [first, ...others] = this.connections;
-    if (first === undefined || this.connections.length < limit) return this.create(this.proof);
-    return others.reduce((best, other) => (other.load < best.load ? other : best), first);
+  private select({ purpose }: TargetRequest, limit: number): TargetConnection {
+    const [first, ...others] = this.connections.filter(({ hasRequest }) => hasRequest);
+    if (purpose !== 'probe' && first !== undefined && others.length + 1 >= limit) {
+      return others.reduce((best, other) => (other.load < best.load ? other : best), first);
+    }
+    return this.connections.find(({ isReady }) => isReady)
+      ?? this.connections.find(({ load }) => load === 0)
+      ?? this.create(this.proof);
   }
 }
