Limit connections to a target by what its service declares

Callers saw: no more than 16 requests of an entry at work at a target, whatever its slots; the others waited behind them, up to 504.

Cause: both senders passed a constant of 16, and nothing read the connections that a declared service accepts. Entries of a large system could also open more than a target accepts, which it resets.

Fix: an entry uses its share of the declared number, less one connection for probes. The share divides by the number of entries that other shared limits divide by, which shrinks a window after entries have gone; until the entries are known, 16 connections at most, as before.

--- a/packages/caller/src/Exchange.ts
+++ b/packages/caller/src/Exchange.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 
+import connectionLimits from '@guavayard/core/connections/connectionLimits';
 import type AnswerHandler from '@guavayard/core/dispatch/AnswerHandler';
 import type AnswerHeaders from '@guavayard/core/dispatch/AnswerHeaders';
 import type Dispatch from '@guavayard/core/dispatch/Dispatch';
@@ -189,7 +190,11 @@
   }
 
   private findAddress({ target, relayTo }: Assignment): SendAddress {
-    if (relayTo === undefined) return target;
+    if (relayTo === undefined) {
+      const { address, connectionLimit } = target;
+      const { maxPerTarget } = connectionLimits;
+      return { address, connectionLimit: Math.min(connectionLimit, maxPerTarget) };
+    }
     // An unknown owner maps to an address without a listener, which proves the attempt did not run.
     const address = this.entry.relay.addressOf(relayTo) ?? UNKNOWN_ADDRESS;
     return { address, connectionLimit: RELAY_CONNECTION_LIMIT };
--- a/packages/core/src/connections/connectionLimits.ts
+++ b/packages/core/src/connections/connectionLimits.ts
@@ -1,5 +1,11 @@
-/** Limits on what an entry concludes from its connections to targets. */
+/** Limits on connections to targets, and on what an entry concludes from them. */
 const connectionLimits = {
+  /** Most connections from one entry to a target, however many the target accepts. */
+  maxPerTarget: 256,
+  /** Connections from one entry to a target while it does not know the other entries. */
+  unknownShare: 16,
+  /** Connections to a target that are left to its probes. */
+  keptForProbes: 1,
   /** Addresses in a row that refuse new connections: fewer targets may be down themselves. */
   minRefusingTargets: 3,
   /** Time after the last refusal for which that holds, in milliseconds. */
--- a/packages/core/src/subsetting/calculateConnectionShare.ts
+++ b/packages/core/src/subsetting/calculateConnectionShare.ts
@@ -7,6 +7,9 @@
  * @param userCount - number of entries that use it
  * @returns the maximum number of connections for each of them, at least 1
  */
-export default function calculateConnectionShare(target: SubsetTarget, userCount: number): number {
+export default function calculateConnectionShare(
+  target: Pick<SubsetTarget, 'connectionLimit'>,
+  userCount: number,
+): number {
   return Math.max(1, Math.floor(target.connectionLimit / Math.max(1, userCount)));
 }
--- a/packages/core/src/types/SendAddress.ts
+++ b/packages/core/src/types/SendAddress.ts
@@ -1,7 +1,7 @@
 /** Address that requests are sent to, of a target or another entry. */
 interface SendAddress {
   readonly address: string;
-  /** Maximum number of connections that all entries together may open. */
+  /** Most connections that may carry requests to it; a probe may have one beside them. */
   readonly connectionLimit: number;
 }
 
--- a/packages/gateway/src/AttemptSender.ts
+++ b/packages/gateway/src/AttemptSender.ts
@@ -12,8 +12,6 @@
 import type ResponseForwarder from './ResponseForwarder';
 import type ResponseMetadata from './ResponseMetadata';
 
-const CONNECTION_LIMIT = 16;
-
 interface AttemptSenderListener {
   /** Returns whether the response to an attempt may be sent before it is complete. */
   readonly mayStream: (attempt: Attempt) => boolean;
@@ -38,11 +36,16 @@
    */
   send(attempt: Attempt, body: Readable | null): void {
     const state = attempt;
-    const { dialect, keys, sender } = this.dependencies;
+    const {
+      dialect, keys, pool, sender,
+    } = this.dependencies;
     const { request } = this;
     const { record } = attempt.target;
     const dispatch = sender.send(
-      { address: record.address, connectionLimit: CONNECTION_LIMIT },
+      {
+        address: record.address,
+        connectionLimit: pool.paths.connections.limitOf(attempt.target),
+      },
       {
         method: request.method,
         path: request.path,
--- a/packages/gateway/src/ConnectionTracker.ts
+++ b/packages/gateway/src/ConnectionTracker.ts
@@ -14,6 +14,8 @@
   readonly countReady: (address: string) => number;
   /** Returns whether a new connection leads to the process that the last probe has told of. */
   readonly mayOpen: (address: string) => boolean;
+  /** Returns how many connections to targets of a service may carry requests of this entry. */
+  readonly findLimit: (service: string) => number;
   /** Called when new connections turn out to be refused. */
   readonly onRefused: () => void;
 }
@@ -62,6 +64,11 @@
     return mayOpen(address) && !needsProvenConnection(this.evidence, address, clock());
   }
 
+  /** @returns how many connections to a target may carry requests of this entry */
+  limitOf({ record: { service } }: PlacedTarget): number {
+    return this.options.findLimit(service);
+  }
+
   private logChange(nowMs: number): void {
     const { log } = this.options;
     const isRefused = this.areRefused;
--- a/packages/gateway/src/ProbeExchange.ts
+++ b/packages/gateway/src/ProbeExchange.ts
@@ -23,7 +23,6 @@
 const UNREACHABLE_MS = 300;
 /** Silent probes in a row after which a target is logged, once until it answers. */
 const LOGGED_SILENT_PROBES = 2;
-const CONNECTION_LIMIT = 16;
 const OK = 200;
 /** Maximum length of the response to a probe, in bytes; only its headers are used. */
 const MAX_PROBE_RESPONSE_BYTES = 16 * 1024;
@@ -82,7 +81,10 @@
     target.lastSentAtMs = sentAtMs;
     if (!this.mayWaitForSlot) pool.paths.reachability.recordProbe(target);
     this.dispatch = sender.send(
-      { address: target.record.address, connectionLimit: CONNECTION_LIMIT },
+      {
+        address: target.record.address,
+        connectionLimit: pool.paths.connections.limitOf(target),
+      },
       {
         method: 'GET', path, headers: [], body: null, purpose: 'probe',
       },
--- a/packages/gateway/src/TargetPaths.ts
+++ b/packages/gateway/src/TargetPaths.ts
@@ -30,6 +30,8 @@
   readonly countReady: (address: string) => number;
   /** Returns whether a new connection leads to the process that the last probe has told of. */
   readonly mayOpen: (address: string) => boolean;
+  /** Returns how many connections to targets of a service may carry requests of this entry. */
+  readonly findLimit: (service: string) => number;
 }
 
 /** Tells which paths from this entry to targets work. */
@@ -45,13 +47,13 @@
 
   constructor(private readonly options: TargetPathsOptions) {
     const {
-      clock, log, defer, onSilence, countReady, mayOpen,
+      clock, log, defer, onSilence, countReady, mayOpen, findLimit,
     } = options;
     this.reachability = new ReachabilityTracker({
       clock, log, countTargets: (service) => this.findServing(service).length, defer, onSilence,
     });
     this.connections = new ConnectionTracker({
-      clock, log, countReady, mayOpen, onRefused: onSilence,
+      clock, log, countReady, mayOpen, findLimit, onRefused: onSilence,
     });
   }
 
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -1,5 +1,6 @@
 import type Logger from 'bunyan';
 
+import findConnectionLimit from '@guavayard/core/connections/findConnectionLimit';
 import EntryShareTracker from '@guavayard/core/placement/EntryShareTracker';
 import maySendToColdTarget from '@guavayard/core/placement/maySendToColdTarget';
 import type PlacedTarget from '@guavayard/core/placement/PlacedTarget';
@@ -117,6 +118,10 @@
       ...options,
       findServing: () => this.targets.list().filter((target) => this.isServing(target)),
       isNear: (target) => this.isNear(target),
+      findLimit: (service) => findConnectionLimit(
+        findService(this.declaration, service)?.connectionLimit,
+        this.share.findCount(options.clock()),
+      ),
     });
   }
 
--- a/packages/target/src/UndiciTargetSender.ts
+++ b/packages/target/src/UndiciTargetSender.ts
@@ -13,8 +13,6 @@
 
 const CONNECT_TIMEOUT_MS = 1000;
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
-/** Maximum connections from one entry to a target, even if the target's limit is higher. */
-const MAX_CONNECTIONS_PER_TARGET = 64;
 
 interface SenderOptions {
   /** Keep-alive timeout if the response of the target does not specify one, in milliseconds. */
@@ -53,8 +51,7 @@
   ) {}
 
   send(target: SendAddress, req: TargetRequest, handler: AnswerHandler): Dispatch {
-    const limit = Math.min(target.connectionLimit, MAX_CONNECTIONS_PER_TARGET);
-    return this.connectionsTo(target.address).send(req, handler, limit);
+    return this.connectionsTo(target.address).send(req, handler, target.connectionLimit);
   }
 
   countReady(address: string): number {
