Place requests only where a connection is left for them

Cause: with a request on each connection to a target, the HTTP client queued the next one behind them. The entry took it for sent, and did not look again at what had changed when it was written.

Fix: a target has room only while fewer requests are in flight to it than connections may carry; others wait in the queue of the entry. The sender queues nothing: a request without a connection fails unsent and is placed again.

--- a/packages/gateway/src/ConnectionTracker.ts
+++ b/packages/gateway/src/ConnectionTracker.ts
@@ -69,6 +69,17 @@
     return this.options.findLimit(service);
   }
 
+  /**
+   * Returns whether a connection to a target is left for one more request. A request that has none
+   * waits in the entry, where it can still go to another target.
+   *
+   * @param target - the target
+   * @returns false if as many requests are in flight as connections may carry
+   */
+  hasRoom(target: PlacedTarget): boolean {
+    return target.inFlight.size < this.limitOf(target);
+  }
+
   private logChange(nowMs: number): void {
     const { log } = this.options;
     const isRefused = this.areRefused;
--- a/packages/gateway/src/RetryRules.ts
+++ b/packages/gateway/src/RetryRules.ts
@@ -62,12 +62,14 @@
     const { service, route: { homeRegions }, permittedIds } = this.request;
     if (!this.canRetry('spoiled') || !placement.mayRetry(service)) return false;
     const nowMs = clock();
+    const { connections } = pool.paths;
     const free = pool.findEligible(service, homeRegions, this.triedIds, permittedIds)
-      .filter((target) => isConfirmed(target) && hasFreeSlot(target, target.record.slots, nowMs));
-    const canSend = free.some((target) => pool.paths.connections.maySend(target));
+      .filter((target) => isConfirmed(target) && connections.hasRoom(target)
+        && hasFreeSlot(target, target.record.slots, nowMs));
+    const canSend = free.some((target) => connections.maySend(target));
     if (!canSend) {
       prober.probe(free.slice(0, 1), () => {
-        if (free.some((target) => pool.paths.connections.maySend(target))) onConnected();
+        if (free.some((target) => connections.maySend(target))) onConnected();
       });
     }
     return canSend;
--- a/packages/gateway/src/TargetRanking.ts
+++ b/packages/gateway/src/TargetRanking.ts
@@ -73,7 +73,7 @@
     targets.forEach((target) => {
       const limit = speed.bestConcurrency(target.record.slots, request.targetLatencyMs);
       if (!eligible.has(target) || !isConfirmed(target) || !connections.maySend(target)
-        || !hasFreeSlot(target, limit, nowMs)) return;
+        || !connections.hasRoom(target) || !hasFreeSlot(target, limit, nowMs)) return;
       const cost = estimateCost(target, speed.kneeSlowdown, nowMs);
       if (cost >= bestCost) return;
       best = target;
@@ -93,9 +93,8 @@
     const { clock, pool, speed } = this.options;
     const nowMs = clock();
     const near = this.findEligible(request).filter((target) => {
-      if (!pool.isNear(target) || !isConfirmed(target) || target.isUnhealthy) {
-        return false;
-      }
+      if (!pool.isNear(target) || !isConfirmed(target) || target.isUnhealthy) return false;
+      if (!pool.paths.connections.hasRoom(target)) return false;
       // An older reading tells neither that it is still full nor that it is still slow.
       const isUsual = isAtUsualSpeed(target, nowMs);
       const limit = speed.bestConcurrency(target.record.slots, request.targetLatencyMs);
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -40,6 +40,7 @@
 
 /** An exchange that has not ended. */
 interface OpenExchange {
+  readonly isProbe: boolean;
   readonly target: FakeTarget;
   readonly fail: () => void;
 }
@@ -56,6 +57,9 @@
 
   aborts = 0;
 
+  /** Requests that found no connection left. */
+  unsent = 0;
+
   /** Called with whether a new connection to an address has carried a response, or failed. */
   onOpened: (address: string, isWorking: boolean) => void = () => undefined;
 
@@ -100,13 +104,16 @@
     const target = this.targets.find((candidate) => candidate.address === address.address);
     if (target === undefined) throw new Error(`no target at ${address.address}`);
     this.addresses.add(address.address);
+    const isProbe = req.purpose === 'probe';
+    if (!isProbe && this.countRequests(target) >= address.connectionLimit) {
+      this.unsent += 1;
+      return FakeSender.holdBack(handler, 'all connections are in use');
+    }
     let isOver = false;
     const isNew = this.countReady(target.address) === 0;
     const proof = this.proofOf(target.address);
     if (isNew && req.purpose === 'bound' && !this.mayOpen(target.address)) {
-      const failure = { kind: 'targetUnreachable', detail: 'held back', isUnsent: true } as const;
-      setTimeout(() => handler.onFailure(failure), 0);
-      return { resume: () => undefined, abort: () => undefined };
+      return FakeSender.holdBack(handler, 'the connection has ended');
     }
     if (isNew && req.purpose === 'bound' && this.countAnswered(target.address) === 0) {
       proof.takePass(this.clock());
@@ -114,6 +121,7 @@
     const { endCount } = proof;
     if (!isNew) this.ready.set(target.address, this.countReady(target.address) - 1);
     const exchange: OpenExchange = {
+      isProbe,
       target,
       fail: () => {
         isOver = true;
@@ -179,6 +187,17 @@
     return (proof.isCurrent && this.countAnswered(address) > 0) || proof.hasPass(this.clock());
   }
 
+  /** Counts the requests other than probes that have a connection to a target. */
+  private countRequests(target: FakeTarget): number {
+    return [...this.exchanges].filter((exchange) => exchange.target === target && !exchange.isProbe)
+      .length;
+  }
+
+  private static holdBack(handler: AnswerHandler, detail: string): Dispatch {
+    setTimeout(() => handler.onFailure({ kind: 'targetUnreachable', detail, isUnsent: true }), 0);
+    return { resume: () => undefined, abort: () => undefined };
+  }
+
   private proofOf(address: string): ProcessProof {
     const known = this.proofs.get(address) ?? new ProcessProof();
     this.proofs.set(address, known);
--- a/packages/gateway/test/support/GatewayRig.ts
+++ b/packages/gateway/test/support/GatewayRig.ts
@@ -63,6 +63,9 @@
     backends: [{ service: 'lots', weight: 1 }],
   };
 
+  /** Connections that each target accepts, as the declaration says. */
+  connectionLimit = 100;
+
   /** Version of the declaration in force. */
   version = 1;
 
@@ -223,7 +226,10 @@
       routes: { lots: this.route },
       services: {
         lots: {
-          healthPath: '/health', connectionLimit: 100, coldMs: 3000, coldRequestsPerSecond: 2,
+          healthPath: '/health',
+          connectionLimit: this.connectionLimit,
+          coldMs: 3000,
+          coldRequestsPerSecond: 2,
         },
       },
       limits: {
--- a/packages/target/src/TargetConnection.ts
+++ b/packages/target/src/TargetConnection.ts
@@ -32,8 +32,8 @@
   /** Whether the open connection has been sent a request whose response has not started. */
   private isAwaiting = false;
 
-  /** Whether the request that was sent last is a probe. */
-  private isLastProbe = false;
+  /** Whether a request that is not a probe is under way. */
+  private isCarrying = false;
 
   /** Whether this VM has aborted a request, which ends the open connection. */
   private isAborted = false;
@@ -67,14 +67,14 @@
     });
   }
 
-  /** Number of requests that the connection carries or that wait for it. */
-  get load(): number {
-    return this.client.stats.size;
+  /** Whether no request has the connection. */
+  get isFree(): boolean {
+    return this.client.stats.size === 0;
   }
 
-  /** Whether the connection carries a request that is not a probe, or one waits for it. */
+  /** Whether the connection carries a request that is not a probe. */
   get hasRequest(): boolean {
-    return this.load > 0 && !this.isLastProbe;
+    return this.isCarrying;
   }
 
   /** Whether the connection is open and has carried a response. */
@@ -84,7 +84,7 @@
 
   /** Whether the connection is open, has carried a response and can take a request at once. */
   get isReady(): boolean {
-    return this.isProven && this.load === 0;
+    return this.isProven && this.isFree;
   }
 
   /**
@@ -113,8 +113,11 @@
         this.isAwaiting = false;
         this.isAborted = true;
       },
+      onFinished: () => {
+        this.isCarrying = false;
+      },
     });
-    this.isLastProbe = req.purpose === 'probe';
+    this.isCarrying = req.purpose !== 'probe';
     this.client.dispatch({
       method: req.method,
       path: req.path,
--- a/packages/target/src/TargetConnections.ts
+++ b/packages/target/src/TargetConnections.ts
@@ -5,6 +5,7 @@
 import type Clock from '@guavayard/core/types/Clock';
 
 import type TargetConnection from './TargetConnection';
+import UnsentDispatch from './UnsentDispatch';
 
 /** The connections of this entry to one target. */
 export default class TargetConnections {
@@ -23,6 +24,11 @@
     return this.connections.filter(({ isReady }) => isReady).length;
   }
 
+  /** Number of connections that carry requests other than probes. */
+  private get requestCount(): number {
+    return this.connections.filter(({ hasRequest }) => hasRequest).length;
+  }
+
   /** Whether a bound request may be sent on a new connection. */
   get mayOpen(): boolean {
     return this.hasOpenProof || this.proof.hasPass(this.clock());
@@ -35,17 +41,19 @@
 
   /**
    * Sends a request on the open connection that was used last, so that the others expire, and on a
-   * new one only if none is free. A probe never waits for the end of a request, as its delay
-   * would pass for silence of the target: it gets a new connection beyond the limit if it needs
-   * one, which requests do not use up.
+   * new one only if none is free. Nothing waits for the end of a request: a probe gets a new
+   * connection beyond the limit if it needs one, which requests do not use up, as its delay would
+   * pass for silence of the target. A request beyond the limit fails unsent, as it would be written
+   * whatever has become of the target by then.
    *
    * @param req - the request
    * @param handler - receives the response
-   * @param limit - number of connections above which requests other than probes wait for one
+   * @param limit - most connections that carry requests other than probes
    * @returns a handle to resume or abort the exchange
    */
   send(req: TargetRequest, handler: AnswerHandler, limit: number): Dispatch {
-    const connection = this.select(req, limit);
+    if (req.purpose !== 'probe' && this.requestCount >= limit) return new UnsentDispatch(req, handler);
+    const connection = this.select();
     this.connections = [connection, ...this.connections.filter((other) => other !== connection)];
     if (req.purpose === 'probe') {
       return connection.send(req, this.watchProbe(connection, handler), () => true);
@@ -85,13 +93,9 @@
     return this.proof.takePass(this.clock()) ? () => true : () => false;
   }
 
-  private select({ purpose }: TargetRequest, limit: number): TargetConnection {
-    const [first, ...others] = this.connections.filter(({ hasRequest }) => hasRequest);
-    if (purpose !== 'probe' && first !== undefined && others.length + 1 >= limit) {
-      return others.reduce((best, other) => (other.load < best.load ? other : best), first);
-    }
+  private select(): TargetConnection {
     return this.connections.find(({ isReady }) => isReady)
-      ?? this.connections.find(({ load }) => load === 0)
+      ?? this.connections.find(({ isFree }) => isFree)
       ?? this.create(this.proof);
   }
 }
--- a/packages/target/src/UndiciDispatch.ts
+++ b/packages/target/src/UndiciDispatch.ts
@@ -20,6 +20,8 @@
   readonly onResponse: () => void;
   /** Called when this VM aborts the request, which closes the connection. */
   readonly onAbort: () => void;
+  /** Called when the exchange has ended; its connection may still be closing. */
+  readonly onFinished: () => void;
 }
 
 /** Adapts one undici dispatch to the interfaces of `core`. */
@@ -42,7 +44,7 @@
   abort(reason: Failure): void {
     if (this.isFinished) return;
     // undici may still be waiting for a connection; fail the request without waiting for it.
-    this.isFinished = true;
+    this.finish();
     if (this.controller !== undefined) this.connection.onAbort();
     this.controller?.abort(new Error(reason.kind));
     this.handler.onFailure(reason);
@@ -89,7 +91,7 @@
 
   onResponseEnd(): void {
     if (this.isFinished) return;
-    this.isFinished = true;
+    this.finish();
     // undici reuses the connection only after a turn of the event loop. A handler that sends its
     // next request before that gets a new connection.
     setImmediate(() => setImmediate(() => this.handler.onEnd()));
@@ -97,7 +99,12 @@
 
   onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
     if (this.isFinished) return;
-    this.isFinished = true;
+    this.finish();
     this.handler.onFailure(describeSendError(err, this.controller !== undefined));
   }
+
+  private finish(): void {
+    this.isFinished = true;
+    this.connection.onFinished();
+  }
 }
--- a/packages/target/test/busyConnections.test.ts
+++ b/packages/target/test/busyConnections.test.ts
@@ -107,12 +107,28 @@
   await waitFor(() => arrivals.length === LIMIT);
   const first = send('/probe', 'probe');
   await waitFor(() => first.isAnswered);
-  send('/late', 'bound');
+  const refused = send('/late', 'bound');
+  await waitFor(() => refused.failure !== undefined);
   const second = send('/probe', 'probe');
   await waitFor(() => second.isAnswered);
   assert.ok(connectionCount() <= LIMIT + 2, `${connectionCount()} connections`);
 });
 
+// Guards against a request that is written to its target long after it was given to it.
+test('a request for which no connection is left fails at once, and is not sent', async (t) => {
+  const { send, arrivals } = await startBusyTarget(t);
+  const running = Array.from({ length: LIMIT }, (_, count) => send(`/work-${count}`));
+  await waitFor(() => arrivals.length === LIMIT);
+  const late = send('/late');
+  await waitFor(() => late.failure !== undefined || late.isWritten);
+  assert.deepEqual([late.isWritten, late.failure?.kind, late.failure?.isUnsent], [false, 'targetUnreachable', true]);
+  running[0]?.abort({ kind: 'callerGone', detail: '' });
+  const next = send('/next');
+  await waitFor(() => arrivals.includes('/next') || next.failure !== undefined);
+  assert.equal(next.failure, undefined);
+  assert.ok(!arrivals.includes('/late'));
+});
+
 // Guards against noticing a lost target later because earlier probes hold the connection for them.
 test('probes that were given up before they had a response keep no later one waiting', async (t) => {
   const sockets = new Set<{ destroy: () => void }>();
