Take a target that is sending a response for alive

Callers saw: beside a long response, a request at work at the same target got 502 ("the target is silent") when the target answered no probe, and the long response itself was cut, while its bytes were arriving.

Cause: only heads of responses and answers to probes counted as signs of life. A target that accepts no further connection answers no probe.

Fix: a chunk of a response ends the count of silent probes, by which the watchdog gives attempts up. It confirms no path: a target that leaves probes unanswered still gets no new request before it answers one.

Tests: an order beside a response of 3 s whose target ignores probes got 502 before, and both attempts were aborted. A target that falls silent after its response is given up, before and after.

--- a/packages/gateway/src/AttemptSender.ts
+++ b/packages/gateway/src/AttemptSender.ts
@@ -115,6 +115,8 @@
 
   private handleData(attempt: Attempt, chunk: Buffer): boolean {
     const state = attempt;
+    // A target that is sending is not silent, although it may accept no connection for a probe.
+    state.target.silentProbes = 0;
     const isWanted = this.forwarder.take(state, chunk, () => this.listener.mayStream(state));
     if (isWanted === undefined) {
       state.isAborted = true;
--- a/packages/gateway/test/support/FakeSender.ts
+++ b/packages/gateway/test/support/FakeSender.ts
@@ -222,7 +222,7 @@
     complete: (run: () => void) => void,
   ): void {
     this.probes += 1;
-    if (target.mode === 'silent') return;
+    if (target.mode === 'silent' || target.ignoresProbes === true) return;
     if (target.isMute === true && target.running >= target.slots) {
       this.waitingProbes.push(() => this.probe(target, handler, complete));
       return;
@@ -308,11 +308,19 @@
     if (target.mode === 'not-run') headers['not-run'] = '1';
     if (target.mode === 'not-run' && target.restMs !== undefined) headers.rest = String(target.restMs);
     handler.onHeaders(STATUSES[target.mode] ?? 200, headers);
-    for (let start = 0; start < body.length && !isOver(); start += CHUNK_BYTES) {
+    const finish = (): void => {
+      if (target.tailMs === undefined) complete(() => handler.onEnd());
+      else setTimeout(() => complete(() => handler.onEnd()), target.tailMs);
+    };
+    const sendFrom = (start: number): void => {
+      if (isOver()) return;
       handler.onData(Buffer.from(body.slice(start, start + CHUNK_BYTES)));
-    }
-    if (target.tailMs === undefined) complete(() => handler.onEnd());
-    else setTimeout(() => complete(() => handler.onEnd()), target.tailMs);
+      const next = start + CHUNK_BYTES;
+      if (next >= body.length) finish();
+      else if (target.chunkGapMs === undefined) sendFrom(next);
+      else setTimeout(() => sendFrom(next), target.chunkGapMs);
+    };
+    sendFrom(0);
   }
 
   /** Sends the head and half of the body of a response. */
--- a/packages/gateway/test/support/FakeTarget.ts
+++ b/packages/gateway/test/support/FakeTarget.ts
@@ -25,6 +25,10 @@
   refusesConnections?: boolean;
   /** Length to which its response body is padded, in bytes; its id alone by default. */
   bodyBytes?: number;
+  /** Time between two chunks of its response body, in milliseconds; none by default. */
+  chunkGapMs?: number;
+  /** Whether it answers no probe, but requests. */
+  ignoresProbes?: boolean;
   /** Time between the last byte of its response body and the end of the response, in ms. */
   tailMs?: number;
   /** Whether it closes each connection after a response. */
--- a/packages/gateway/test/watchdog.test.ts
+++ b/packages/gateway/test/watchdog.test.ts
@@ -81,3 +81,37 @@
   rig.run(4000);
   assert.equal(first.status, 200);
 });
+
+// Guards against an answer that passes for silence: orders got 502 beside a long response.
+test('a target that is sending a response is not silent, although no probe is answered', (t) => {
+  const rig = new GatewayRig(t, { timeoutMs: 8000, isIdempotent: false, targetLatencyMs: 400 });
+  const target = rig.addTarget('a', { workMs: 50 });
+  rig.request();
+  rig.run(200);
+  Object.assign(target, { bodyBytes: 20 * 64 * 1024, chunkGapMs: 150 });
+  const long = rig.request({ remainingMs: 8000 });
+  rig.run(100);
+  target.workMs = 2500;
+  const order = rig.request({ remainingMs: 8000 });
+  rig.run(20);
+  target.ignoresProbes = true;
+  rig.run(7000);
+  assert.deepEqual([long.status, order.status, rig.sender.aborts], [200, 200, 0]);
+});
+
+// Guards against taking a target for alive by the bytes of a response that has ended.
+test('a target that has sent a response and falls silent is given up', (t) => {
+  const rig = new GatewayRig(t, { timeoutMs: 8000, isIdempotent: false, targetLatencyMs: 400 });
+  const target = rig.addTarget('a', { workMs: 50 });
+  rig.request();
+  rig.run(200);
+  Object.assign(target, { bodyBytes: 4 * 64 * 1024, chunkGapMs: 100 });
+  rig.request({ remainingMs: 8000 });
+  rig.run(100);
+  target.workMs = 7000;
+  const order = rig.request({ remainingMs: 8000 });
+  rig.run(20);
+  target.ignoresProbes = true;
+  rig.run(3000);
+  assert.equal(order.status, 502);
+});
