Let an entry fill the slots of a target that accepts enough connections

The equal share of the connections that a target accepts let one with 8 slots and 100 connections serve one request of an entry at a time where there are 311 entries. Found by a whole test run: "requests that come at once are served while the budget allows few probes" failed.

Entries send to free slots, so the connections that carry requests are together about as many as the target has slots. Where it accepts twice as many, an entry may now use as many as there are slots, 16 at most as before.

Measured: that test and those of shares and placement pass (85 tests).

--- a/packages/core/src/connections/connectionLimits.ts
+++ b/packages/core/src/connections/connectionLimits.ts
@@ -2,8 +2,10 @@
 const connectionLimits = {
   /** Most connections from one entry to a target, however many the target accepts. */
   maxPerTarget: 256,
-  /** Connections from one entry to a target while it does not know the other entries. */
-  unknownShare: 16,
+  /** Most connections from one entry to another that relay requests. */
+  maxPerEntry: 256,
+  /** Connections to a target that accepts them, from an entry that does not know its share. */
+  smallShare: 16,
   /** Connections to a target that are left to its probes. */
   keptForProbes: 1,
   /** Addresses in a row that refuse new connections: fewer targets may be down themselves. */
--- a/packages/gateway/src/ConnectionTracker.ts
+++ b/packages/gateway/src/ConnectionTracker.ts
@@ -14,8 +14,8 @@
   readonly countReady: (address: string) => number;
   /** Returns whether a new connection leads to the process that the last probe has told of. */
   readonly mayOpen: (address: string) => boolean;
-  /** Returns how many connections to targets of a service may carry requests of this entry. */
-  readonly findLimit: (service: string) => number;
+  /** Returns how many connections to a target may carry requests of this entry. */
+  readonly findLimit: (target: PlacedTarget) => number;
   /** Called when new connections turn out to be refused. */
   readonly onRefused: () => void;
 }
@@ -65,8 +65,8 @@
   }
 
   /** @returns how many connections to a target may carry requests of this entry */
-  limitOf({ record: { service } }: PlacedTarget): number {
-    return this.options.findLimit(service);
+  limitOf(target: PlacedTarget): number {
+    return this.options.findLimit(target);
   }
 
   /**
--- a/packages/gateway/src/TargetPaths.ts
+++ b/packages/gateway/src/TargetPaths.ts
@@ -30,8 +30,8 @@
   readonly countReady: (address: string) => number;
   /** Returns whether a new connection leads to the process that the last probe has told of. */
   readonly mayOpen: (address: string) => boolean;
-  /** Returns how many connections to targets of a service may carry requests of this entry. */
-  readonly findLimit: (service: string) => number;
+  /** Returns how many connections to a target may carry requests of this entry. */
+  readonly findLimit: (target: PlacedTarget) => number;
 }
 
 /** Tells which paths from this entry to targets work. */
--- a/packages/gateway/src/TargetPool.ts
+++ b/packages/gateway/src/TargetPool.ts
@@ -118,10 +118,11 @@
       ...options,
       findServing: () => this.targets.list().filter((target) => this.isServing(target)),
       isNear: (target) => this.isNear(target),
-      findLimit: (service) => findConnectionLimit(
-        findService(this.declaration, service)?.connectionLimit,
-        this.share.findCount(options.clock()),
-      ),
+      findLimit: ({ record: { service, slots } }) => findConnectionLimit({
+        accepted: findService(this.declaration, service)?.connectionLimit,
+        slots,
+        entryCount: this.share.findCount(options.clock()),
+      }),
     });
   }
 
