Don't queue relayed requests behind others at a home entry

The sender no longer queues, so such a request fails unsent and goes to the next home entry; its limit was a constant of 64 in two places. The scheduler of these systems knows the connections that a target accepts, so it queues attempts beyond them instead of sending them.

An attempt beyond the connections of a target was assigned before, and queues.

--- a/packages/caller/src/Exchange.ts
+++ b/packages/caller/src/Exchange.ts
@@ -33,8 +33,6 @@
 
 const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
 const UNKNOWN_ADDRESS = '127.0.0.1:0';
-/** Maximum number of connections to one entry. */
-const RELAY_CONNECTION_LIMIT = 64;
 const ATTEMPT_HEADER = 'guavayard-attempt';
 const OUTCOME_HEADER = 'guavayard-outcome';
 const LOAD_HEADER = 'guavayard-load';
@@ -190,14 +188,10 @@
   }
 
   private findAddress({ target, relayTo }: Assignment): SendAddress {
-    if (relayTo === undefined) {
-      const { address, connectionLimit } = target;
-      const { maxPerTarget } = connectionLimits;
-      return { address, connectionLimit: Math.min(connectionLimit, maxPerTarget) };
-    }
+    if (relayTo === undefined) return target;
     // An unknown owner maps to an address without a listener, which proves the attempt did not run.
     const address = this.entry.relay.addressOf(relayTo) ?? UNKNOWN_ADDRESS;
-    return { address, connectionLimit: RELAY_CONNECTION_LIMIT };
+    return { address, connectionLimit: connectionLimits.maxPerEntry };
   }
 
   private createHeaders({ relayTo }: Assignment): string[] {
--- a/packages/caller/src/HomeRelayExchange.ts
+++ b/packages/caller/src/HomeRelayExchange.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http';
 
+import connectionLimits from '@guavayard/core/connections/connectionLimits';
 import type AnswerHandler from '@guavayard/core/dispatch/AnswerHandler';
 import type AnswerHeaders from '@guavayard/core/dispatch/AnswerHeaders';
 import type Dispatch from '@guavayard/core/dispatch/Dispatch';
@@ -14,9 +15,6 @@
 import ReplayableBody from './ReplayableBody';
 import sendFailure from './sendFailure';
 
-/** Maximum number of connections to one entry. */
-const RELAY_CONNECTION_LIMIT = 64;
-
 /** Streams a request to an entry in its home regions, without buffering the body for retries. */
 export default class HomeRelayExchange implements AnswerHandler {
   private readonly body: ReplayableBody;
@@ -95,7 +93,8 @@
     const remainingMs = this.request.deadlineMs - this.entry.clock();
     const relayHeader = this.entry.relay.sign('home', getRequestRecord(this.res).requestId);
     const remaining = this.addresses.length;
-    const dispatch = this.entry.sender.send({ address, connectionLimit: RELAY_CONNECTION_LIMIT }, {
+    const home = { address, connectionLimit: connectionLimits.maxPerEntry };
+    const dispatch = this.entry.sender.send(home, {
       method,
       path,
       headers: createRelayHeaders(req.rawHeaders, remainingMs, relayHeader),
--- a/packages/core/src/choice/TargetSelector.ts
+++ b/packages/core/src/choice/TargetSelector.ts
@@ -1,4 +1,5 @@
 import createColdRamp from '../coldstart/createColdRamp';
+import connectionLimits from '../connections/connectionLimits';
 import type DataCentreRamp from '../limits/DataCentreRamp';
 import type TokenBucket from '../limits/TokenBucket';
 import type Candidate from '../routing/Candidate';
@@ -83,6 +84,9 @@
       return this.hasColdCapacity(target, state, request) ? roundTripMs + medianMs : Infinity;
     }
     if (service.outliers.isEjected(target.id, nowMs)) return Infinity;
+    // An attempt without a connection is not sent.
+    const connections = Math.min(target.connectionLimit, connectionLimits.maxPerTarget);
+    if (state.outstanding.size >= connections) return Infinity;
     const inFlight = estimateInFlight(state, this.options, nowMs);
     if (!this.hasCapacity(candidate, state.affinity, inFlight, request)) return Infinity;
     const slowness = estimateSlowness(state, service.latencies, this.options, nowMs);
--- a/packages/core/test/scheduler.test.ts
+++ b/packages/core/test/scheduler.test.ts
@@ -21,6 +21,17 @@
   assert.deepEqual(rig.schedule(), []);
 });
 
+// Guards against an attempt that is sent to a target without a connection for it.
+test('attempts queue once they take all connections that a target accepts', () => {
+  const rig = new SchedulerRig();
+  rig.addTarget('a', { slots: 4, connectionLimit: 2 });
+  const running = [rig.assign(), rig.assign()];
+  const waiting = rig.schedule();
+  assert.deepEqual(waiting, []);
+  running[0]?.finish(GOOD);
+  assert.equal(waiting.length, 1);
+});
+
 test('a target queue admits that many extra attempts per target', () => {
   const rig = new SchedulerRig('entry-1', { targetQueue: 1 });
   ['a', 'b'].forEach((id) => rig.addTarget(id));
