Don't give up a response that is being forwarded

Cause: the watchdog moved an attempt that took too long without asking whether its response was already being sent to the caller; the abort cut it.

Fix: an attempt whose response is being forwarded is not moved. One whose response is buffered is, as the caller has received nothing.

Test: a response of 1.25 MiB in 2 s with another target free was cut at half before, and is whole now.

--- a/packages/gateway/src/AttemptWatchdog.ts
+++ b/packages/gateway/src/AttemptWatchdog.ts
@@ -59,7 +59,8 @@
       targetLatencyMs,
       answersProbesAtOnce,
       silentProbes: attempt.target.silentProbes,
-      canMove: this.listener.canMove(),
+      // The caller has begun to receive the response, which no other target can go on with.
+      canMove: !attempt.isForwarding && this.listener.canMove(),
     });
     if (reason !== undefined) {
       const detail = reason === 'lost' ? 'the target is silent' : 'no answer for too long';
--- a/packages/gateway/test/watchdog.test.ts
+++ b/packages/gateway/test/watchdog.test.ts
@@ -115,3 +115,15 @@
   rig.run(3000);
   assert.equal(order.status, 502);
 });
+
+// Guards against cutting a response that the caller receives, in favour of a target that is free.
+test('a response that is being forwarded is not given up for another target', (t) => {
+  const rig = new GatewayRig(t, { timeoutMs: 5000, targetLatencyMs: 400 });
+  const target = rig.addTarget('slow', { workMs: 50, bodyBytes: 20 * 64 * 1024, chunkGapMs: 100 });
+  const res = rig.request({ remainingMs: 5000 });
+  rig.run(100);
+  rig.addTarget('free');
+  rig.run(4000);
+  assert.deepEqual([res.status, res.body.length], [200, target.bodyBytes]);
+  assert.equal(rig.sender.aborts, 0);
+});
