--- a/packages/target/src/TargetConnection.ts
+++ b/packages/target/src/TargetConnection.ts
@@ -32,8 +32,8 @@
   /** Whether the open connection has been sent a request whose response has not started. */
   private isAwaiting = false;
 
-  /** Whether a request that is not a probe is under way. */
-  private isCarrying = false;
+  /** Whether the connection carries a request that is not a probe. */
+  hasRequest = false;
 
   /** Whether this VM has aborted a request, which ends the open connection. */
   private isAborted = false;
@@ -72,11 +72,6 @@
     return this.client.stats.size === 0;
   }
 
-  /** Whether the connection carries a request that is not a probe. */
-  get hasRequest(): boolean {
-    return this.isCarrying;
-  }
-
   /** Whether the connection is open and has carried a response. */
   get isProven(): boolean {
     return this.hasAnswered && this.client.stats.connected;
@@ -114,10 +109,10 @@
         this.isAborted = true;
       },
       onFinished: () => {
-        this.isCarrying = false;
+        this.hasRequest = false;
       },
     });
-    this.isCarrying = req.purpose !== 'probe';
+    this.hasRequest = req.purpose !== 'probe';
     this.client.dispatch({
       method: req.method,
       path: req.path,
