Test that a request beyond the connections waits in the scheduler

The test keeps its assertions, with the scheduler that entries use, where the request now waits. A second test holds what the first one met: without a queue, the request is refused at once, as not run, and is not sent.

--- a/test/outcomes.test.ts
+++ b/test/outcomes.test.ts
@@ -234,9 +234,16 @@
   assert.equal(first.received.length, 1);
 });
 
-test('a request whose deadline passes before a connection is free is not sent', async (t) => {
+interface BusySystem {
+  readonly target: RawTarget;
+  readonly clients: readonly [Client, Client];
+}
+
+/** Starts an entry and a target that accepts one connection and answers nothing. */
+async function startBusy(t: TestContext, hasQueue: boolean): Promise<BusySystem> {
   const [target, address] = await startTarget(t, neverRespond);
   const entry = new TestEntry();
+  if (hasQueue) entry.queueAttempts();
   entry.addTarget(address, 1);
   const origin = `http://127.0.0.1:${await entry.listen()}`;
   const clients = [new Client(origin), new Client(origin)] as const;
@@ -244,6 +251,24 @@
     await Promise.all(clients.map(async (client) => client.destroy()));
     await entry.close();
   });
+  return { target, clients };
+}
+
+test('a request for which no connection is left is refused at once, and not sent', async (t) => {
+  const { target, clients } = await startBusy(t, false);
+  const blocker = clients[0].request({
+    method: 'POST', path: '/blocker', headers: { 'guavayard-deadline-ms': '1500' },
+  });
+  await target.waitFor(() => target.received.length === 1);
+  const refused = await receive(clients[1], 'POST', 'hold');
+  assert.equal(refused.error, 'noTarget');
+  assert.equal(refused.outcome, 'not-run');
+  await (await blocker).body.dump();
+  assert.deepEqual(target.received.map((req) => req.path), ['/blocker']);
+});
+
+test('a request whose deadline passes before a connection is free is not sent', async (t) => {
+  const { target, clients } = await startBusy(t, true);
   const blocker = clients[0].request({
     method: 'POST', path: '/blocker', headers: { 'guavayard-deadline-ms': '1500' },
   });
--- a/test/support/TestEntry.ts
+++ b/test/support/TestEntry.ts
@@ -10,7 +10,11 @@
 import type KeyKeeper from '@guavayard/core/idempotency/KeyKeeper';
 import type RequestRecord from '@guavayard/core/objectives/RequestRecord';
 import findCandidates from '@guavayard/core/routing/findCandidates';
+import type Candidate from '@guavayard/core/routing/Candidate';
+import type Admission from '@guavayard/core/scheduling/Admission';
+import defaultOptions from '@guavayard/core/scheduling/defaultOptions';
 import DirectScheduler from '@guavayard/core/scheduling/DirectScheduler';
+import LoadAwareScheduler from '@guavayard/core/scheduling/LoadAwareScheduler';
 import type Scheduler from '@guavayard/core/scheduling/Scheduler';
 import Configuration from '@guavayard/core/types/Configuration';
 import DispatchChecker from '@guavayard/core/invariants/DispatchChecker';
@@ -54,6 +58,10 @@
 
   private readonly targets: KnownTarget[] = [];
 
+  private scheduler: Scheduler;
+
+  private readonly findCandidates: (admission: Pick<Admission, 'match'>) => readonly Candidate[];
+
   private readonly listener: CallerListener;
 
   private readonly identity: VmIdentity;
@@ -80,12 +88,15 @@
       address: '127.0.0.1:1',
     };
     const location = { region, dataCentre: `${region}-1` };
-    const directScheduler = new DirectScheduler(({ match }) => (
+    this.findCandidates = ({ match }) => (
       this.configuration === undefined
-        ? [] : findCandidates(this.configuration, this.targets, match, location)
-    ), (countInFlight) => new LeastInFlightChooser(countInFlight));
+        ? [] : findCandidates(this.configuration, this.targets, match, location));
+    this.scheduler = new DirectScheduler(
+      this.findCandidates,
+      (countInFlight) => new LeastInFlightChooser(countInFlight),
+    );
     const scheduler: Scheduler = {
-      schedule: (admission, onDecision) => directScheduler.schedule(admission, (decision) => {
+      schedule: (admission, onDecision) => this.scheduler.schedule(admission, (decision) => {
         onDecision(decision.map((assignment) => ({ ...assignment, relayTo: this.relayTo })));
       }),
     };
@@ -102,6 +113,17 @@
     this.listener = new CallerListener(handler, { limits });
   }
 
+  /** Schedules attempts as entries do: they wait in a queue for a target. */
+  queueAttempts(): void {
+    this.scheduler = new LoadAwareScheduler({
+      entryName: this.identity.name,
+      clock: () => performance.now(),
+      random: Math.random,
+      findCandidates: this.findCandidates,
+      listener: { onWarm: () => undefined },
+    }, defaultOptions);
+  }
+
   /**
    * Adds a target. Targets that were added earlier are preferred.
    *
